Add the build, the shared contracts and the wire messages

Cause: there is no project yet; all slices need one build and one set of contracts to work against. Conclusion: the slices can be built side by side.

--- /dev/null
+++ b/src/main/java/org/crocuspost/error/ErrorCode.java
@@ -0,0 +1,193 @@
+package org.crocuspost.error;
+
+/**
+ * Catalogue of every error that crocuspost reports, with its HTTP status, the verdict
+ * that it implies and the template of its message.
+ */
+public enum ErrorCode {
+
+	/**
+	 * No service matches the host and path of a request.
+	 */
+	SERVICE_UNKNOWN(404, Verdict.NOT_RUN, "no service matches host %s and path %s"),
+
+	/**
+	 * No endpoint of the service accepts work now.
+	 */
+	NO_ENDPOINT(503, Verdict.NOT_RUN, "service %s has no endpoint that accepts work"),
+
+	/**
+	 * The service has more requests than it can answer in time.
+	 */
+	OVERLOADED(503, Verdict.NOT_RUN, "service %s is overloaded"),
+
+	/**
+	 * The deadline passed before the request was forwarded.
+	 */
+	DEADLINE_BEFORE_START(504, Verdict.NOT_RUN, "the deadline passed before the request was started"),
+
+	/**
+	 * The deadline passed after the request was forwarded.
+	 */
+	DEADLINE_AFTER_START(504, Verdict.MAY_HAVE_RUN, "the deadline passed while the request may have been running"),
+
+	/**
+	 * The connection was lost after the request was forwarded.
+	 */
+	CONNECTION_LOST(502, Verdict.MAY_HAVE_RUN, "the connection to %s was lost while the request may have been running"),
+
+	/**
+	 * The endpoint refused the connection, so the request never left the agent.
+	 */
+	ENDPOINT_REFUSED(503, Verdict.NOT_RUN, "endpoint %s refused the connection"),
+
+	/**
+	 * The answer of the endpoint broke off.
+	 */
+	ANSWER_INCOMPLETE(502, Verdict.MAY_HAVE_RUN, "the answer of endpoint %s broke off"),
+
+	/**
+	 * The gate before an endpoint is closed because the endpoint is leaving.
+	 */
+	ENDPOINT_LEAVING(503, Verdict.NOT_RUN, "endpoint %s is leaving"),
+
+	/**
+	 * The agent recorded that it will never run the request.
+	 */
+	REQUEST_CANCELLED(503, Verdict.NOT_RUN, "request %s was cancelled before it started"),
+
+	/**
+	 * Another attempt of the same request is running or has run with an unknown result.
+	 */
+	DUPLICATE_REQUEST(409, Verdict.MAY_HAVE_RUN, "another attempt of request %s may have run"),
+
+	/**
+	 * A request is larger than its limit.
+	 */
+	REQUEST_TOO_LARGE(413, Verdict.NOT_RUN, "the request body is larger than %s bytes"),
+
+	/**
+	 * A request or a message is malformed.
+	 */
+	MALFORMED(400, Verdict.NOT_RUN, "malformed: %s"),
+
+	/**
+	 * Operator credentials are missing or wrong.
+	 */
+	UNAUTHORIZED(401, Verdict.NOT_RUN, "a valid bearer token is required"),
+
+	/**
+	 * A release note has faults.
+	 */
+	NOTE_INVALID(422, Verdict.NOT_RUN, "the release note has %s faults"),
+
+	/**
+	 * A release note was written for another version than the one in force.
+	 */
+	NOTE_CONFLICT(409, Verdict.NOT_RUN, "the release note was written for version %s, but the version is %s"),
+
+	/**
+	 * Something named by its identity does not exist.
+	 */
+	NOT_FOUND(404, Verdict.NOT_RUN, "%s does not exist"),
+
+	/**
+	 * The platform's table service or object store did not take the call.
+	 */
+	STORE_UNAVAILABLE(503, Verdict.NOT_RUN, "the platform's store is unavailable: %s"),
+
+	/**
+	 * The platform's store did not answer a write that may have taken effect.
+	 */
+	STORE_UNKNOWN(503, Verdict.MAY_HAVE_RUN, "the platform's store did not answer: %s"),
+
+	/**
+	 * A write or a command carries a fencing token that is too old.
+	 */
+	FENCED(409, Verdict.NOT_RUN, "epoch %s is older than epoch %s"),
+
+	/**
+	 * A worker has not enough free resources for a task.
+	 */
+	WORKER_FULL(409, Verdict.NOT_RUN, "worker %s has no room for task %s"),
+
+	/**
+	 * A worker failed to carry out a task command.
+	 */
+	WORKER_FAILED(502, Verdict.MAY_HAVE_RUN, "worker %s failed: %s"),
+
+	/**
+	 * A start command arrived after the time within which it may be obeyed.
+	 */
+	START_EXPIRED(409, Verdict.NOT_RUN, "the start command for task %s is too old"),
+
+	/**
+	 * A peer does not know the secret of the deployment.
+	 */
+	PEER_REJECTED(403, Verdict.NOT_RUN, "the peer does not belong to this deployment"),
+
+	/**
+	 * Settings have faults.
+	 */
+	SETTINGS_INVALID(500, Verdict.NOT_RUN, "the settings have %s faults"),
+
+	/**
+	 * A fault of crocuspost itself.
+	 */
+	INTERNAL(500, Verdict.MAY_HAVE_RUN, "internal error: %s");
+
+	private final int status;
+
+	private final Verdict verdict;
+
+	private final String template;
+
+	ErrorCode(int status, Verdict verdict, String template) {
+		this.status = status;
+		this.verdict = verdict;
+		this.template = template;
+	}
+
+	/**
+	 * Returns the HTTP status with which the error is reported.
+	 * @return an HTTP status code
+	 */
+	public int status() {
+		return this.status;
+	}
+
+	/**
+	 * Returns the verdict that the error implies.
+	 * @return the verdict
+	 */
+	public Verdict verdict() {
+		return this.verdict;
+	}
+
+	/**
+	 * Returns the code as it appears in answers, logs and metrics.
+	 * @return the code in lower case with hyphens
+	 */
+	public String code() {
+		return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+	}
+
+	/**
+	 * Returns the template of the message, in the syntax of
+	 * {@link String#format(String, Object...)}.
+	 * @return the template
+	 */
+	public String template() {
+		return this.template;
+	}
+
+	/**
+	 * Creates a failure with this code.
+	 * @param arguments the values for the template
+	 * @return the failure
+	 */
+	public Failure with(Object... arguments) {
+		return new Failure(this, String.format(this.template, arguments));
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/log/JsonLinesWriter.java
@@ -0,0 +1,74 @@
+package org.crocuspost.log;
+
+import java.io.PrintStream;
+import java.util.Collection;
+import java.util.EnumSet;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+
+import org.crocuspost.json.Json;
+import org.tinylog.core.LogEntry;
+import org.tinylog.core.LogEntryValue;
+import org.tinylog.writers.Writer;
+
+/**
+ * Writes each log entry as one line of JSON to standard output. tinylog creates it by the
+ * name "json lines".
+ */
+public final class JsonLinesWriter implements Writer {
+
+	private final PrintStream output;
+
+	/**
+	 * Creates the writer as tinylog requires.
+	 * @param properties the properties from the logging configuration; unused
+	 */
+	public JsonLinesWriter(Map<String, String> properties) {
+		this(System.out);
+	}
+
+	JsonLinesWriter(PrintStream output) {
+		this.output = output;
+	}
+
+	@Override
+	public Collection<LogEntryValue> getRequiredLogEntryValues() {
+		return EnumSet.of(LogEntryValue.DATE, LogEntryValue.LEVEL, LogEntryValue.MESSAGE, LogEntryValue.CLASS,
+				LogEntryValue.CONTEXT, LogEntryValue.EXCEPTION);
+	}
+
+	@Override
+	public void write(LogEntry logEntry) {
+		Map<String, String> line = new LinkedHashMap<>();
+		line.put("time", logEntry.getTimestamp().toInstant().toString());
+		line.put("level", logEntry.getLevel().name().toLowerCase(Locale.ROOT));
+		line.putAll(logEntry.getContext());
+		if (!line.containsKey(EventLog.EVENT_FIELD)) {
+			line.put("logger", logEntry.getClassName());
+			line.put("message", String.valueOf(logEntry.getMessage()));
+		}
+		Throwable exception = logEntry.getException();
+		if (exception != null) {
+			line.put("exception", stackTrace(exception));
+		}
+		this.output.println(Json.write(line));
+	}
+
+	private static String stackTrace(Throwable exception) {
+		java.io.StringWriter text = new java.io.StringWriter();
+		exception.printStackTrace(new java.io.PrintWriter(text));
+		return text.toString();
+	}
+
+	@Override
+	public void flush() {
+		this.output.flush();
+	}
+
+	@Override
+	public void close() {
+		flush();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/log/LogEvent.java
@@ -0,0 +1,25 @@
+package org.crocuspost.log;
+
+import java.util.Locale;
+
+/**
+ * Kind of event in the logs. Each slice catalogues its events in an enum that implements
+ * this interface.
+ */
+public interface LogEvent {
+
+	/**
+	 * Returns the name of the enum constant.
+	 * @return the name in upper case with underscores
+	 */
+	String name();
+
+	/**
+	 * Returns the name of the event as it appears in logs. It never changes.
+	 * @return the name in lower case with hyphens
+	 */
+	default String eventName() {
+		return name().toLowerCase(Locale.ROOT).replace('_', '-');
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/platform/objects/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The platform's object store: interface and adapters.
+ */
+@NullMarked
+package org.crocuspost.platform.objects;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/test/java/org/crocuspost/time/VirtualTimeTests.java
@@ -0,0 +1,35 @@
+package org.crocuspost.time;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class VirtualTimeTests {
+
+	private final VirtualTime time = new VirtualTime(Instant.EPOCH);
+
+	private final List<String> runs = new ArrayList<>();
+
+	@Test
+	void actionsRunInOrderOfDueTime() {
+		this.time.schedule(Duration.ofSeconds(2), () -> this.runs.add("second at " + this.time.instant()));
+		this.time.schedule(Duration.ofSeconds(1), () -> this.runs.add("first at " + this.time.instant()));
+		this.time.advance(Duration.ofSeconds(2));
+		assertThat(this.runs).containsExactly("first at 1970-01-01T00:00:01Z", "second at 1970-01-01T00:00:02Z");
+	}
+
+	@Test
+	void repetitionEndsWhenCancelled() {
+		Cancellable repetition = this.time.repeat(Duration.ofSeconds(1), () -> this.runs.add("run"));
+		this.time.advance(Duration.ofSeconds(3));
+		repetition.cancel();
+		this.time.advance(Duration.ofSeconds(3));
+		assertThat(this.runs).hasSize(3);
+	}
+
+}
