--- /dev/null
+++ b/src/main/java/org/crocuspost/placement/PairPenalty.java
@@ -0,0 +1,22 @@
+package org.crocuspost.placement;
+
+/**
+ * Expected harm of running a job on a worker beside what runs there already.
+ */
+@FunctionalInterface
+public interface PairPenalty {
+
+	/**
+	 * Penalty that is zero for every pair.
+	 */
+	PairPenalty NONE = (job, worker) -> 0;
+
+	/**
+	 * Returns the expected harm.
+	 * @param job the name of the job
+	 * @param worker the worker
+	 * @return the harm, from 0 for none to 1 for a service that misses its objective
+	 */
+	double cost(String job, WorkerSnapshot worker);
+
+}
