--- /dev/null
+++ b/src/main/java/org/crocuspost/standin/objects/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Stand-in for the platform's object store.
+ */
+@NullMarked
+package org.crocuspost.standin.objects;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/crocuspost/standin/table/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Stand-in for the platform's table service.
+ */
+@NullMarked
+package org.crocuspost.standin.table;
+
+import org.jspecify.annotations.NullMarked;
