--- /dev/null
+++ b/src/main/java/org/crocuspost/scheduler/ClaimPlanner.java
@@ -0,0 +1,164 @@
+package org.crocuspost.scheduler;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.function.Predicate;
+
+import org.crocuspost.configuration.Configuration;
+import org.crocuspost.configuration.JobSpecification;
+import org.crocuspost.placement.PlacementPolicy;
+import org.crocuspost.placement.PlacementRequest;
+import org.crocuspost.platform.worker.Resources;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Chooses the claims of one round: jobs in order of urgency and priority, each until the
+ * first task that finds no worker. Room only shrinks within a round, so once a size has
+ * found no worker every size at least as large is skipped without a search.
+ */
+final class ClaimPlanner {
+
+	private static final Comparator<JobSpecification> ORDER = Comparator
+		.comparing((JobSpecification job) -> job.urgent() ? 0 : 1)
+		.thenComparing(JobSpecification::priority)
+		.thenComparing((job) -> job.deadline().orElse(Duration.ofDays(1)))
+		.thenComparing(JobSpecification::name);
+
+	private final PlacementPolicy policy;
+
+	private final PendingTasks pending;
+
+	private final LearnedSizes sizes;
+
+	private final FailureTracker failures;
+
+	private List<JobSpecification> ordered = List.of();
+
+	private long orderedVersion = -1;
+
+	ClaimPlanner(PlacementPolicy policy, PendingTasks pending, LearnedSizes sizes, FailureTracker failures) {
+		this.policy = policy;
+		this.pending = pending;
+		this.sizes = sizes;
+		this.failures = failures;
+	}
+
+	/**
+	 * Chooses the claims.
+	 * @param configuration the configuration in force
+	 * @param rooms the workers that may get tasks; room is taken from it
+	 * @param use what the teams use; claims are added to it
+	 * @param preferred says whether this scheduler should start a task
+	 * @param limit the most claims
+	 * @return the claims and the reasons why the other jobs wait
+	 */
+	ClaimPlan plan(Configuration configuration, WorkerRooms rooms, TeamUse use, Predicate<CachedTask> preferred,
+			int limit) {
+		Round round = new Round(rooms, use, preferred, limit);
+		for (JobSpecification job : inOrder(configuration)) {
+			round.plan(job, configuration.version());
+		}
+		return new ClaimPlan(round.claims, round.waits);
+	}
+
+	private List<JobSpecification> inOrder(Configuration configuration) {
+		if (configuration.version() != this.orderedVersion) {
+			this.ordered = configuration.jobs().values().stream().sorted(ORDER).toList();
+			this.orderedVersion = configuration.version();
+		}
+		return this.ordered;
+	}
+
+	private final class Round {
+
+		private final WorkerRooms rooms;
+
+		private final TeamUse use;
+
+		private final Predicate<CachedTask> preferred;
+
+		private final int limit;
+
+		private final List<Claim> claims = new ArrayList<>();
+
+		private final Map<String, JobWait> waits = new HashMap<>();
+
+		private final List<Resources> refused = new ArrayList<>();
+
+		private Round(WorkerRooms rooms, TeamUse use, Predicate<CachedTask> preferred, int limit) {
+			this.rooms = rooms;
+			this.use = use;
+			this.preferred = preferred;
+			this.limit = limit;
+		}
+
+		private void plan(JobSpecification job, long version) {
+			List<CachedTask> tasks = ClaimPlanner.this.pending.of(job, version,
+					Math.max(1, this.limit - this.claims.size()));
+			for (CachedTask task : tasks) {
+				JobWait wait = claim(job, task);
+				if (wait != null) {
+					this.waits.put(job.name(), wait);
+					if (wait.reason() != WaitReason.OTHER_SCHEDULER) {
+						return;
+					}
+				}
+			}
+		}
+
+		private @Nullable JobWait claim(JobSpecification job, CachedTask task) {
+			Resources size = ClaimPlanner.this.sizes.sizeOf(job);
+			JobWait obstacle = obstacle(job, task, size);
+			if (obstacle != null) {
+				return obstacle;
+			}
+			OptionalInt chosen = ClaimPlanner.this.policy.choose(new PlacementRequest(job, size),
+					this.rooms.snapshots());
+			if (chosen.isEmpty()) {
+				this.refused.add(size);
+				return noRoom(size);
+			}
+			this.rooms.take(chosen.getAsInt(), job.name(), size);
+			this.use.add(job, size);
+			this.claims.add(new Claim(task, this.rooms.state(chosen.getAsInt()), size));
+			return null;
+		}
+
+		private @Nullable JobWait obstacle(JobSpecification job, CachedTask task, Resources size) {
+			if (ClaimPlanner.this.failures.held(job.name())) {
+				return new JobWait(WaitReason.FAILS_EVERYWHERE, "its tasks failed on several workers");
+			}
+			if (!this.use.everAllows(job, size)) {
+				return new JobWait(WaitReason.LARGER_THAN_QUOTA,
+						"a task needs " + size + ", more than the quota of team " + job.team());
+			}
+			if (!this.use.allows(job, size)) {
+				return new JobWait(WaitReason.QUOTA, "the quota of team " + job.team() + " is used up");
+			}
+			if (this.rooms.isEmpty()) {
+				return new JobWait(WaitReason.NO_DOMAIN, "no worker takes tasks now");
+			}
+			if (this.refused.stream().anyMatch((other) -> other.fitsInto(size)) || this.claims.size() >= this.limit) {
+				return noRoom(size);
+			}
+			if (!this.preferred.test(task)) {
+				return new JobWait(WaitReason.OTHER_SCHEDULER, "another scheduler starts it");
+			}
+			return null;
+		}
+
+		private JobWait noRoom(Resources size) {
+			if (!this.rooms.largeEnough(size)) {
+				return new JobWait(WaitReason.LARGER_THAN_EVERY_WORKER, "a task needs " + size);
+			}
+			return new JobWait(WaitReason.NO_ROOM, "no worker has " + size + " free");
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/scheduler/LearnedSizes.java
@@ -0,0 +1,74 @@
+package org.crocuspost.scheduler;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+import org.HdrHistogram.Histogram;
+import org.crocuspost.configuration.JobSpecification;
+import org.crocuspost.platform.worker.Resources;
+
+/**
+ * Resources to set aside for tasks, learned from use. The declared size holds until there
+ * is evidence. A job that uses more than declared gets more at once; a job that uses less
+ * gets less only after many measurements, and memory follows the largest use ever seen
+ * because memory cannot be taken back from a running task.
+ */
+final class LearnedSizes {
+
+	private static final int MEASUREMENTS_TO_GROW = 1;
+
+	private static final int MEASUREMENTS_TO_SHRINK = 30;
+
+	private static final double PROCESSOR_PERCENTILE = 95;
+
+	private static final double HEADROOM = 1.25;
+
+	private static final int SIGNIFICANT_DIGITS = 2;
+
+	private final Map<String, Use> uses = new HashMap<>();
+
+	synchronized void measured(String job, Resources used) {
+		if (used.memoryMebibytes() > 0 || used.milliCores() > 0) {
+			this.uses.computeIfAbsent(job, (name) -> new Use()).add(used);
+		}
+	}
+
+	synchronized Resources sizeOf(JobSpecification job) {
+		Use use = this.uses.get(job.name());
+		return (use != null) ? use.apply(job.size()) : job.size();
+	}
+
+	synchronized void retain(Set<String> jobs) {
+		this.uses.keySet().retainAll(jobs);
+	}
+
+	private static final class Use {
+
+		private final Histogram milliCores = new Histogram(SIGNIFICANT_DIGITS);
+
+		private final Histogram memory = new Histogram(SIGNIFICANT_DIGITS);
+
+		private void add(Resources used) {
+			this.milliCores.recordValue(used.milliCores());
+			this.memory.recordValue(used.memoryMebibytes());
+		}
+
+		private Resources apply(Resources declared) {
+			long processor = Math.round(this.milliCores.getValueAtPercentile(PROCESSOR_PERCENTILE) * HEADROOM);
+			long largest = Math.round(this.memory.getMaxValue() * HEADROOM);
+			return new Resources(bounded(declared.milliCores(), processor),
+					bounded(declared.memoryMebibytes(), largest), declared.accelerators());
+		}
+
+		private long bounded(long declared, long learned) {
+			long measurements = this.memory.getTotalCount();
+			if (learned > declared) {
+				return (measurements >= MEASUREMENTS_TO_GROW) ? learned : declared;
+			}
+			return (measurements >= MEASUREMENTS_TO_SHRINK) ? Math.max(1, learned) : declared;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/scheduler/TaskTable.java
@@ -0,0 +1,210 @@
+package org.crocuspost.scheduler;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.vavr.collection.Seq;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.crocuspost.error.ErrorCode;
+import org.crocuspost.error.Failure;
+import org.crocuspost.json.Json;
+import org.crocuspost.platform.table.CommitResult;
+import org.crocuspost.platform.table.Row;
+import org.crocuspost.platform.table.TableKeys;
+import org.crocuspost.platform.table.TableService;
+import org.crocuspost.platform.table.Transaction;
+import org.crocuspost.shard.ShardToken;
+import org.crocuspost.task.TaskRecord;
+import org.crocuspost.task.TaskStatus;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The rows of all tasks as this process knows them. The rows of tasks that may run in a
+ * failure domain are changed only by the holder of that domain's lease, so for the
+ * domains that this process holds the copy is exact. Written by the scheduler's thread
+ * only; read by several.
+ */
+final class TaskTable {
+
+	private final TableService table;
+
+	private final Map<String, CachedTask> tasks = new ConcurrentHashMap<>();
+
+	private final Map<String, Map<String, CachedTask>> activeByDomain = new HashMap<>();
+
+	private final Map<String, Map<String, CachedTask>> pendingByJob = new HashMap<>();
+
+	private final Map<String, Integer> rowsByJob = new HashMap<>();
+
+	TaskTable(TableService table) {
+		this.table = table;
+	}
+
+	/**
+	 * Reads all rows. A row that is older than the known one is ignored, and a row that
+	 * only this process may delete is kept.
+	 * @param exactDomains the failure domains whose rows this process knows exactly
+	 * @return the number of rows, or the failure of the store
+	 */
+	Either<Failure, Integer> refresh(Set<String> exactDomains) {
+		return this.table.scan(TableKeys.TASKS).map((rows) -> replace(rows, exactDomains));
+	}
+
+	private Integer replace(Seq<Row> rows, Set<String> exactDomains) {
+		Set<String> present = new HashSet<>();
+		for (Row row : rows) {
+			CachedTask task = new CachedTask(Json.read(row.value(), TaskRecord.class), row.version());
+			present.add(task.record().taskId());
+			CachedTask known = this.tasks.get(task.record().taskId());
+			if (known == null || known.version() < task.version()) {
+				put(task);
+			}
+		}
+		List<String> gone = this.tasks.values()
+			.stream()
+			.map(CachedTask::record)
+			.filter((task) -> !exactDomains.contains(task.domain()) && !present.contains(task.taskId()))
+			.map(TaskRecord::taskId)
+			.toList();
+		gone.forEach(this::remove);
+		return rows.size();
+	}
+
+	/**
+	 * Returns a task, which may have no row.
+	 * @param taskId the identity
+	 * @return the task as cached
+	 */
+	Option<CachedTask> find(String taskId) {
+		return Option.of(this.tasks.get(taskId));
+	}
+
+	Collection<CachedTask> all() {
+		return this.tasks.values();
+	}
+
+	List<CachedTask> activeIn(String domain) {
+		return List.copyOf(this.activeByDomain.getOrDefault(domain, Map.of()).values());
+	}
+
+	Collection<CachedTask> pendingOf(String job) {
+		return this.pendingByJob.getOrDefault(job, Map.of()).values();
+	}
+
+	Set<String> jobs() {
+		return Set.copyOf(this.rowsByJob.keySet());
+	}
+
+	int rowsOf(String job) {
+		return this.rowsByJob.getOrDefault(job, 0);
+	}
+
+	/**
+	 * Writes changes in one transaction that requires the lease, the rows' versions and
+	 * further conditions.
+	 * @param token the proof of the lease
+	 * @param changes the changes
+	 * @param conditions further conditions
+	 * @return nothing if the changes are durable; {@code FENCED} if a condition did not
+	 * hold; the failure of the store otherwise
+	 */
+	Either<Failure, List<TaskChange>> commit(ShardToken token, List<TaskChange> changes,
+			List<Transaction.Condition> conditions) {
+		Transaction transaction = Transaction.empty().require(TableKeys.shard(token.domain()), token.rowVersion());
+		for (Transaction.Condition condition : conditions) {
+			transaction = transaction.require(condition.key(), condition.version());
+		}
+		for (TaskChange change : changes) {
+			transaction = add(transaction, change);
+		}
+		return this.table.commit(transaction).flatMap((result) -> apply(token, changes, result));
+	}
+
+	private static Transaction add(Transaction transaction, TaskChange change) {
+		String key = TableKeys.task(change.taskId());
+		Transaction required = transaction.require(key, change.before().version());
+		return change.deletion() ? required.delete(key) : required.put(key, Json.write(change.after()));
+	}
+
+	private Either<Failure, List<TaskChange>> apply(ShardToken token, List<TaskChange> changes, CommitResult result) {
+		if (result instanceof CommitResult.Conflict conflict) {
+			conflict.rows().forEach(this::learn);
+			return Either.left(ErrorCode.FENCED.with(token.epoch(), "unknown"));
+		}
+		Map<String, Long> versions = new HashMap<>();
+		((CommitResult.Committed) result).rows().forEach((row) -> versions.put(row.key(), row.version()));
+		for (TaskChange change : changes) {
+			if (change.deletion()) {
+				remove(change.taskId());
+			}
+			else {
+				put(new CachedTask(change.after(), versions.get(TableKeys.task(change.taskId()))));
+			}
+		}
+		return Either.right(changes);
+	}
+
+	private void learn(Row row) {
+		if (!row.key().startsWith(TableKeys.TASKS)) {
+			return;
+		}
+		if (row.exists()) {
+			put(new CachedTask(Json.read(row.value(), TaskRecord.class), row.version()));
+		}
+		else {
+			remove(row.key().substring(TableKeys.TASKS.length()));
+		}
+	}
+
+	private void put(CachedTask task) {
+		TaskRecord record = task.record();
+		removeFromIndexes(this.tasks.put(record.taskId(), task));
+		this.rowsByJob.merge(record.job(), 1, Integer::sum);
+		if (record.status().mayRun()) {
+			this.activeByDomain.computeIfAbsent(record.domain(), (domain) -> new LinkedHashMap<>())
+				.put(record.taskId(), task);
+		}
+		else if (record.status() == TaskStatus.PENDING) {
+			this.pendingByJob.computeIfAbsent(record.job(), (job) -> new LinkedHashMap<>()).put(record.taskId(), task);
+		}
+	}
+
+	private void remove(String taskId) {
+		removeFromIndexes(this.tasks.remove(taskId));
+	}
+
+	private void removeFromIndexes(@Nullable CachedTask known) {
+		if (known == null) {
+			return;
+		}
+		String taskId = known.record().taskId();
+		TaskRecord record = known.record();
+		this.rowsByJob.computeIfPresent(record.job(), (job, rows) -> (rows > 1) ? rows - 1 : null);
+		this.activeByDomain.getOrDefault(record.domain(), new HashMap<>()).remove(taskId);
+		this.pendingByJob.getOrDefault(record.job(), new HashMap<>()).remove(taskId);
+	}
+
+	/**
+	 * Lists the rows of a job.
+	 * @param job the name of the job
+	 * @return the rows
+	 */
+	List<CachedTask> rowsOfJob(String job) {
+		List<CachedTask> rows = new ArrayList<>();
+		for (CachedTask task : this.tasks.values()) {
+			if (task.record().job().equals(job)) {
+				rows.add(task);
+			}
+		}
+		return rows;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/scheduler/TeamUse.java
@@ -0,0 +1,52 @@
+package org.crocuspost.scheduler;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.crocuspost.configuration.Configuration;
+import org.crocuspost.configuration.JobSpecification;
+import org.crocuspost.configuration.TeamQuota;
+import org.crocuspost.platform.worker.Resources;
+import org.crocuspost.task.TaskRecord;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Resources that the tasks of each team take, against the quotas.
+ */
+final class TeamUse {
+
+	private final Configuration configuration;
+
+	private final Map<String, Resources> used = new HashMap<>();
+
+	TeamUse(Configuration configuration) {
+		this.configuration = configuration;
+	}
+
+	void add(TaskRecord task) {
+		JobSpecification job = this.configuration.jobs().get(task.job());
+		if (job != null) {
+			add(job, task.reserved());
+		}
+	}
+
+	void add(JobSpecification job, Resources resources) {
+		this.used.merge(job.team(), resources, Resources::plus);
+	}
+
+	boolean allows(JobSpecification job, Resources resources) {
+		TeamQuota quota = quota(job);
+		Resources present = this.used.getOrDefault(job.team(), Resources.NONE);
+		return quota == null || present.plus(resources).fitsInto(quota.limit());
+	}
+
+	boolean everAllows(JobSpecification job, Resources resources) {
+		TeamQuota quota = quota(job);
+		return quota == null || resources.fitsInto(quota.limit());
+	}
+
+	private @Nullable TeamQuota quota(JobSpecification job) {
+		return this.configuration.quotas().get(job.team());
+	}
+
+}
--- a/src/main/java/org/crocuspost/worker/RenewalGrant.java
+++ b/src/main/java/org/crocuspost/worker/RenewalGrant.java
@@ -20,6 +20,13 @@
 		this.start = Stopwatch.start(clock);
 	}
 
+	/**
+	 * Forgets what an earlier scheduler permitted. The new one does not know of it.
+	 */
+	void revoke() {
+		this.budget = Duration.ZERO;
+	}
+
 	void extend(Stopwatch reportSent, Duration newBudget) {
 		if (newBudget.minus(reportSent.holderElapsed()).compareTo(remaining()) > 0) {
 			this.start = reportSent;
--- a/src/main/java/org/crocuspost/worker/TaskAgent.java
+++ b/src/main/java/org/crocuspost/worker/TaskAgent.java
@@ -70,6 +70,8 @@
 
 	private volatile List<RunningAttempt> running = new CopyOnWriteArrayList<>();
 
+	private long acknowledgedEpoch;
+
 	private @Nullable Cancellable heartbeat;
 
 	/**
@@ -229,7 +231,8 @@
 			.setReserved(WireResources.toWire(this.conditions.serviceReserve()))
 			.setConfigurationVersion(this.conditions.configurationVersion())
 			.setDomainOut(this.conditions.domainOut())
-			.setServicePressure(this.conditions.servicePressure());
+			.setServicePressure(this.conditions.servicePressure())
+			.setEpoch(this.acknowledgedEpoch);
 		this.registry.all().forEach((attempt) -> report.addAttempts(attempt.report()));
 		Frame frame = Frame.newBuilder().setWorkerReport(report).build();
 		peer.call(frame, this.settings.times().callTimeout())
@@ -244,6 +247,10 @@
 		if (!this.fence.admits(reply.getEpoch())) {
 			return;
 		}
+		if (reply.getEpoch() > this.acknowledgedEpoch) {
+			this.grant.revoke();
+		}
+		this.acknowledgedEpoch = reply.getEpoch();
 		this.grant.extend(sent, Duration.ofMillis(reply.getRenewalBudgetMilliseconds()));
 		for (AttemptIdentity recorded : reply.getRecordedList()) {
 			this.registry.forget(new AttemptKey(recorded.getTaskId(), recorded.getAttempt()));
