Run batch work on stand-ins in virtual time

The scheduler, agents and worker runtimes run in one process on virtual time and in-memory connections.

--- /dev/null
+++ b/src/main/java/org/crocuspost/bench/batch/BatchDeployment.java
@@ -0,0 +1,271 @@
+package org.crocuspost.bench.batch;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+import org.crocuspost.peer.PeerIdentity;
+import org.crocuspost.placement.DefaultPlacementPolicy;
+import org.crocuspost.placement.PairPenalty;
+import org.crocuspost.placement.PlacementPolicy;
+import org.crocuspost.platform.worker.Resources;
+import org.crocuspost.scheduler.BatchScheduler;
+import org.crocuspost.scheduler.SchedulerSettings;
+import org.crocuspost.standin.process.MemoryLink;
+import org.crocuspost.standin.process.VirtualProcess;
+import org.crocuspost.standin.table.TableStandIn;
+import org.crocuspost.standin.worker.RunRecord;
+import org.crocuspost.standin.worker.TaskBehaviors;
+import org.crocuspost.standin.worker.WorkerStandIn;
+import org.crocuspost.time.VirtualTime;
+import org.crocuspost.worker.TaskAgentSettings;
+
+/**
+ * Schedulers, agents and workers in one process on stand-ins and virtual time. Each agent
+ * is connected to every scheduler.
+ */
+public final class BatchDeployment {
+
+	private static final Duration LINK_DELAY = Duration.ofMillis(1);
+
+	private static final int WORKERS_PER_RACK = 3;
+
+	private final VirtualTime time = new VirtualTime(Instant.parse("2026-01-01T00:00:00Z"));
+
+	private final TableStandIn table = new TableStandIn();
+
+	private final VirtualConfiguration configuration = new VirtualConfiguration(this.table);
+
+	private final List<String> domains;
+
+	private final TaskBehaviors behaviors;
+
+	private final PlacementPolicy policy;
+
+	private final Map<String, VirtualScheduler> schedulers = new LinkedHashMap<>();
+
+	private final Map<String, VirtualWorker> workers = new LinkedHashMap<>();
+
+	private final Map<LinkKey, MemoryLink> links = new LinkedHashMap<>();
+
+	/**
+	 * Creates a deployment without workers and schedulers.
+	 * @param domains the failure domains
+	 * @param behaviors what tasks truly do
+	 * @param policy chooses workers
+	 */
+	public BatchDeployment(List<String> domains, TaskBehaviors behaviors, PlacementPolicy policy) {
+		this.domains = List.copyOf(domains);
+		this.behaviors = behaviors;
+		this.policy = policy;
+	}
+
+	/**
+	 * Creates a deployment with the default placement policy.
+	 * @param domains the failure domains
+	 * @param behaviors what tasks truly do
+	 */
+	public BatchDeployment(List<String> domains, TaskBehaviors behaviors) {
+		this(domains, behaviors, new DefaultPlacementPolicy(PairPenalty.NONE));
+	}
+
+	/**
+	 * Adds equal workers to a failure domain.
+	 * @param domain the failure domain
+	 * @param count the number of workers
+	 * @param capacity the capacity of each
+	 */
+	public void addWorkers(String domain, int count, Resources capacity) {
+		for (int index = 0; index < count; index++) {
+			String name = domain + "-w" + index;
+			TaskAgentSettings settings = new TaskAgentSettings(name, domain + "-r" + index / WORKERS_PER_RACK, capacity,
+					TaskAgentSettings.Times.DEFAULT);
+			WorkerStandIn runtime = new WorkerStandIn(name, this.time, this.behaviors);
+			VirtualWorker worker = new VirtualWorker(settings, domain, this.configuration, this.time, runtime);
+			this.workers.put(name, worker);
+			this.schedulers.values().forEach((scheduler) -> connect(worker, scheduler));
+		}
+	}
+
+	/**
+	 * Starts a scheduler.
+	 * @param name the name of the process
+	 */
+	public void startScheduler(String name) {
+		PeerIdentity identity = new PeerIdentity(PeerIdentity.Role.SCHEDULER, name,
+				name + "@" + this.time.instant().toEpochMilli(), this.domains.get(0));
+		VirtualProcess process = new VirtualProcess(this.time);
+		BatchScheduler scheduler = new BatchScheduler(SchedulerSettings.defaults(this.domains), identity, this.table,
+				this.configuration, this.policy, this.time, process);
+		VirtualScheduler virtual = new VirtualScheduler(identity, process, scheduler);
+		this.schedulers.put(name, virtual);
+		scheduler.start();
+		this.workers.values().forEach((worker) -> connect(worker, virtual));
+	}
+
+	private void connect(VirtualWorker worker, VirtualScheduler scheduler) {
+		MemoryLink link = new MemoryLink(this.time, LINK_DELAY,
+				new MemoryLink.End(worker.process(), worker.identity(), worker.agent()),
+				new MemoryLink.End(scheduler.process(), scheduler.identity(), scheduler.scheduler()));
+		this.links.put(new LinkKey(worker.name(), scheduler.identity().name()), link);
+	}
+
+	/**
+	 * Kills a scheduler.
+	 * @param name the name of the process
+	 */
+	public void killScheduler(String name) {
+		this.schedulers.remove(name).process().kill();
+		this.links.forEach((key, link) -> {
+			if (key.scheduler().equals(name)) {
+				link.close();
+			}
+		});
+		this.links.keySet().removeIf((key) -> key.scheduler().equals(name));
+	}
+
+	/**
+	 * Restarts the agent of a worker. Its tasks run on.
+	 * @param name the name of the worker
+	 */
+	public void restartAgent(String name) {
+		VirtualWorker worker = this.workers.get(name);
+		this.links.forEach((key, link) -> {
+			if (key.worker().equals(name)) {
+				link.close();
+			}
+		});
+		worker.restartAgent();
+		this.schedulers.values().forEach((scheduler) -> connect(worker, scheduler));
+	}
+
+	/**
+	 * Loses a host: its tasks end and its agent dies.
+	 * @param name the name of the worker
+	 */
+	public void loseWorker(String name) {
+		VirtualWorker worker = this.workers.get(name);
+		worker.runtime().lose();
+		worker.process().kill();
+		links(name).forEach(MemoryLink::close);
+	}
+
+	/**
+	 * Brings a lost host back empty.
+	 * @param name the name of the worker
+	 */
+	public void returnWorker(String name) {
+		this.workers.get(name).runtime().faults().lost(false);
+		restartAgent(name);
+	}
+
+	/**
+	 * Returns the links of a worker's agent.
+	 * @param worker the name of the worker
+	 * @return the links, one for each scheduler
+	 */
+	public List<MemoryLink> links(String worker) {
+		return links((key) -> key.worker().equals(worker));
+	}
+
+	/**
+	 * Returns the links of a scheduler.
+	 * @param scheduler the name of the process
+	 * @return the links, one for each worker
+	 */
+	public List<MemoryLink> linksOfScheduler(String scheduler) {
+		return links((key) -> key.scheduler().equals(scheduler));
+	}
+
+	private List<MemoryLink> links(Predicate<LinkKey> filter) {
+		return this.links.entrySet()
+			.stream()
+			.filter((entry) -> filter.test(entry.getKey()))
+			.map(Map.Entry::getValue)
+			.toList();
+	}
+
+	/**
+	 * Moves time forward.
+	 * @param duration how far
+	 */
+	public void advance(Duration duration) {
+		this.time.advance(duration);
+	}
+
+	/**
+	 * Returns everything that ran on any worker.
+	 * @return the records of the worker runtimes
+	 */
+	public List<RunRecord> history() {
+		List<RunRecord> records = new ArrayList<>();
+		this.workers.values().forEach((worker) -> records.addAll(worker.runtime().history()));
+		return records;
+	}
+
+	/**
+	 * Returns the virtual time.
+	 * @return the clock
+	 */
+	public VirtualTime time() {
+		return this.time;
+	}
+
+	/**
+	 * Returns the table.
+	 * @return the stand-in
+	 */
+	public TableStandIn table() {
+		return this.table;
+	}
+
+	/**
+	 * Returns the configuration.
+	 * @return the configuration
+	 */
+	public VirtualConfiguration configuration() {
+		return this.configuration;
+	}
+
+	/**
+	 * Returns a worker.
+	 * @param name the name
+	 * @return the worker
+	 */
+	public VirtualWorker worker(String name) {
+		return this.workers.get(name);
+	}
+
+	/**
+	 * Returns all workers.
+	 * @return the workers
+	 */
+	public List<VirtualWorker> workers() {
+		return List.copyOf(this.workers.values());
+	}
+
+	/**
+	 * Returns a scheduler.
+	 * @param name the name of the process
+	 * @return the scheduler
+	 */
+	public VirtualScheduler scheduler(String name) {
+		return this.schedulers.get(name);
+	}
+
+	/**
+	 * Returns the schedulers that run.
+	 * @return the schedulers
+	 */
+	public List<VirtualScheduler> schedulers() {
+		return List.copyOf(this.schedulers.values());
+	}
+
+	private record LinkKey(String worker, String scheduler) {
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/crocuspost/scheduler/Jobs.java
@@ -0,0 +1,49 @@
+package org.crocuspost.scheduler;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import org.crocuspost.bench.batch.BatchDeployment;
+import org.crocuspost.configuration.JobSpecification;
+import org.crocuspost.platform.worker.Resources;
+import org.crocuspost.standin.worker.TaskBehavior;
+
+/**
+ * Jobs and deployments for tests.
+ */
+final class Jobs {
+
+	static final Resources SMALL = new Resources(1000, 1000, 0);
+
+	static final Resources WORKER = new Resources(8000, 16000, 0);
+
+	static final List<String> DOMAINS = List.of("north", "south", "west");
+
+	private Jobs() {
+	}
+
+	static JobSpecification job(String name, int count, Resources size) {
+		return new JobSpecification(name, "team", count, size, Duration.ofSeconds(30), 5, false, true, Optional.empty(),
+				JobSpecification.Spread.NONE);
+	}
+
+	static JobSpecification urgent(String name, int count, Resources size) {
+		return new JobSpecification(name, "team", count, size, Duration.ofSeconds(30), 0, true, true, Optional.empty(),
+				JobSpecification.Spread.NONE);
+	}
+
+	/**
+	 * Three failure domains of three workers, two schedulers, and tasks that use what
+	 * they declare for the given time.
+	 */
+	static BatchDeployment deployment(Duration runTime) {
+		BatchDeployment deployment = new BatchDeployment(DOMAINS,
+				(start) -> new TaskBehavior(runTime, start.resources(), false));
+		DOMAINS.forEach((domain) -> deployment.addWorkers(domain, 3, WORKER));
+		deployment.startScheduler("one");
+		deployment.startScheduler("two");
+		return deployment;
+	}
+
+}
