Add the control of interference between batch work and services

The scheduler keeps what workers learn by pair of service and job, with decay and bounded exploration.

--- /dev/null
+++ b/src/main/java/org/crocuspost/interference/PairPenalties.java
@@ -0,0 +1,133 @@
+package org.crocuspost.interference;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.crocuspost.time.Clock;
+
+/**
+ * What the fleet has learned of services and jobs that share workers. Placement adds the
+ * penalty of a pair to the cost of a worker. Not safe for use by several threads.
+ *
+ * <p>
+ * Each worker reports its own estimate again and again, so only the newest of each worker
+ * counts. Estimates are averaged by their precision beyond that of an unknown job; a
+ * worker that has learned nothing adds nothing. Precision decays with age, so that a pair
+ * becomes unknown again and is tried again.
+ *
+ * <p>
+ * An unknown pair is tried on a few workers of a service at once and only where the
+ * service is well within its objective.
+ */
+public final class PairPenalties {
+
+	private static final Duration EXPLORATION_MEMORY = Duration.ofSeconds(30);
+
+	private static final double CAUTION_WITHOUT_ROOM = 1;
+
+	private static final int MOST_HALF_LIVES = 8;
+
+	private final PairPenaltySettings settings;
+
+	private final Clock clock;
+
+	private final Map<Pair, Map<String, Observed>> observed = new HashMap<>();
+
+	/**
+	 * Creates penalties without knowledge.
+	 * @param settings the settings
+	 * @param clock tells the age of observations
+	 */
+	public PairPenalties(PairPenaltySettings settings, Clock clock) {
+		this.settings = settings;
+		this.clock = clock;
+	}
+
+	/**
+	 * Takes the newest observation of a worker.
+	 * @param worker the name of the worker
+	 * @param observation what it has learned
+	 */
+	public void observe(String worker, PairObservation observation) {
+		Pair pair = new Pair(observation.service(), observation.job());
+		this.observed.computeIfAbsent(pair, (key) -> new HashMap<>())
+			.put(worker, new Observed(observation.effect(), this.clock.nanoTime()));
+	}
+
+	/**
+	 * Returns what the fleet knows of a pair.
+	 * @param service the name of the service
+	 * @param job the name of the job
+	 * @return the effect of the job on the service
+	 */
+	public JobEffect effect(String service, String job) {
+		double precision = priorPrecision();
+		double sum = precision * SlowdownModel.UNKNOWN_EFFECT.mean();
+		Map<String, Observed> workers = this.observed.getOrDefault(new Pair(service, job), Map.of());
+		for (Observed observation : workers.values()) {
+			double weight = weight(observation);
+			precision += weight;
+			sum += weight * observation.effect().mean();
+		}
+		return new JobEffect(sum / precision, 1 / Math.sqrt(precision));
+	}
+
+	/**
+	 * Returns the penalty for starting a job beside a service.
+	 * @param service the name of the service on the worker
+	 * @param job the name of the job
+	 * @param share the share of the worker's cores that the task takes
+	 * @param pressure the tail of the service's latency on the worker relative to its
+	 * objective
+	 * @return the expected rise of the logarithm of the service's latency, or none if the
+	 * job must not be tried there now
+	 */
+	public Optional<Double> penalty(String service, String job, double share, double pressure) {
+		JobEffect effect = effect(service, job);
+		boolean room = pressure <= this.settings.explorationPressure();
+		boolean unknown = effect.standardError() > this.settings.uncertainError();
+		if (unknown && (!room || exploring(service, job) >= this.settings.mostExploring())) {
+			return Optional.empty();
+		}
+		return Optional.of(share * effect.upperBound(room ? 0 : CAUTION_WITHOUT_ROOM));
+	}
+
+	/**
+	 * Drops observations that no longer count.
+	 */
+	public void expire() {
+		long oldest = this.clock.nanoTime() - this.settings.halfLife().multipliedBy(MOST_HALF_LIVES).toNanos();
+		this.observed.values().forEach((workers) -> workers.values().removeIf((entry) -> entry.nanos() < oldest));
+		this.observed.values().removeIf(Map::isEmpty);
+	}
+
+	private long exploring(String service, String job) {
+		long oldest = this.clock.nanoTime() - EXPLORATION_MEMORY.toNanos();
+		return this.observed.getOrDefault(new Pair(service, job), Map.of())
+			.values()
+			.stream()
+			.filter((entry) -> entry.nanos() >= oldest)
+			.count();
+	}
+
+	private double weight(Observed observation) {
+		double error = observation.effect().standardError();
+		double information = Math.max(0, 1 / (error * error) - priorPrecision());
+		double age = (double) (this.clock.nanoTime() - observation.nanos()) / this.settings.halfLife().toNanos();
+		return information * Math.pow(0.5, age);
+	}
+
+	private static double priorPrecision() {
+		double error = SlowdownModel.UNKNOWN_EFFECT.standardError();
+		return 1 / (error * error);
+	}
+
+	private record Pair(String service, String job) {
+	}
+
+	private record Observed(JobEffect effect, long nanos) {
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/interference/RunningAttempt.java
@@ -0,0 +1,14 @@
+package org.crocuspost.interference;
+
+import org.crocuspost.platform.worker.AttemptKey;
+import org.crocuspost.platform.worker.Resources;
+
+/**
+ * Batch attempt that runs on the worker.
+ *
+ * @param key the attempt
+ * @param job the name of its job
+ * @param reserved the resources that are set aside for it
+ */
+public record RunningAttempt(AttemptKey key, String job, Resources reserved) {
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/interference/RunningAttempts.java
@@ -0,0 +1,17 @@
+package org.crocuspost.interference;
+
+import java.util.List;
+
+/**
+ * Gives the batch attempts that run on the worker.
+ */
+@FunctionalInterface
+public interface RunningAttempts {
+
+	/**
+	 * Returns the attempts that run now.
+	 * @return the attempts in a stable order
+	 */
+	List<RunningAttempt> current();
+
+}
