--- /dev/null
+++ b/src/test/java/org/crocuspost/interference/InterferenceMessagesTests.java
@@ -0,0 +1,51 @@
+package org.crocuspost.interference;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+
+import org.crocuspost.configuration.ServiceObjective;
+import org.crocuspost.platform.worker.AttemptKey;
+import org.crocuspost.platform.worker.Resources;
+import org.crocuspost.time.VirtualTime;
+import org.crocuspost.wire.EvictionProposal;
+import org.crocuspost.wire.WorkerReport;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class InterferenceMessagesTests {
+
+	@Test
+	void schedulerReadsWhatTheAgentLearned() {
+		VirtualTime time = new VirtualTime(Instant.EPOCH);
+		ServiceLatencyWindow window = new ServiceLatencyWindow(time);
+		RunningAttempt attempt = new RunningAttempt(new AttemptKey("task", 1), "statements",
+				new Resources(1000, 1000, 0));
+		InterferenceController controller = new InterferenceController(InterferenceSettings.DEFAULT, time,
+				new Resources(2000, 2000, 0), window, () -> List.of(attempt), (key, percent) -> {
+				}, (request) -> {
+				});
+		window.record(Duration.ofMillis(100));
+		controller.control("wallet", new ServiceObjective(Duration.ofMillis(200), 0.99, 0.999));
+		WorkerReport.Builder report = WorkerReport.newBuilder();
+		InterferenceMessages.complete(controller, "wallet", report);
+		assertThat(report.getServicePressure()).isEqualTo(500);
+		assertThat(InterferenceMessages.observations(report.build())).singleElement().satisfies((observation) -> {
+			assertThat(observation.service()).isEqualTo("wallet");
+			assertThat(observation.job()).isEqualTo("statements");
+			assertThat(observation.effect().standardError()).isPositive();
+		});
+	}
+
+	@Test
+	void proposalNamesTheAttemptAndItsEvidence() {
+		EvictionProposal proposal = InterferenceMessages.toWire(new EvictionRequest(new AttemptKey("task", 3),
+				"statements", new JobEffect(2.5, 0.2), 1.25, Duration.ofSeconds(60)));
+		assertThat(proposal.getTaskId()).isEqualTo("task");
+		assertThat(proposal.getAttempt()).isEqualTo(3);
+		assertThat(proposal.getEvidence().getEffectThousandths()).isEqualTo(2500);
+		assertThat(proposal.getPressureThousandths()).isEqualTo(1250);
+	}
+
+}
