Carry a caller's request to an endpoint and back

Cause: there was no path from a caller to an endpoint. Change: connections between processes on Netty with a mutual proof of the secret, pings and correlated calls; the entry's HTTP server, directory of endpoints, routing policies, retry budget and fate resolution; the agent's gate with slots, queue, records of attempts and kept answers; a stand-in of an endpoint with a ledger. Conclusion: a request over loopback sockets returns its own answer with the verdict, and one without endpoint is refused as not run.

--- /dev/null
+++ b/src/main/java/org/crocuspost/entry/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The HTTP server for callers.
+ */
+@NullMarked
+package org.crocuspost.entry;
+
+import org.jspecify.annotations.NullMarked;
--- a/src/main/java/org/crocuspost/error/ErrorCode.java
+++ b/src/main/java/org/crocuspost/error/ErrorCode.java
@@ -46,6 +46,16 @@
 	 */
 	ANSWER_INCOMPLETE(502, Verdict.MAY_HAVE_RUN, "the answer of endpoint %s broke off"),
 
+	/**
+	 * The answer of the endpoint names another request.
+	 */
+	ANSWER_MISMATCHED(502, Verdict.MAY_HAVE_RUN, "the answer of endpoint %s belongs to another request"),
+
+	/**
+	 * An idempotency key was used before with another request.
+	 */
+	KEY_REUSED(422, Verdict.NOT_RUN, "the idempotency key was used before with another request"),
+
 	/**
 	 * The gate before an endpoint is closed because the endpoint is leaving.
 	 */
--- /dev/null
+++ b/src/main/java/org/crocuspost/http/HttpCall.java
@@ -0,0 +1,21 @@
+package org.crocuspost.http;
+
+import java.util.List;
+
+import com.google.protobuf.ByteString;
+
+/**
+ * A request with its whole body.
+ *
+ * @param method the method
+ * @param target the path with the query
+ * @param headers the headers that are passed on
+ * @param body the body
+ */
+public record HttpCall(String method, String target, List<HttpHeader> headers, ByteString body) {
+
+	public HttpCall {
+		headers = List.copyOf(headers);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/peer/CompositePeerListener.java
@@ -0,0 +1,37 @@
+package org.crocuspost.peer;
+
+import java.util.List;
+
+import org.crocuspost.wire.Frame;
+
+/**
+ * Tells several listeners, each of which ignores the frames that it does not own.
+ */
+public final class CompositePeerListener implements PeerListener {
+
+	private final List<PeerListener> listeners;
+
+	/**
+	 * Creates a composite.
+	 * @param listeners the listeners in the order in which they are told
+	 */
+	public CompositePeerListener(List<? extends PeerListener> listeners) {
+		this.listeners = List.copyOf(listeners);
+	}
+
+	@Override
+	public void connected(Peer peer) {
+		this.listeners.forEach((listener) -> listener.connected(peer));
+	}
+
+	@Override
+	public void received(Peer peer, Frame frame) {
+		this.listeners.forEach((listener) -> listener.received(peer, frame));
+	}
+
+	@Override
+	public void disconnected(Peer peer) {
+		this.listeners.forEach((listener) -> listener.disconnected(peer));
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/peer/HandshakeProof.java
@@ -0,0 +1,70 @@
+package org.crocuspost.peer;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+import org.crocuspost.wire.Hello;
+
+/**
+ * Computes and checks the proof that an end of a connection knows the secret of the
+ * deployment. The proof covers the role of the end on the connection (dialer or
+ * acceptor), so that a proof cannot be reflected to the end that made it.
+ */
+final class HandshakeProof {
+
+	private static final String ALGORITHM = "HmacSHA256";
+
+	private final DeploymentSecret secret;
+
+	HandshakeProof(DeploymentSecret secret) {
+		this.secret = secret;
+	}
+
+	/**
+	 * Computes the proof of one end.
+	 * @param sender the hello message of the end that proves
+	 * @param receiver the hello message of the other end
+	 * @param side the side on which the sender is
+	 * @return the proof
+	 */
+	byte[] compute(Hello sender, Hello receiver, ConnectionSide side) {
+		try {
+			Mac mac = Mac.getInstance(ALGORITHM);
+			mac.init(new SecretKeySpec(this.secret.key(), ALGORITHM));
+			mac.update((byte) side.ordinal());
+			mac.update((byte) sender.getRoleValue());
+			update(mac, sender.getName().getBytes(StandardCharsets.UTF_8));
+			update(mac, sender.getIncarnation().getBytes(StandardCharsets.UTF_8));
+			update(mac, sender.getFailureDomain().getBytes(StandardCharsets.UTF_8));
+			update(mac, sender.getChallenge().toByteArray());
+			update(mac, receiver.getChallenge().toByteArray());
+			return mac.doFinal();
+		}
+		catch (GeneralSecurityException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	/**
+	 * Checks a proof in constant time.
+	 * @param proof the proof that was received
+	 * @param sender the hello message of the end that proves
+	 * @param receiver the hello message of the other end
+	 * @param side the side on which the sender is
+	 * @return true if the sender knows the secret
+	 */
+	boolean matches(byte[] proof, Hello sender, Hello receiver, ConnectionSide side) {
+		return MessageDigest.isEqual(compute(sender, receiver, side), proof);
+	}
+
+	private static void update(Mac mac, byte[] value) {
+		mac.update(ByteBuffer.allocate(Integer.BYTES).putInt(value.length).array());
+		mac.update(value);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/routing/RoundRobinPolicy.java
@@ -0,0 +1,18 @@
+package org.crocuspost.routing;
+
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Takes the endpoints in turn. A baseline to measure against.
+ */
+public final class RoundRobinPolicy implements RoutingPolicy {
+
+	private final AtomicInteger next = new AtomicInteger();
+
+	@Override
+	public RoutedEndpoint choose(List<RoutedEndpoint> candidates) {
+		return candidates.get(Math.floorMod(this.next.getAndIncrement(), candidates.size()));
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/routing/RoutingPolicy.java
@@ -0,0 +1,18 @@
+package org.crocuspost.routing;
+
+import java.util.List;
+
+/**
+ * Chooses the endpoint for a request.
+ */
+@FunctionalInterface
+public interface RoutingPolicy {
+
+	/**
+	 * Chooses an endpoint.
+	 * @param candidates the endpoints that accept work; not empty
+	 * @return one of the candidates
+	 */
+	RoutedEndpoint choose(List<RoutedEndpoint> candidates);
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/standin/endpoint/EndpointStandIn.java
@@ -0,0 +1,186 @@
+package org.crocuspost.standin.endpoint;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import org.crocuspost.time.Timer;
+
+/**
+ * HTTP endpoint that keeps a ledger of each request that it ran, and can be told to fail.
+ * Answers each request with its own body.
+ */
+public final class EndpointStandIn {
+
+	private static final int MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
+
+	private final EventLoopGroup group;
+
+	private final Timer timer;
+
+	private final Channel server;
+
+	private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
+
+	private final Queue<LedgerEntry> ledger = new ConcurrentLinkedQueue<>();
+
+	private final AtomicInteger running = new AtomicInteger();
+
+	private final AtomicInteger mostRunning = new AtomicInteger();
+
+	private final Queue<Channel> silenced = new ConcurrentLinkedQueue<>();
+
+	private volatile EndpointFault fault = EndpointFault.NONE;
+
+	private volatile Duration serviceTime = Duration.ZERO;
+
+	/**
+	 * Starts an endpoint on a free port of the loopback address.
+	 * @param group runs the connections; the caller shuts it down
+	 * @param timer the timer of the process
+	 */
+	public EndpointStandIn(EventLoopGroup group, Timer timer) {
+		this(group, timer, 0);
+	}
+
+	/**
+	 * Starts an endpoint on the loopback address.
+	 * @param group runs the connections; the caller shuts it down
+	 * @param timer the timer of the process
+	 * @param port the port; 0 for any free port
+	 */
+	public EndpointStandIn(EventLoopGroup group, Timer timer, int port) {
+		this.group = group;
+		this.timer = timer;
+		this.server = bind(port);
+	}
+
+	private Channel bind(int port) {
+		return new ServerBootstrap().group(this.group)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(new ChannelInitializer<>() {
+				@Override
+				protected void initChannel(Channel channel) {
+					EndpointStandIn.this.connections.add(channel);
+					channel.pipeline()
+						.addLast(new HttpServerCodec(), new HttpObjectAggregator(MAXIMUM_BODY_BYTES),
+								new EndpointHandler(EndpointStandIn.this));
+				}
+			})
+			.bind(new InetSocketAddress("127.0.0.1", port))
+			.syncUninterruptibly()
+			.channel();
+	}
+
+	/**
+	 * Returns where the endpoint listens.
+	 * @return scheme, host and port
+	 */
+	public URI address() {
+		return URI.create("http://127.0.0.1:" + ((InetSocketAddress) this.server.localAddress()).getPort());
+	}
+
+	/**
+	 * Sets what the endpoint does wrong from the next request on.
+	 * @param value the fault
+	 */
+	public void setFault(EndpointFault value) {
+		this.fault = value;
+	}
+
+	/**
+	 * Sets how long a request takes from the next request on.
+	 * @param value the time
+	 */
+	public void setServiceTime(Duration value) {
+		this.serviceTime = value;
+	}
+
+	/**
+	 * Makes the open connections silent for good. New connections work.
+	 */
+	public void silenceOpenConnections() {
+		for (Channel channel : this.connections) {
+			this.silenced.add(channel);
+			channel.config().setAutoRead(false);
+		}
+	}
+
+	/**
+	 * Returns what was run.
+	 * @return the runs in the order in which they began
+	 */
+	public List<LedgerEntry> ledger() {
+		return List.copyOf(this.ledger);
+	}
+
+	/**
+	 * Returns the most requests that ran at the same time.
+	 * @return the number
+	 */
+	public int mostRunning() {
+		return this.mostRunning.get();
+	}
+
+	/**
+	 * Returns the number of requests that are running.
+	 * @return the number
+	 */
+	public int running() {
+		return this.running.get();
+	}
+
+	/**
+	 * Stops at once: new connections are refused, open ones are closed.
+	 */
+	public void close() {
+		this.server.close().awaitUninterruptibly();
+		this.connections.close().awaitUninterruptibly();
+	}
+
+	EndpointFault fault() {
+		return this.fault;
+	}
+
+	boolean silenced(Channel channel) {
+		return this.silenced.contains(channel);
+	}
+
+	void begin(LedgerEntry entry) {
+		this.ledger.add(entry);
+		int now = this.running.incrementAndGet();
+		this.mostRunning.accumulateAndGet(now, Math::max);
+	}
+
+	void finishLater(Runnable finish) {
+		Runnable end = () -> {
+			this.running.decrementAndGet();
+			finish.run();
+		};
+		Duration time = this.serviceTime;
+		if (time.isZero()) {
+			end.run();
+		}
+		else {
+			this.timer.schedule(time, end);
+		}
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/crocuspost/entry/LoopbackAgent.java
@@ -0,0 +1,46 @@
+package org.crocuspost.entry;
+
+import java.net.URI;
+import java.util.List;
+
+import io.netty.channel.EventLoopGroup;
+import org.crocuspost.gate.GateSettings;
+import org.crocuspost.gate.RatpackEndpointClient;
+import org.crocuspost.gate.RequestGate;
+import org.crocuspost.peer.PeerConnector;
+import org.crocuspost.peer.PeerIdentity;
+import org.crocuspost.peer.PeerLink;
+import org.crocuspost.peer.PeerSettings;
+import ratpack.exec.ExecController;
+import ratpack.exec.internal.DefaultExecController;
+
+/**
+ * One agent on loopback sockets.
+ */
+final class LoopbackAgent {
+
+	final RequestGate gate;
+
+	private final ExecController controller = new DefaultExecController(1);
+
+	private final List<PeerLink> links;
+
+	LoopbackAgent(RequestPathFixture fixture, EventLoopGroup group, String name, URI endpoint,
+			List<LoopbackEntry> entries) {
+		String incarnation = name + "-" + fixture.clock.nanoTime();
+		PeerIdentity self = new PeerIdentity(PeerIdentity.Role.AGENT, name, incarnation, "bkk-a");
+		GateSettings settings = GateSettings.of(name, RequestPathFixture.SERVICE, endpoint, 8, 64);
+		this.gate = new RequestGate(settings, incarnation, new RatpackEndpointClient(settings, this.controller),
+				fixture.clock, fixture.timer);
+		PeerConnector connector = new PeerConnector(group, PeerSettings.of(self, RequestPathFixture.SECRET), this.gate,
+				fixture.timer);
+		this.links = entries.stream().map((entry) -> connector.connect(entry.peerAddress())).toList();
+	}
+
+	void close() {
+		this.links.forEach(PeerLink::close);
+		this.gate.close();
+		this.controller.close();
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/crocuspost/entry/LoopbackEntry.java
@@ -0,0 +1,66 @@
+package org.crocuspost.entry;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletionStage;
+
+import io.netty.channel.EventLoopGroup;
+import org.crocuspost.peer.PeerIdentity;
+import org.crocuspost.peer.PeerServer;
+import org.crocuspost.peer.PeerSettings;
+import org.crocuspost.retry.AttemptSender;
+import org.crocuspost.retry.FateResolver;
+import org.crocuspost.retry.RequestRunner;
+import org.crocuspost.retry.RetryBudget;
+import org.crocuspost.routing.EndpointDirectory;
+import org.crocuspost.routing.ExpectedTimePolicy;
+
+/**
+ * One entry on loopback sockets.
+ */
+final class LoopbackEntry {
+
+	final EndpointDirectory directory;
+
+	private final PeerServer peers;
+
+	private final CallerServer callers;
+
+	LoopbackEntry(RequestPathFixture fixture, EventLoopGroup group, String name) {
+		PeerIdentity self = new PeerIdentity(PeerIdentity.Role.ENTRY, name, name + "-1", "bkk-a");
+		this.directory = new EndpointDirectory(fixture.configurations(), fixture.clock, fixture.timer);
+		this.peers = PeerServer.start(RequestPathFixture.loopback(), group,
+				PeerSettings.of(self, RequestPathFixture.SECRET), this.directory, fixture.timer);
+		AttemptSender sender = new AttemptSender(new FateResolver(this.directory, fixture.clock), fixture.clock);
+		RequestRunner runner = new RequestRunner(this.directory,
+				new ExpectedTimePolicy("bkk-a", Duration.ofMillis(2), new SplittableRandom(1)), sender,
+				new RetryBudget(0.1, 10), fixture.clock);
+		this.callers = CallerServer.start(CallerSettings.of(RequestPathFixture.loopback()), self.incarnation(),
+				fixture.configurations(), runner, (service, outcome, latency) -> {
+				}, fixture.clock, fixture.timer);
+	}
+
+	InetSocketAddress peerAddress() {
+		return this.peers.address();
+	}
+
+	URI callerAddress() {
+		return RequestPathFixture.http(this.callers.address());
+	}
+
+	boolean knows(String endpointId) {
+		return this.directory.endpoints().stream().anyMatch((endpoint) -> endpoint.endpointId().equals(endpointId));
+	}
+
+	CompletionStage<Void> drain() {
+		return this.callers.drain();
+	}
+
+	void close() {
+		this.callers.close();
+		this.peers.close();
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/crocuspost/entry/RequestPathFixture.java
@@ -0,0 +1,166 @@
+package org.crocuspost.entry;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import org.crocuspost.configuration.Configuration;
+import org.crocuspost.configuration.ConfigurationListener;
+import org.crocuspost.configuration.ConfigurationSource;
+import org.crocuspost.configuration.ServiceMatch;
+import org.crocuspost.configuration.ServiceObjective;
+import org.crocuspost.configuration.ServiceSpecification;
+import org.crocuspost.peer.DeploymentSecret;
+import org.crocuspost.standin.endpoint.EndpointStandIn;
+import org.crocuspost.time.Clock;
+import org.crocuspost.time.ExecutorTimer;
+import org.crocuspost.time.SystemClock;
+import org.crocuspost.time.Timer;
+
+/**
+ * Entries, agents and endpoints on loopback sockets.
+ */
+final class RequestPathFixture implements AutoCloseable {
+
+	static final String SERVICE = "lunchwallet";
+
+	static final DeploymentSecret SECRET = new DeploymentSecret("test secret");
+
+	static final Duration GENEROUS = Duration.ofSeconds(20);
+
+	private final EventLoopGroup group = new NioEventLoopGroup(4);
+
+	private final ScheduledExecutorService executor = Executors.newScheduledThreadPool(2);
+
+	final Timer timer = new ExecutorTimer(this.executor);
+
+	final Clock clock = new SystemClock();
+
+	final AtomicReference<Configuration> configuration = new AtomicReference<>(configuration(Set.of(), Set.of()));
+
+	private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+	private final List<AutoCloseable> parts = new ArrayList<>();
+
+	static Configuration configuration(Set<String> withdrawn, Set<String> domainsOut) {
+		ServiceSpecification service = new ServiceSpecification(SERVICE, new ServiceMatch("*", "/topup"),
+				new ServiceObjective(Duration.ofMillis(250), 0.99, 0.999), 0, Duration.ofSeconds(5),
+				ServiceSpecification.DEFAULT_IDEMPOTENT_METHODS);
+		return new Configuration(1, "note", Map.of(SERVICE, service), Map.of(), withdrawn, domainsOut, Map.of());
+	}
+
+	ConfigurationSource configurations() {
+		return new ConfigurationSource() {
+			@Override
+			public Configuration current() {
+				return RequestPathFixture.this.configuration.get();
+			}
+
+			@Override
+			public void addListener(ConfigurationListener listener) {
+				// The tests change the configuration without telling.
+			}
+		};
+	}
+
+	EndpointStandIn endpoint() {
+		EndpointStandIn endpoint = new EndpointStandIn(this.group, this.timer);
+		this.parts.add(endpoint::close);
+		return endpoint;
+	}
+
+	LoopbackEntry entry(String name) {
+		LoopbackEntry entry = new LoopbackEntry(this, this.group, name);
+		this.parts.add(entry::close);
+		return entry;
+	}
+
+	LoopbackAgent agent(String name, EndpointStandIn endpoint, LoopbackEntry... entries) {
+		LoopbackAgent agent = new LoopbackAgent(this, this.group, name, endpoint.address(), List.of(entries));
+		this.parts.add(agent::close);
+		await(() -> List.of(entries).stream().allMatch((entry) -> entry.knows(name)));
+		return agent;
+	}
+
+	CompletableFuture<HttpResponse<String>> send(LoopbackEntry entry, String method, String body, String... headers) {
+		return sendTo(entry, "/topup/1", method, body, headers);
+	}
+
+	CompletableFuture<HttpResponse<String>> sendTo(LoopbackEntry entry, String path, String method, String body,
+			String... headers) {
+		HttpRequest.Builder request = HttpRequest.newBuilder(entry.callerAddress().resolve(path))
+			.timeout(GENEROUS)
+			.method(method, HttpRequest.BodyPublishers.ofString(body));
+		if (headers.length > 0) {
+			request.headers(headers);
+		}
+		return this.client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
+	}
+
+	static HttpResponse<String> get(CompletableFuture<HttpResponse<String>> response) {
+		try {
+			return response.get(GENEROUS.toSeconds(), TimeUnit.SECONDS);
+		}
+		catch (Exception ex) {
+			throw new AssertionError("no answer", ex);
+		}
+	}
+
+	void await(BooleanSupplier condition) {
+		CompletableFuture<Void> met = new CompletableFuture<>();
+		var polling = this.executor.scheduleWithFixedDelay(() -> {
+			if (condition.getAsBoolean()) {
+				met.complete(null);
+			}
+		}, 0, 5, TimeUnit.MILLISECONDS);
+		try {
+			met.get(GENEROUS.toSeconds(), TimeUnit.SECONDS);
+		}
+		catch (Exception ex) {
+			throw new AssertionError("the condition was not met in time", ex);
+		}
+		finally {
+			polling.cancel(false);
+		}
+	}
+
+	static InetSocketAddress loopback() {
+		return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+	}
+
+	static URI http(InetSocketAddress address) {
+		return URI.create("http://127.0.0.1:" + address.getPort());
+	}
+
+	@Override
+	public void close() throws IOException {
+		for (int index = this.parts.size() - 1; index >= 0; index--) {
+			try {
+				this.parts.get(index).close();
+			}
+			catch (Exception ex) {
+				throw new IOException(ex);
+			}
+		}
+		this.executor.shutdownNow();
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+	}
+
+}
