--- a/src/main/java/org/crocuspost/error/ErrorCode.java
+++ b/src/main/java/org/crocuspost/error/ErrorCode.java
@@ -86,6 +86,16 @@
 	 */
 	NOTE_CONFLICT(409, Verdict.NOT_RUN, "the release note was written for version %s, but the version is %s"),
 
+	/**
+	 * Another release note was accepted under the same identity.
+	 */
+	NOTE_ID_TAKEN(409, Verdict.NOT_RUN, "another release note was accepted as %s at version %s"),
+
+	/**
+	 * A caller or operator sends more requests than its limit.
+	 */
+	RATE_LIMITED(429, Verdict.NOT_RUN, "more than %s requests a second"),
+
 	/**
 	 * Something named by its identity does not exist.
 	 */
