--- a/src/main/java/org/crocuspost/standin/package-info.java
+++ b/src/main/java/org/crocuspost/standin/package-info.java
@@ -1,5 +1,5 @@
 /**
- * In-memory stand-ins for what the platform and the users bring.
+ * Stand-ins for the platform in tests and on a laptop, with switches for its faults.
  */
 @NullMarked
 package org.crocuspost.standin;
