--- /dev/null
+++ b/src/main/java/org/crocuspost/distribution/DistributionEvent.java
@@ -0,0 +1,30 @@
+package org.crocuspost.distribution;
+
+import org.crocuspost.log.LogEvent;
+
+/**
+ * Events of the distribution of the configuration.
+ */
+public enum DistributionEvent implements LogEvent {
+
+	/**
+	 * This process acts on a newer configuration.
+	 */
+	CONFIGURATION_ADOPTED,
+
+	/**
+	 * The newest configuration could not be read; this process acts on the last one.
+	 */
+	CONFIGURATION_UNREADABLE,
+
+	/**
+	 * The newest configuration can be read again.
+	 */
+	CONFIGURATION_READABLE,
+
+	/**
+	 * No entry has renewed this agent's configuration in time; it starts no task.
+	 */
+	CONFIGURATION_LAPSED
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/distribution/ProcessConfirmations.java
@@ -0,0 +1,20 @@
+package org.crocuspost.distribution;
+
+import java.util.List;
+
+import io.vavr.control.Either;
+import org.crocuspost.error.Failure;
+
+/**
+ * Reads the summaries of all live entries and schedulers.
+ */
+@FunctionalInterface
+public interface ProcessConfirmations {
+
+	/**
+	 * Reads the summaries. May block.
+	 * @return one summary for each live process
+	 */
+	Either<Failure, List<ProcessConfirmation>> read();
+
+}
