Add the operators' interface, the command line and the burn report

Operators check, submit and follow notes and see services, domains and the service-level burn over HTTP with a bearer token; crocuspost is the command line for it, with documented exit codes.

--- /dev/null
+++ b/src/main/java/org/crocuspost/cli/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The operators' command line.
+ */
+@NullMarked
+package org.crocuspost.cli;
+
+import org.jspecify.annotations.NullMarked;
--- a/src/main/java/org/crocuspost/log/JsonLinesWriter.java
+++ b/src/main/java/org/crocuspost/log/JsonLinesWriter.java
@@ -52,6 +52,7 @@
 		if (exception != null) {
 			line.put("exception", stackTrace(exception));
 		}
+		RecentEvents.add(line);
 		this.output.println(Json.write(line));
 	}
 
--- /dev/null
+++ b/src/main/java/org/crocuspost/operations/AccessHandler.java
@@ -0,0 +1,47 @@
+package org.crocuspost.operations;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import org.crocuspost.error.ErrorCode;
+import org.crocuspost.settings.Secret;
+import ratpack.handling.Context;
+import ratpack.handling.Handler;
+
+/**
+ * Lets only operators with the bearer token pass, and not more than the rate limit. The
+ * limit counts all requests, so that it also slows down guessing.
+ */
+final class AccessHandler implements Handler {
+
+	private static final String SCHEME = "Bearer ";
+
+	private final Secret token;
+
+	private final TokenBucket bucket;
+
+	private final int requestsPerSecond;
+
+	AccessHandler(Secret token, TokenBucket bucket, int requestsPerSecond) {
+		this.token = token;
+		this.bucket = bucket;
+		this.requestsPerSecond = requestsPerSecond;
+	}
+
+	@Override
+	public void handle(Context context) {
+		if (!this.bucket.take()) {
+			Answers.problem(context, ErrorCode.RATE_LIMITED.with(this.requestsPerSecond));
+		}
+		else if (authorized(context.getRequest().getHeaders().get(HttpHeaderNames.AUTHORIZATION))) {
+			context.next();
+		}
+		else {
+			context.getResponse().getHeaders().set(HttpHeaderNames.WWW_AUTHENTICATE, "Bearer");
+			Answers.problem(context, ErrorCode.UNAUTHORIZED.with());
+		}
+	}
+
+	private boolean authorized(String header) {
+		return header != null && header.startsWith(SCHEME) && this.token.matches(header.substring(SCHEME.length()));
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/operations/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The operators' HTTP interface: release notes, status and views.
+ */
+@NullMarked
+package org.crocuspost.operations;
+
+import org.jspecify.annotations.NullMarked;
--- a/src/main/java/org/crocuspost/platform/http/BlockingHttpClient.java
+++ b/src/main/java/org/crocuspost/platform/http/BlockingHttpClient.java
@@ -12,6 +12,8 @@
 
 import ratpack.exec.ExecController;
 import ratpack.exec.internal.DefaultExecController;
+import ratpack.func.Action;
+import ratpack.http.MutableHeaders;
 import ratpack.http.client.HttpClient;
 import ratpack.http.client.ReceivedResponse;
 import ratpack.http.client.RequestSpec;
@@ -63,11 +65,27 @@
 	 * @return how the call ended
 	 */
 	public HttpOutcome call(String method, URI uri, byte[] body, String contentType) {
+		return call(method, uri, body, contentType, (headers) -> {
+		});
+	}
+
+	/**
+	 * Makes a call with further headers and waits for its end. Never throws.
+	 * @param method the method
+	 * @param uri the address
+	 * @param body the body
+	 * @param contentType the type of the body
+	 * @param headers sets the further headers
+	 * @return how the call ended
+	 */
+	public HttpOutcome call(String method, URI uri, byte[] body, String contentType,
+			Action<? super MutableHeaders> headers) {
 		CompletableFuture<HttpOutcome> outcome = new CompletableFuture<>();
 		try {
 			this.controller.fork()
 				.onError((error) -> outcome.complete(failed(error)))
-				.start((execution) -> this.client.request(uri, (spec) -> prepare(spec, method, body, contentType))
+				.start((execution) -> this.client
+					.request(uri, (spec) -> prepare(spec.headers(headers), method, body, contentType))
 					.then((response) -> outcome.complete(answered(response))));
 		}
 		catch (RejectedExecutionException ex) {
--- a/src/main/java/org/crocuspost/release/NoteApplication.java
+++ b/src/main/java/org/crocuspost/release/NoteApplication.java
@@ -46,7 +46,7 @@
 	}
 
 	private Either<List<NoteFault>, Configuration> apply() {
-		if (this.note.isEmpty()) {
+		if (this.note.changesNothing()) {
 			fault(List.of(), "a note that changes nothing", "at least one addition, change or withdrawal");
 		}
 		Map<String, ServiceSpecification> services = merge("services", this.base.services(),
--- a/src/main/java/org/crocuspost/release/ReleaseNote.java
+++ b/src/main/java/org/crocuspost/release/ReleaseNote.java
@@ -24,7 +24,7 @@
 	 * Says whether the note changes nothing.
 	 * @return true if all sections are empty
 	 */
-	public boolean isEmpty() {
+	public boolean changesNothing() {
 		return this.added.isEmpty() && this.changed.isEmpty() && this.withdrawn.isEmpty() && this.domains.isEmpty();
 	}
 
