--- /dev/null
+++ b/src/main/java/org/crocuspost/daemon/AgentConditions.java
@@ -0,0 +1,41 @@
+package org.crocuspost.daemon;
+
+import org.crocuspost.distribution.ConfigurationReceiver;
+import org.crocuspost.platform.worker.Resources;
+import org.crocuspost.worker.WorkerConditions;
+
+/**
+ * Conditions of a worker, taken from the configuration that the agent has received.
+ */
+final class AgentConditions implements WorkerConditions {
+
+	private final ConfigurationReceiver receiver;
+
+	private final Resources serviceReserve;
+
+	AgentConditions(ConfigurationReceiver receiver, Resources serviceReserve) {
+		this.receiver = receiver;
+		this.serviceReserve = serviceReserve;
+	}
+
+	@Override
+	public boolean domainOut() {
+		return !this.receiver.allowsStarts();
+	}
+
+	@Override
+	public long configurationVersion() {
+		return this.receiver.current().version();
+	}
+
+	@Override
+	public Resources serviceReserve() {
+		return this.serviceReserve;
+	}
+
+	@Override
+	public int servicePressure() {
+		return 0;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/daemon/EntryProcess.java
@@ -0,0 +1,139 @@
+package org.crocuspost.daemon;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+import org.crocuspost.configuration.ConfigurationSource;
+import org.crocuspost.distribution.ConfigurationPublisher;
+import org.crocuspost.distribution.HeadWatcher;
+import org.crocuspost.entry.CallerServer;
+import org.crocuspost.entry.CallerSettings;
+import org.crocuspost.peer.CompositePeerListener;
+import org.crocuspost.peer.DeploymentSecret;
+import org.crocuspost.peer.PeerIdentity;
+import org.crocuspost.peer.PeerServer;
+import org.crocuspost.peer.PeerSettings;
+import org.crocuspost.release.NoteAcceptance;
+import org.crocuspost.release.NoteRules;
+import org.crocuspost.release.SnapshotStore;
+import org.crocuspost.retry.AttemptSender;
+import org.crocuspost.retry.FateResolver;
+import org.crocuspost.retry.RequestRunner;
+import org.crocuspost.retry.RetryBudget;
+import org.crocuspost.routing.EndpointDirectory;
+import org.crocuspost.routing.ExpectedTimePolicy;
+import org.crocuspost.settings.EntrySettings;
+
+/**
+ * An entry: takes the requests of callers and operators.
+ */
+public final class EntryProcess implements Daemon {
+
+	private static final Duration CROSS_DOMAIN_COST = Duration.ofMillis(2);
+
+	private static final double RETRY_SHARE = 0.1;
+
+	private static final int RETRY_BURST = 10;
+
+	private final EntrySettings settings;
+
+	private final HeadWatcher watcher;
+
+	private final ConfigurationPublisher publisher;
+
+	private final NoteAcceptance acceptance;
+
+	private final PeerServer peers;
+
+	private final CallerServer callers;
+
+	/**
+	 * Starts an entry.
+	 * @param settings the settings
+	 * @param stores the platform's stores
+	 * @param incarnation drawn at random for this process
+	 * @param random spreads choices and polls
+	 * @param context the threads and the time of the process
+	 */
+	public EntryProcess(EntrySettings settings, PlatformStores stores, String incarnation, RandomGenerator random,
+			ProcessContext context) {
+		this.settings = settings;
+		PeerIdentity self = new PeerIdentity(PeerIdentity.Role.ENTRY, settings.name(), incarnation,
+				settings.failureDomain());
+		SnapshotStore snapshots = new SnapshotStore(stores.objects());
+		this.watcher = new HeadWatcher(stores.table(), snapshots, context.clock(), context.timer(), context.blocking(),
+				random);
+		this.publisher = new ConfigurationPublisher(this.watcher, context.clock(), context.timer());
+		this.acceptance = new NoteAcceptance(stores.table(), snapshots,
+				new NoteRules(Set.copyOf(settings.failureDomains())), context.clock(), this.watcher);
+		EndpointDirectory directory = new EndpointDirectory(this.watcher, context.clock(), context.timer());
+		this.peers = PeerServer.start(settings.addresses().peers(), context.network(),
+				PeerSettings.of(self, new DeploymentSecret(settings.secret().reveal())),
+				new CompositePeerListener(List.of(directory, this.publisher)), context.timer());
+		this.callers = startCallers(directory, incarnation, random, context);
+		this.watcher.start();
+	}
+
+	private CallerServer startCallers(EndpointDirectory directory, String incarnation, RandomGenerator random,
+			ProcessContext context) {
+		ExpectedTimePolicy policy = new ExpectedTimePolicy(this.settings.failureDomain(), CROSS_DOMAIN_COST, random);
+		AttemptSender sender = new AttemptSender(new FateResolver(directory, context.clock()), context.clock());
+		RequestRunner runner = new RequestRunner(directory, policy, sender, new RetryBudget(RETRY_SHARE, RETRY_BURST),
+				context.clock());
+		EntrySettings.Limits limits = this.settings.limits();
+		CallerSettings callerSettings = new CallerSettings(this.settings.addresses().callers(),
+				limits.maximumBodyBytes(), this.settings.times().maximumTimeout(), this.settings.times().idleTimeout(),
+				limits.threads());
+		return CallerServer.start(callerSettings, incarnation, this.watcher, runner, (service, outcome, latency) -> {
+		}, context.clock(), context.timer());
+	}
+
+	/**
+	 * Returns where callers connect.
+	 * @return the address
+	 */
+	public InetSocketAddress callerAddress() {
+		return this.callers.address();
+	}
+
+	/**
+	 * Returns where agents connect.
+	 * @return the address
+	 */
+	public InetSocketAddress peerAddress() {
+		return this.peers.address();
+	}
+
+	/**
+	 * Returns the configuration on which the entry acts.
+	 * @return the source
+	 */
+	public ConfigurationSource configuration() {
+		return this.watcher;
+	}
+
+	/**
+	 * Returns the acceptance of release notes.
+	 * @return the acceptance
+	 */
+	public NoteAcceptance acceptance() {
+		return this.acceptance;
+	}
+
+	@Override
+	public void stop() {
+		this.callers.drain()
+			.toCompletableFuture()
+			.completeOnTimeout(null, this.settings.times().drain().toMillis(), TimeUnit.MILLISECONDS)
+			.join();
+		this.callers.close();
+		this.publisher.stop();
+		this.watcher.stop();
+		this.peers.close();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/daemon/PlatformStores.java
@@ -0,0 +1,21 @@
+package org.crocuspost.daemon;
+
+import java.util.Objects;
+
+import org.crocuspost.platform.objects.ObjectStore;
+import org.crocuspost.platform.table.TableService;
+
+/**
+ * The platform's stores as one process reaches them.
+ *
+ * @param table the table service
+ * @param objects the object store
+ */
+public record PlatformStores(TableService table, ObjectStore objects) {
+
+	public PlatformStores {
+		Objects.requireNonNull(table, "table");
+		Objects.requireNonNull(objects, "objects");
+	}
+
+}
