Add the tour of a local deployment

Cause: a newcomer needs one command that shows what the system does and whether it keeps its promises.

--- a/src/main/java/org/crocuspost/daemon/AgentProcess.java
+++ b/src/main/java/org/crocuspost/daemon/AgentProcess.java
@@ -92,10 +92,19 @@
 		this.gate.configure(configuration.version(), !withdrawn && !configuration.domainOut());
 	}
 
-	@Override
-	public void stop() {
+	/**
+	 * Takes the endpoint out of service: refuses new requests and waits until those that
+	 * were admitted have ended, at most for the drain time of the settings. Batch tasks
+	 * go on.
+	 */
+	public void leaveEndpoint() {
 		CompletableFuture<Void> left = this.gate.leave().toCompletableFuture();
 		left.completeOnTimeout(null, this.settings.times().drain().toMillis(), TimeUnit.MILLISECONDS).join();
+	}
+
+	@Override
+	public void stop() {
+		leaveEndpoint();
 		this.tasks.stop();
 		this.links.forEach(PeerLink::close);
 		this.gate.close();
--- a/src/main/java/org/crocuspost/daemon/EntryProcess.java
+++ b/src/main/java/org/crocuspost/daemon/EntryProcess.java
@@ -7,11 +7,19 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
+import io.vavr.control.Either;
 import org.crocuspost.configuration.ConfigurationSource;
 import org.crocuspost.distribution.ConfigurationPublisher;
 import org.crocuspost.distribution.HeadWatcher;
+import org.crocuspost.distribution.ProcessConfirmation;
 import org.crocuspost.entry.CallerServer;
 import org.crocuspost.entry.CallerSettings;
+import org.crocuspost.error.Failure;
+import org.crocuspost.error.Verdict;
+import org.crocuspost.operations.NoteOperations;
+import org.crocuspost.operations.OperationsServer;
+import org.crocuspost.operations.OperationsSettings;
+import org.crocuspost.operations.OperationsViews;
 import org.crocuspost.peer.CompositePeerListener;
 import org.crocuspost.peer.DeploymentSecret;
 import org.crocuspost.peer.PeerIdentity;
@@ -20,8 +28,11 @@
 import org.crocuspost.release.NoteAcceptance;
 import org.crocuspost.release.NoteRules;
 import org.crocuspost.release.SnapshotStore;
+import org.crocuspost.report.BurnReport;
+import org.crocuspost.report.ServiceLevels;
 import org.crocuspost.retry.AttemptSender;
 import org.crocuspost.retry.FateResolver;
+import org.crocuspost.retry.RequestOutcome;
 import org.crocuspost.retry.RequestRunner;
 import org.crocuspost.retry.RetryBudget;
 import org.crocuspost.routing.EndpointDirectory;
@@ -49,8 +60,12 @@
 
 	private final PeerServer peers;
 
+	private final ServiceLevels serviceLevels;
+
 	private final CallerServer callers;
 
+	private final OperationsServer operations;
+
 	/**
 	 * Starts an entry.
 	 * @param settings the settings
@@ -68,16 +83,38 @@
 		this.watcher = new HeadWatcher(stores.table(), snapshots, context.clock(), context.timer(), context.blocking(),
 				random);
 		this.publisher = new ConfigurationPublisher(this.watcher, context.clock(), context.timer());
-		this.acceptance = new NoteAcceptance(stores.table(), snapshots,
-				new NoteRules(Set.copyOf(settings.failureDomains())), context.clock(), this.watcher);
+		NoteRules rules = new NoteRules(Set.copyOf(settings.failureDomains()));
+		this.acceptance = new NoteAcceptance(stores.table(), snapshots, rules, context.clock(), this.watcher);
 		EndpointDirectory directory = new EndpointDirectory(this.watcher, context.clock(), context.timer());
 		this.peers = PeerServer.start(settings.addresses().peers(), context.network(),
 				PeerSettings.of(self, new DeploymentSecret(settings.secret().reveal())),
 				new CompositePeerListener(List.of(directory, this.publisher)), context.timer());
+		this.serviceLevels = new ServiceLevels(this.watcher, context.clock());
 		this.callers = startCallers(directory, incarnation, random, context);
+		this.operations = startOperations(stores, snapshots, rules, context);
 		this.watcher.start();
 	}
 
+	private OperationsServer startOperations(PlatformStores stores, SnapshotStore snapshots, NoteRules rules,
+			ProcessContext context) {
+		NoteOperations notes = new NoteOperations(this.acceptance, stores.table(), snapshots, this.watcher, rules,
+				this::confirmations);
+		OperationsSettings operationsSettings = new OperationsSettings(this.settings.addresses().operators(),
+				this.settings.operatorToken(), this.settings.limits().maximumNoteBytes(),
+				OperationsSettings.DEFAULT_REQUESTS_PER_SECOND);
+		OperationsViews views = OperationsViews.EMPTY.withBurn(() -> Either.right(this.serviceLevels.report()));
+		return OperationsServer.start(operationsSettings, this.settings.name(),
+				Set.copyOf(this.settings.failureDomains()), notes, views, context.clock());
+	}
+
+	private Either<Failure, List<ProcessConfirmation>> confirmations() {
+		return Either.right(List.of(new ProcessConfirmation("entry", this.settings.name(), this.publisher.summary())));
+	}
+
+	private void recordServiceLevel(String service, RequestOutcome outcome, Duration latency) {
+		this.serviceLevels.record(service, outcome.verdict() == Verdict.RAN, latency);
+	}
+
 	private CallerServer startCallers(EndpointDirectory directory, String incarnation, RandomGenerator random,
 			ProcessContext context) {
 		ExpectedTimePolicy policy = new ExpectedTimePolicy(this.settings.failureDomain(), CROSS_DOMAIN_COST, random);
@@ -88,8 +125,8 @@
 		CallerSettings callerSettings = new CallerSettings(this.settings.addresses().callers(),
 				limits.maximumBodyBytes(), this.settings.times().maximumTimeout(), this.settings.times().idleTimeout(),
 				limits.threads());
-		return CallerServer.start(callerSettings, incarnation, this.watcher, runner, (service, outcome, latency) -> {
-		}, context.clock(), context.timer());
+		return CallerServer.start(callerSettings, incarnation, this.watcher, runner, this::recordServiceLevel,
+				context.clock(), context.timer());
 	}
 
 	/**
@@ -117,11 +154,19 @@
 	}
 
 	/**
-	 * Returns the acceptance of release notes.
-	 * @return the acceptance
+	 * Returns where operators connect.
+	 * @return the address
+	 */
+	public InetSocketAddress operatorAddress() {
+		return this.operations.address();
+	}
+
+	/**
+	 * Returns the service-level burn as this entry has counted it.
+	 * @return a report for each service
 	 */
-	public NoteAcceptance acceptance() {
-		return this.acceptance;
+	public List<BurnReport> burn() {
+		return this.serviceLevels.report();
 	}
 
 	@Override
@@ -131,6 +176,7 @@
 			.completeOnTimeout(null, this.settings.times().drain().toMillis(), TimeUnit.MILLISECONDS)
 			.join();
 		this.callers.close();
+		this.operations.close();
 		this.publisher.stop();
 		this.watcher.stop();
 		this.peers.close();
--- a/src/main/java/org/crocuspost/local/LocalMain.java
+++ b/src/main/java/org/crocuspost/local/LocalMain.java
@@ -1,15 +1,21 @@
 package org.crocuspost.local;
 
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 
 import io.vavr.control.Either;
 import org.crocuspost.daemon.BuildVersion;
 import org.crocuspost.daemon.DaemonCommand;
+import org.crocuspost.daemon.EntryProcess;
 import org.crocuspost.log.Field;
 import org.crocuspost.settings.DeploymentSettings;
 import org.crocuspost.settings.SettingsFaults;
 import org.crocuspost.settings.SettingsFile;
+import org.crocuspost.tour.Tour;
+import org.crocuspost.tour.TourReport;
 import org.jspecify.annotations.Nullable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -32,6 +38,9 @@
 	@Option(names = "--check-settings", description = "Check the settings, start nothing and exit 0 or 2.")
 	private boolean checkSettings;
 
+	@Option(names = "--tour", description = "Take a tour of a minute that judges every promise, then exit 0 or 1.")
+	private boolean tour;
+
 	/**
 	 * Runs the command.
 	 * @param arguments the command line
@@ -53,9 +62,34 @@
 			return CommandLine.ExitCode.OK;
 		}
 		LocalDeployment deployment = new LocalDeployment(settings.get());
-		DaemonCommand.logReady(Field.of("callers", deployment.entries().get(0).callerAddress()));
+		EntryProcess entry = deployment.entries().get(0);
+		DaemonCommand.logReady(Field.of("callers", text(entry.callerAddress())),
+				Field.of("operators", text(entry.operatorAddress())));
+		return this.tour ? takeTour(deployment, settings.get()) : serve(deployment);
+	}
+
+	private static int serve(LocalDeployment deployment) {
 		DaemonCommand.runUntilTerminated(deployment);
 		return CommandLine.ExitCode.OK;
 	}
 
+	private int takeTour(LocalDeployment deployment, DeploymentSettings settings) {
+		Path note = java.util.Objects.requireNonNull(this.directory).resolve(settings.note());
+		try {
+			TourReport report = new Tour(deployment, Files.readString(note)).take();
+			deployment.stop();
+			System.out.print(report.text());
+			return report.passed() ? CommandLine.ExitCode.OK : CommandLine.ExitCode.SOFTWARE;
+		}
+		catch (IOException ex) {
+			System.err.println(note + " cannot be read");
+			deployment.stop();
+			return DaemonCommand.EXIT_INVALID_INPUT;
+		}
+	}
+
+	private static String text(InetSocketAddress address) {
+		return address.getAddress().getHostAddress() + ":" + address.getPort();
+	}
+
 }
--- a/src/test/java/org/crocuspost/local/LocalDeploymentTests.java
+++ b/src/test/java/org/crocuspost/local/LocalDeploymentTests.java
@@ -13,7 +13,6 @@
 import java.util.function.BooleanSupplier;
 
 import org.crocuspost.platform.worker.TaskState.Phase;
-import org.crocuspost.release.NoteOutcome;
 import org.crocuspost.settings.DeploymentSettings;
 import org.crocuspost.settings.SettingsFile;
 import org.crocuspost.standin.endpoint.LedgerEntry;
@@ -71,9 +70,14 @@
 		assertThat(topUp().statusCode()).isEqualTo(200);
 	}
 
-	private void submit(String note) {
-		NoteOutcome outcome = this.deployment.entries().get(0).acceptance().submit(note);
-		assertThat(outcome).isInstanceOf(NoteOutcome.Accepted.class);
+	private void submit(String note) throws Exception {
+		InetSocketAddress address = this.deployment.entries().get(0).operatorAddress();
+		HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + address.getPort() + "/notes"))
+			.header("Authorization", "Bearer " + this.settings.operatorToken().reveal())
+			.POST(HttpRequest.BodyPublishers.ofString(note))
+			.build();
+		assertThat(HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString()).statusCode())
+			.isEqualTo(200);
 	}
 
 	private HttpResponse<String> topUp() {
