--- a/src/main/java/org/crocuspost/distribution/ConfigurationPublisher.java
+++ b/src/main/java/org/crocuspost/distribution/ConfigurationPublisher.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 import org.crocuspost.configuration.Configuration;
 import org.crocuspost.peer.Peer;
@@ -48,8 +49,12 @@
 
 	private final Map<String, SilentAgent> silent = new HashMap<>();
 
+	private final List<Runnable> summaryListeners = new CopyOnWriteArrayList<>();
+
 	private final Cancellable renewal;
 
+	private long lowestTold;
+
 	/**
 	 * Creates the publisher.
 	 * @param watcher gives the newest configuration
@@ -63,6 +68,14 @@
 		this.renewal = timer.repeat(RENEWAL_INTERVAL, this::publish);
 	}
 
+	/**
+	 * Adds a listener that is told when the lowest version in the summary has changed.
+	 * @param listener the listener; must not block
+	 */
+	public void addSummaryListener(Runnable listener) {
+		this.summaryListeners.add(listener);
+	}
+
 	/**
 	 * Ends the renewals.
 	 */
@@ -88,12 +101,14 @@
 			this.connections.put(peer.identity().name(), connection);
 			this.silent.remove(peer.identity().name());
 			send(connection);
+			tellIfLowestChanged();
 			return;
 		}
 		connection.confirmed(confirmation.getVersion());
 		if (confirmation.getVersion() < this.watcher.current().version() && connection.behind()) {
 			send(connection);
 		}
+		tellIfLowestChanged();
 	}
 
 	@Override
@@ -110,6 +125,30 @@
 		this.connections.values().forEach(this::send);
 		long now = this.clock.nanoTime();
 		this.silent.values().removeIf((agent) -> now - agent.sinceNanos() >= LAPSE.toNanos());
+		tellIfLowestChanged();
+	}
+
+	private void tellIfLowestChanged() {
+		long lowest = lowestVersion();
+		if (lowest != this.lowestTold) {
+			this.lowestTold = lowest;
+			this.summaryListeners.forEach(Runnable::run);
+		}
+	}
+
+	private long lowestVersion() {
+		long lowest = this.watcher.current().version();
+		for (AgentConnection connection : this.connections.values()) {
+			lowest = lower(lowest, connection.confirmed());
+		}
+		for (SilentAgent agent : this.silent.values()) {
+			lowest = lower(lowest, agent.version());
+		}
+		return lowest;
+	}
+
+	private static long lower(long lowest, long confirmed) {
+		return (confirmed > 0) ? Math.min(lowest, confirmed) : lowest;
 	}
 
 	private void send(AgentConnection connection) {
@@ -130,8 +169,7 @@
 		this.connections.forEach((name, connection) -> addIfBehind(behind, name, connection.confirmed(), version));
 		this.silent.forEach((name, agent) -> addIfBehind(behind, name, agent.version(), version));
 		behind.sort(Comparator.comparingLong(AwaitedProcess::version).thenComparing(AwaitedProcess::name));
-		long lowest = behind.isEmpty() ? version : behind.get(0).version();
-		return new ConfirmationSummary(version, lowest,
+		return new ConfirmationSummary(version, lowestVersion(),
 				behind.subList(0, Math.min(behind.size(), ConfirmationSummary.MAXIMUM_NAMED)));
 	}
 
--- a/src/main/java/org/crocuspost/distribution/ConfirmationSummary.java
+++ b/src/main/java/org/crocuspost/distribution/ConfirmationSummary.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import org.crocuspost.configuration.Configuration;
+
 /**
  * What one entry or scheduler knows of confirmations. Stands in the row of the process.
  *
@@ -27,6 +29,15 @@
 		awaited = List.copyOf(awaited);
 	}
 
+	/**
+	 * Returns the summary of a process without agents.
+	 * @param configuration the configuration on which the process acts
+	 * @return the summary
+	 */
+	public static ConfirmationSummary of(Configuration configuration) {
+		return new ConfirmationSummary(configuration.version(), configuration.version(), List.of());
+	}
+
 	/**
 	 * Returns the lowest version in the summary.
 	 * @return the version that the process and all its agents have reached
--- a/src/test/java/org/crocuspost/cli/OperatorDeployment.java
+++ b/src/test/java/org/crocuspost/cli/OperatorDeployment.java
@@ -47,6 +47,8 @@
 
 	private final HeadWatcher watcher;
 
+	private final NoteAcceptance acceptance;
+
 	private final ServiceLevels levels;
 
 	private final OperationsServer server;
@@ -58,8 +60,8 @@
 		this.watcher = new HeadWatcher(this.table, snapshots, clock, new NoTimer(), Runnable::run, new Random(1));
 		this.watcher.start();
 		this.levels = new ServiceLevels(this.watcher, clock);
-		NoteAcceptance acceptance = new NoteAcceptance(this.table, snapshots, rules, clock, this.watcher);
-		NoteOperations notes = new NoteOperations(acceptance, this.table, snapshots, this.watcher, rules,
+		this.acceptance = new NoteAcceptance(this.table, snapshots, rules, clock, this.watcher);
+		NoteOperations notes = new NoteOperations(this.acceptance, this.table, snapshots, this.watcher, rules,
 				() -> Either.right(List.copyOf(this.confirmations)));
 		OperationsSettings settings = new OperationsSettings(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
 				new Secret(TOKEN), MAXIMUM_NOTE_BYTES, requestsPerSecond);
@@ -71,6 +73,10 @@
 		return this.table;
 	}
 
+	NoteAcceptance acceptance() {
+		return this.acceptance;
+	}
+
 	ServiceLevels levels() {
 		return this.levels;
 	}
--- a/src/test/java/org/crocuspost/cli/OperatorMainTests.java
+++ b/src/test/java/org/crocuspost/cli/OperatorMainTests.java
@@ -3,6 +3,10 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -11,9 +15,11 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.crocuspost.json.Json;
+import org.crocuspost.release.NoteOutcome;
 import org.crocuspost.release.NoteTexts;
 import org.crocuspost.standin.WriteFault;
 import org.junit.jupiter.api.AfterEach;
@@ -149,6 +155,29 @@
 		assertThat(run("status")).isEqualTo(ExitCode.UNAVAILABLE.code());
 	}
 
+	@Test
+	void submitGoesToTheNextEntryWhenOneIsKilledBetweenCommitAndReply() throws Exception {
+		String text = NoteTexts.addService("first", 0, "shop");
+		try (ServerSocket dying = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			CompletableFuture<Void> died = CompletableFuture.runAsync(() -> acceptAndDie(dying, text));
+			this.servers = "http://127.0.0.1:" + dying.getLocalPort() + "," + this.deployment.url();
+			assertThat(run("note", "submit", file(text).toString())).isZero();
+			died.get();
+		}
+		assertThat(this.output.toString()).contains("version: 1").contains("the same note was accepted before");
+	}
+
+	private void acceptAndDie(ServerSocket dying, String text) {
+		try (Socket connection = dying.accept()) {
+			connection.getInputStream().read();
+			assertThat(this.deployment.acceptance().submit(text))
+				.isEqualTo(new NoteOutcome.Accepted("first", 1, false));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	@Test
 	void wrongTokenIsRefusedAndNeverShown() {
 		this.token = "guessed-token";
