Ask schedulers for views and explain requests

An entry knows neither workers nor why tasks wait. It asks every scheduler by a call over the connections between processes and merges the answers.

--- a/src/main/java/org/crocuspost/entry/CallerHandler.java
+++ b/src/main/java/org/crocuspost/entry/CallerHandler.java
@@ -137,7 +137,7 @@
 	private void finish(Arrival arrival, String service, RequestOutcome outcome) {
 		CallerAnswers.write(arrival.context().getResponse(), arrival.requestId(), outcome);
 		Duration latency = Duration.ofNanos(this.clock.nanoTime() - arrival.nanos());
-		this.listener.requestEnded(service, outcome, latency);
+		this.listener.requestEnded(arrival.requestId(), service, outcome, latency);
 	}
 
 	private record Arrival(Context context, String requestId, long nanos) {
--- /dev/null
+++ b/src/main/java/org/crocuspost/entry/CompositeRequestListener.java
@@ -0,0 +1,33 @@
+package org.crocuspost.entry;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.crocuspost.retry.RequestOutcome;
+
+/**
+ * Passes each answered request on to several listeners in order.
+ */
+public final class CompositeRequestListener implements RequestListener {
+
+	private final List<RequestListener> listeners;
+
+	/**
+	 * Creates the listener.
+	 * @param listeners the listeners
+	 */
+	public CompositeRequestListener(List<RequestListener> listeners) {
+		this.listeners = List.copyOf(listeners);
+	}
+
+	@Override
+	public void requestEnded(String service, RequestOutcome outcome, Duration latency) {
+		this.listeners.forEach((listener) -> listener.requestEnded(service, outcome, latency));
+	}
+
+	@Override
+	public void requestEnded(String requestId, String service, RequestOutcome outcome, Duration latency) {
+		this.listeners.forEach((listener) -> listener.requestEnded(requestId, service, outcome, latency));
+	}
+
+}
--- a/src/main/java/org/crocuspost/entry/RequestListener.java
+++ b/src/main/java/org/crocuspost/entry/RequestListener.java
@@ -18,4 +18,15 @@
 	 */
 	void requestEnded(String service, RequestOutcome outcome, Duration latency);
 
+	/**
+	 * A request was answered. By default the identity is dropped.
+	 * @param requestId the identity of the request
+	 * @param service the name of the service; empty if none matched
+	 * @param outcome the outcome
+	 * @param latency the time from the arrival of the request to its answer
+	 */
+	default void requestEnded(String requestId, String service, RequestOutcome outcome, Duration latency) {
+		requestEnded(service, outcome, latency);
+	}
+
 }
--- a/src/main/java/org/crocuspost/operations/OperationsViews.java
+++ b/src/main/java/org/crocuspost/operations/OperationsViews.java
@@ -6,21 +6,18 @@
  * Where the views come from. Each is given by the slice that has the data.
  *
  * @param endpoints the endpoints that this entry knows
- * @param workers the workers
- * @param jobs the batch jobs with their progress
- * @param tasks the batch tasks
- * @param taskExplainer says why a task waits, was evicted or failed
+ * @param batch batch work
  * @param requestExplainer says what became of a request
  * @param burn the service-level burn
  */
-public record OperationsViews(View<EndpointView> endpoints, View<WorkerView> workers, View<JobView> jobs,
-		View<TaskView> tasks, Explainer taskExplainer, Explainer requestExplainer, View<BurnReport> burn) {
+public record OperationsViews(View<EndpointView> endpoints, BatchViews batch, Explainer requestExplainer,
+		View<BurnReport> burn) {
 
 	/**
 	 * Views without data.
 	 */
-	public static final OperationsViews EMPTY = new OperationsViews(View.empty(), View.empty(), View.empty(),
-			View.empty(), Explainer.none("task"), Explainer.none("request"), View.empty());
+	public static final OperationsViews EMPTY = new OperationsViews(View.empty(), BatchViews.EMPTY,
+			Explainer.none("request"), View.empty());
 
 	/**
 	 * Returns the same views with other endpoints.
@@ -28,22 +25,16 @@
 	 * @return the views
 	 */
 	public OperationsViews withEndpoints(View<EndpointView> view) {
-		return new OperationsViews(view, this.workers, this.jobs, this.tasks, this.taskExplainer, this.requestExplainer,
-				this.burn);
+		return new OperationsViews(view, this.batch, this.requestExplainer, this.burn);
 	}
 
 	/**
 	 * Returns the same views with other views of batch work.
-	 * @param workerView the workers
-	 * @param jobView the batch jobs
-	 * @param taskView the batch tasks
-	 * @param explainer explains tasks
+	 * @param views batch work
 	 * @return the views
 	 */
-	public OperationsViews withBatch(View<WorkerView> workerView, View<JobView> jobView, View<TaskView> taskView,
-			Explainer explainer) {
-		return new OperationsViews(this.endpoints, workerView, jobView, taskView, explainer, this.requestExplainer,
-				this.burn);
+	public OperationsViews withBatch(BatchViews views) {
+		return new OperationsViews(this.endpoints, views, this.requestExplainer, this.burn);
 	}
 
 	/**
@@ -52,8 +43,7 @@
 	 * @return the views
 	 */
 	public OperationsViews withRequestExplainer(Explainer explainer) {
-		return new OperationsViews(this.endpoints, this.workers, this.jobs, this.tasks, this.taskExplainer, explainer,
-				this.burn);
+		return new OperationsViews(this.endpoints, this.batch, explainer, this.burn);
 	}
 
 	/**
@@ -62,8 +52,7 @@
 	 * @return the views
 	 */
 	public OperationsViews withBurn(View<BurnReport> view) {
-		return new OperationsViews(this.endpoints, this.workers, this.jobs, this.tasks, this.taskExplainer,
-				this.requestExplainer, view);
+		return new OperationsViews(this.endpoints, this.batch, this.requestExplainer, view);
 	}
 
 }
--- /dev/null
+++ b/src/main/java/org/crocuspost/operations/RemoteBatchViews.java
@@ -0,0 +1,97 @@
+package org.crocuspost.operations;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BinaryOperator;
+import java.util.function.Function;
+
+import io.vavr.control.Either;
+import org.crocuspost.error.ErrorCode;
+import org.crocuspost.error.Failure;
+import org.crocuspost.json.Json;
+import org.crocuspost.wire.ViewQuery;
+
+/**
+ * Views of batch work in an entry, put together from the answers of all schedulers. A
+ * scheduler that does not answer is left out as long as another one does.
+ */
+public final class RemoteBatchViews {
+
+	private final SchedulerQueries queries;
+
+	private RemoteBatchViews(SchedulerQueries queries) {
+		this.queries = queries;
+	}
+
+	/**
+	 * Creates the views.
+	 * @param queries asks the schedulers
+	 * @return the views
+	 */
+	public static BatchViews of(SchedulerQueries queries) {
+		RemoteBatchViews remote = new RemoteBatchViews(queries);
+		return new BatchViews(remote::workers, remote::jobs, remote::tasks, remote::explain);
+	}
+
+	private Either<Failure, List<WorkerView>> workers() {
+		return merge(ViewQuery.View.VIEW_WORKERS, WorkerView[].class, WorkerView::name, (first, second) -> first);
+	}
+
+	// Every scheduler counts all tasks, but each knows why tasks wait only for its own
+	// failure domains.
+	private Either<Failure, List<JobView>> jobs() {
+		return merge(ViewQuery.View.VIEW_JOBS, JobView[].class, JobView::name,
+				(first, second) -> first.reason().isEmpty() ? second : first);
+	}
+
+	private Either<Failure, List<TaskView>> tasks() {
+		return merge(ViewQuery.View.VIEW_TASKS, TaskView[].class, TaskView::id,
+				(first, second) -> (first.attempt() >= second.attempt()) ? first : second);
+	}
+
+	private Either<Failure, Explanation> explain(String id) {
+		return merge(ask(ViewQuery.View.VIEW_EXPLAIN_TASK, id), Explanation.class,
+				(explanation) -> List.of(explanation))
+			.map((explanations) -> explanations.stream()
+				.reduce((first, second) -> (first.reasons().size() >= second.reasons().size()) ? first : second)
+				.orElseThrow());
+	}
+
+	private <T> Either<Failure, List<T>> merge(ViewQuery.View view, Class<T[]> type, Function<T, String> key,
+			BinaryOperator<T> choice) {
+		return merge(ask(view, ""), type, List::of).map((lines) -> {
+			Map<String, T> merged = new TreeMap<>();
+			lines.forEach((line) -> merged.merge(key.apply(line), line, choice));
+			return List.copyOf(merged.values());
+		});
+	}
+
+	private List<Either<Failure, String>> ask(ViewQuery.View view, String id) {
+		return this.queries.ask(view, id);
+	}
+
+	private static <A, T> Either<Failure, List<T>> merge(List<Either<Failure, String>> answers, Class<A> type,
+			Function<A, List<T>> lines) {
+		List<T> all = answers.stream()
+			.flatMap((answer) -> answer.flatMap((json) -> decode(json, type)).map(lines).getOrElse(List.of()).stream())
+			.toList();
+		boolean answered = answers.stream().anyMatch(Either::isRight);
+		return answered ? Either.right(all)
+				: Either.left(answers.stream()
+					.map(Either::getLeft)
+					.findFirst()
+					.orElse(ErrorCode.NOT_FOUND.with("a connection to a scheduler")));
+	}
+
+	private static <A> Either<Failure, A> decode(String json, Class<A> type) {
+		try {
+			return Either.right(Json.mapper().readValue(json, type));
+		}
+		catch (IOException ex) {
+			return Either.left(ErrorCode.MALFORMED.with("the answer of a scheduler"));
+		}
+	}
+
+}
--- a/src/test/java/org/crocuspost/cli/OperatorDeployment.java
+++ b/src/test/java/org/crocuspost/cli/OperatorDeployment.java
@@ -12,10 +12,15 @@
 import org.crocuspost.distribution.ConfirmationSummary;
 import org.crocuspost.distribution.HeadWatcher;
 import org.crocuspost.distribution.ProcessConfirmation;
+import org.crocuspost.error.Failure;
+import org.crocuspost.operations.BatchViews;
+import org.crocuspost.operations.Explanation;
 import org.crocuspost.operations.NoteOperations;
 import org.crocuspost.operations.OperationsServer;
 import org.crocuspost.operations.OperationsSettings;
 import org.crocuspost.operations.OperationsViews;
+import org.crocuspost.operations.RequestLog;
+import org.crocuspost.operations.View;
 import org.crocuspost.release.NoteAcceptance;
 import org.crocuspost.release.NoteRules;
 import org.crocuspost.release.SnapshotStore;
@@ -45,6 +50,8 @@
 
 	private final List<ProcessConfirmation> confirmations = new ArrayList<>();
 
+	private final RequestLog requests = new RequestLog();
+
 	private final HeadWatcher watcher;
 
 	private final NoteAcceptance acceptance;
@@ -66,7 +73,18 @@
 		OperationsSettings settings = new OperationsSettings(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
 				new Secret(TOKEN), MAXIMUM_NOTE_BYTES, requestsPerSecond);
 		this.server = OperationsServer.start(settings, "entry-1", DOMAINS, notes,
-				OperationsViews.EMPTY.withBurn(() -> Either.right(this.levels.report())), clock);
+				OperationsViews.EMPTY.withBurn(() -> Either.right(this.levels.report()))
+					.withRequestExplainer(this.requests)
+					.withBatch(new BatchViews(View.empty(), View.empty(), View.empty(), OperatorDeployment::explain)),
+				clock);
+	}
+
+	private static Either<Failure, Explanation> explain(String task) {
+		return Either.right(new Explanation(task, "pending", List.of("no room")));
+	}
+
+	RequestLog requests() {
+		return this.requests;
 	}
 
 	TableStandIn table() {
--- a/src/test/java/org/crocuspost/cli/OperatorMainTests.java
+++ b/src/test/java/org/crocuspost/cli/OperatorMainTests.java
@@ -18,9 +18,11 @@
 import java.util.concurrent.CompletableFuture;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.crocuspost.error.ErrorCode;
 import org.crocuspost.json.Json;
 import org.crocuspost.release.NoteOutcome;
 import org.crocuspost.release.NoteTexts;
+import org.crocuspost.retry.RequestOutcome;
 import org.crocuspost.standin.WriteFault;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -237,6 +239,18 @@
 		assertThat(Files.readString(page)).contains("<h2>shop</h2>", "data:image/png;base64,");
 	}
 
+	@Test
+	void requestsAndTasksAreExplained() {
+		this.deployment.requests()
+			.requestEnded("r-1", "shop", RequestOutcome.of(ErrorCode.OVERLOADED.with("shop")), Duration.ofMillis(3));
+		assertThat(run("explain", "request", "r-1")).isZero();
+		assertThat(this.output.toString()).contains("state: not-run")
+			.contains("overloaded: service shop is overloaded");
+		assertThat(run("explain", "request", "r-2")).isEqualTo(ExitCode.NOT_FOUND.code());
+		assertThat(run("explain", "task", "job/0")).isZero();
+		assertThat(this.output.toString()).contains("id: job/0").contains("no room");
+	}
+
 	@Test
 	void eventsAreShown() throws IOException {
 		run("note", "submit", file(NoteTexts.addService("first", 0, "shop")).toString());
