--- /dev/null
+++ b/src/main/java/org/crocuspost/membership/Addresses.java
@@ -0,0 +1,48 @@
+package org.crocuspost.membership;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.Optional;
+
+import io.netty.util.NetUtil;
+
+/**
+ * Turns addresses with IP numbers into text and back, without name resolution.
+ */
+public final class Addresses {
+
+	private Addresses() {
+	}
+
+	/**
+	 * Writes an address.
+	 * @param address the address
+	 * @return the IP number and the port
+	 */
+	public static String format(InetSocketAddress address) {
+		return NetUtil.toSocketAddressString(address);
+	}
+
+	/**
+	 * Reads an address.
+	 * @param text an IP number and a port
+	 * @return the address, or empty if the text is none
+	 */
+	public static Optional<InetSocketAddress> parse(String text) {
+		int colon = text.lastIndexOf(':');
+		byte[] bytes = (colon > 0) ? NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon)) : null;
+		if (bytes == null || !text.substring(colon + 1).matches("[0-9]{1,5}")) {
+			return Optional.empty();
+		}
+		int port = Integer.parseInt(text.substring(colon + 1));
+		try {
+			return (port > 65_535) ? Optional.empty()
+					: Optional.of(new InetSocketAddress(InetAddress.getByAddress(bytes), port));
+		}
+		catch (UnknownHostException ex) {
+			return Optional.empty();
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/membership/MemberRecord.java
@@ -0,0 +1,72 @@
+package org.crocuspost.membership;
+
+import java.util.Locale;
+import java.util.Objects;
+
+import org.crocuspost.distribution.ConfirmationSummary;
+import org.crocuspost.json.Json;
+import org.crocuspost.peer.PeerIdentity;
+import org.crocuspost.platform.table.Row;
+import org.crocuspost.platform.table.TableKeys;
+
+/**
+ * Row of an entry or a scheduler.
+ *
+ * @param identity who the process is
+ * @param address IP number and port for connections between processes
+ * @param renewal rises with every write by the same incarnation
+ * @param leaving whether the process stops; nobody connects to it any more
+ * @param confirmations what the process knows of the configuration in force
+ */
+public record MemberRecord(PeerIdentity identity, String address, long renewal, boolean leaving,
+		ConfirmationSummary confirmations) {
+
+	public MemberRecord {
+		Objects.requireNonNull(identity, "identity");
+		Objects.requireNonNull(address, "address");
+		Objects.requireNonNull(confirmations, "confirmations");
+	}
+
+	/**
+	 * Reads a row.
+	 * @param row a row that exists
+	 * @return the record
+	 */
+	public static MemberRecord of(Row row) {
+		return Json.read(row.value(), MemberRecord.class);
+	}
+
+	/**
+	 * Returns the role as it appears in keys.
+	 * @param role the role
+	 * @return the role in lower case
+	 */
+	public static String roleName(PeerIdentity.Role role) {
+		return role.name().toLowerCase(Locale.ROOT);
+	}
+
+	/**
+	 * Returns the key of the row.
+	 * @return the key
+	 */
+	public String key() {
+		return TableKeys.member(roleName(this.identity.role()), this.identity.name());
+	}
+
+	/**
+	 * Returns the value of the row.
+	 * @return the record as JSON
+	 */
+	public String value() {
+		return Json.write(this);
+	}
+
+	MemberRecord renewed(boolean nowLeaving, ConfirmationSummary summary) {
+		return new MemberRecord(this.identity, this.address, this.renewal + 1, nowLeaving, summary);
+	}
+
+	boolean sameIncarnation(MemberRecord other) {
+		return this.identity.incarnation().equals(other.identity.incarnation());
+	}
+
+}
