--- /dev/null
+++ b/src/main/java/org/crocuspost/bench/BenchMain.java
@@ -0,0 +1,25 @@
+package org.crocuspost.bench;
+
+import org.crocuspost.bench.policy.PolicyCommand;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/**
+ * Starts a benchmark by the name of its subcommand.
+ */
+@Command(name = "crocuspost-bench", mixinStandardHelpOptions = true, description = "Benchmarks of crocuspost.",
+		subcommands = PolicyCommand.class)
+public final class BenchMain {
+
+	private BenchMain() {
+	}
+
+	/**
+	 * Runs the program.
+	 * @param arguments the subcommand and its options
+	 */
+	public static void main(String[] arguments) {
+		System.exit(new CommandLine(new BenchMain()).execute(arguments));
+	}
+
+}
