Give workers what the fleet knows of their jobs

A worker decides on the fleet's and its own knowledge and reports its own only. Placement keeps workers without service for noisy jobs and bounds the expected slowdown of a worker.

--- a/src/main/java/org/crocuspost/bench/policy/LearnedControl.java
+++ b/src/main/java/org/crocuspost/bench/policy/LearnedControl.java
@@ -51,16 +51,15 @@
 				this.controllers.put(worker.index(), controller(worker, time));
 			});
 		}
-		LearnedPairPenalty learned = new LearnedPairPenalty(this.penalties,
-				(worker) -> Optional.ofNullable(services.get(worker)));
-		PairPenalty cost = (job, worker) -> learned.cost(job, worker.worker(),
-				(double) milliCoresByJob.get(job) / worker.capacity().milliCores(), worker.servicePressure());
+		PairPenalty cost = new LearnedPairPenalty(this.penalties, (worker) -> Optional.ofNullable(services.get(worker)),
+				milliCoresByJob::get);
 		this.placement = new DefaultPlacementPolicy(cost);
 	}
 
 	private InterferenceController controller(BenchWorker worker, VirtualTime time) {
 		return new InterferenceController(InterferenceSettings.DEFAULT, time, worker.capacity(), worker.window(),
-				worker::running, worker::throttle, (request) -> this.requests.put(worker.index(), request));
+				(job) -> this.penalties.effect(worker.service().orElseThrow().name(), job), worker::running,
+				worker::throttle, (request) -> this.requests.put(worker.index(), request));
 	}
 
 	@Override
--- a/src/main/java/org/crocuspost/interference/InterferenceController.java
+++ b/src/main/java/org/crocuspost/interference/InterferenceController.java
@@ -23,6 +23,10 @@
  * Keeps the batch work on one worker from slowing the service down.
  *
  * <p>
+ * It decides on what the fleet and the worker know together. What it reports rests on the
+ * worker's own measurements alone, or else a rumour would confirm itself.
+ *
+ * <p>
  * Each interval it learns from the latencies ({@link SlowdownModel}), shares the
  * tolerated slowdown out among the attempts ({@link ThrottlePlanner}) and sets throttles:
  * down at once, up by small steps. If the tail nears the objective all the same, the
@@ -58,7 +62,9 @@
 
 	private final ThrottlePlanner planner;
 
-	private final SlowdownModel model = new SlowdownModel();
+	private final SlowdownModel model;
+
+	private final SlowdownModel ownModel = new SlowdownModel(EffectPriors.NONE);
 
 	private final Map<AttemptKey, Throttled> throttled = new HashMap<>();
 
@@ -74,17 +80,19 @@
 	 * @param clock tells the elapsed time
 	 * @param capacity the capacity of the worker
 	 * @param window the latencies of the service
+	 * @param priors what the fleet knows of jobs beside the service
 	 * @param attempts the attempts that run on the worker
 	 * @param throttles sets the shares of attempts
 	 * @param evictions takes requests for evictions
 	 */
 	public InterferenceController(InterferenceSettings settings, Clock clock, Resources capacity,
-			ServiceLatencyWindow window, RunningAttempts attempts, ThrottleControl throttles,
+			ServiceLatencyWindow window, EffectPriors priors, RunningAttempts attempts, ThrottleControl throttles,
 			EvictionRequests evictions) {
 		this.settings = Objects.requireNonNull(settings, "settings");
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.capacity = Objects.requireNonNull(capacity, "capacity");
 		this.window = Objects.requireNonNull(window, "window");
+		this.model = new SlowdownModel(Objects.requireNonNull(priors, "priors"));
 		this.attempts = Objects.requireNonNull(attempts, "attempts");
 		this.throttles = Objects.requireNonNull(throttles, "throttles");
 		this.evictions = Objects.requireNonNull(evictions, "evictions");
@@ -101,7 +109,10 @@
 	public void control(String service, ServiceObjective objective) {
 		List<RunningAttempt> running = this.attempts.current();
 		forgetEnded(running);
-		this.model.observe(this.window.nextInterval(), exposures(running));
+		LatencyInterval interval = this.window.nextInterval();
+		Map<String, Double> exposures = exposures(running);
+		this.model.observe(interval, exposures);
+		this.ownModel.observe(interval, exposures);
 		this.pressure = this.window.tail(objective.latencyQuantile()).pressure(objective.latency());
 		adaptAllowance();
 		setThrottles(running);
@@ -240,7 +251,7 @@
 	private List<PairObservation> observe(String service, List<RunningAttempt> running) {
 		Set<String> jobs = new LinkedHashSet<>();
 		running.forEach((attempt) -> jobs.add(attempt.job()));
-		return jobs.stream().map((job) -> new PairObservation(service, job, this.model.effect(job))).toList();
+		return jobs.stream().map((job) -> new PairObservation(service, job, this.ownModel.effect(job))).toList();
 	}
 
 	/**
--- a/src/main/java/org/crocuspost/interference/InterferenceSettings.java
+++ b/src/main/java/org/crocuspost/interference/InterferenceSettings.java
@@ -24,7 +24,7 @@
 	 * Settings for a first deployment.
 	 */
 	public static final InterferenceSettings DEFAULT = new InterferenceSettings(Duration.ofSeconds(1), 1.08, 0.9, 5, 10,
-			Duration.ofSeconds(60), Duration.ofMinutes(10), 1);
+			Duration.ofSeconds(180), Duration.ofMinutes(10), 1);
 
 	public InterferenceSettings {
 		if (toleratedSlowdown <= 1) {
--- a/src/main/java/org/crocuspost/interference/JobEffect.java
+++ b/src/main/java/org/crocuspost/interference/JobEffect.java
@@ -9,6 +9,19 @@
  */
 public record JobEffect(double mean, double standardError) {
 
+	/**
+	 * Effect of a job of which nothing is known.
+	 */
+	public static final JobEffect UNKNOWN = new JobEffect(0, 1.5);
+
+	/**
+	 * Returns how much is known.
+	 * @return the reciprocal of the squared standard error
+	 */
+	public double precision() {
+		return 1 / (this.standardError * this.standardError);
+	}
+
 	/**
 	 * Returns a value that the effect exceeds with a probability that falls with the
 	 * caution. Interference never speeds a service up, so it is not negative.
--- a/src/main/java/org/crocuspost/interference/LearnedPairPenalty.java
+++ b/src/main/java/org/crocuspost/interference/LearnedPairPenalty.java
@@ -1,46 +1,82 @@
 package org.crocuspost.interference;
 
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.ToLongFunction;
+
+import org.crocuspost.placement.PairPenalty;
+import org.crocuspost.placement.WorkerSnapshot;
 
 /**
- * Expected harm of a job on a worker, from the learned penalties. The placement uses it
- * as the cost of a pair.
+ * Expected harm of a job on a worker, from the learned penalties.
+ *
+ * <p>
+ * A worker without service costs a little, so that harmless jobs leave it to noisy ones.
+ * On a worker with a service the expected slowdown of all tasks together is bounded;
+ * beyond the bound a task would only be throttled and hold resources that a harmless one
+ * could use. A first noisy task is always let in, so that noisy jobs make progress where
+ * every worker carries a service.
  */
-public final class LearnedPairPenalty {
+public final class LearnedPairPenalty implements PairPenalty {
+
+	private static final double PRESSURE_UNIT = 1000;
+
+	private static final double COST_WITHOUT_SERVICE = 0.1;
+
+	private static final double MOST_EXPECTED_SLOWDOWN = 0.15;
 
-	private static final double UNIT = 1000;
+	private static final double HARMLESS = 0.02;
 
 	private final PairPenalties penalties;
 
 	private final Function<String, Optional<String>> serviceOfWorker;
 
+	private final ToLongFunction<String> milliCoresOfJob;
+
 	/**
 	 * Creates the cost function.
 	 * @param penalties what the fleet has learned
 	 * @param serviceOfWorker gives the service on a worker by the worker's name, or none
+	 * @param milliCoresOfJob gives the processor time that is set aside for a task of a
+	 * job by the job's name, in thousandths of a core
 	 */
-	public LearnedPairPenalty(PairPenalties penalties, Function<String, Optional<String>> serviceOfWorker) {
+	public LearnedPairPenalty(PairPenalties penalties, Function<String, Optional<String>> serviceOfWorker,
+			ToLongFunction<String> milliCoresOfJob) {
 		this.penalties = penalties;
 		this.serviceOfWorker = serviceOfWorker;
+		this.milliCoresOfJob = milliCoresOfJob;
 	}
 
-	/**
-	 * Returns the expected harm.
-	 * @param job the name of the job
-	 * @param worker the name of the worker
-	 * @param share the share of the worker's cores that a task of the job takes
-	 * @param pressureThousandths the pressure on the service of the worker
-	 * @return the expected rise of the logarithm of the service's latency;
-	 * {@link Double#POSITIVE_INFINITY} if the job must not be tried there now
-	 */
-	public double cost(String job, String worker, double share, int pressureThousandths) {
-		Optional<String> service = this.serviceOfWorker.apply(worker);
+	@Override
+	public double cost(String job, WorkerSnapshot worker) {
+		Optional<String> service = this.serviceOfWorker.apply(worker.worker());
 		if (service.isEmpty()) {
-			return 0;
+			return COST_WITHOUT_SERVICE;
 		}
-		return this.penalties.penalty(service.get(), job, share, pressureThousandths / UNIT)
-			.orElse(Double.POSITIVE_INFINITY);
+		double pressure = worker.servicePressure() / PRESSURE_UNIT;
+		Optional<Double> penalty = this.penalties.penalty(service.get(), job, share(job, worker), pressure);
+		if (penalty.isEmpty()) {
+			return Double.POSITIVE_INFINITY;
+		}
+		double present = present(service.get(), worker);
+		boolean harmless = penalty.get() <= HARMLESS;
+		boolean first = present <= HARMLESS;
+		boolean bounded = present + penalty.get() <= MOST_EXPECTED_SLOWDOWN;
+		return (harmless || first || bounded) ? penalty.get() : Double.POSITIVE_INFINITY;
+	}
+
+	private double present(String service, WorkerSnapshot worker) {
+		double sum = 0;
+		for (Map.Entry<String, Integer> tasks : worker.tasksByJob().entrySet()) {
+			double effect = this.penalties.effect(service, tasks.getKey()).upperBound(0);
+			sum += tasks.getValue() * share(tasks.getKey(), worker) * effect;
+		}
+		return sum;
+	}
+
+	private double share(String job, WorkerSnapshot worker) {
+		return (double) this.milliCoresOfJob.applyAsLong(job) / worker.capacity().milliCores();
 	}
 
 }
--- a/src/main/java/org/crocuspost/interference/PairPenalties.java
+++ b/src/main/java/org/crocuspost/interference/PairPenalties.java
@@ -12,10 +12,9 @@
  * penalty of a pair to the cost of a worker. Not safe for use by several threads.
  *
  * <p>
- * Each worker reports its own estimate again and again, so only the newest of each worker
- * counts. Estimates are averaged by their precision beyond that of an unknown job; a
- * worker that has learned nothing adds nothing. Precision decays with age, so that a pair
- * becomes unknown again and is tried again.
+ * Each worker reports its own evidence again and again, so only the newest of each worker
+ * counts. Evidence is averaged by its precision beyond that of an unknown job. Precision
+ * decays with age, so that a pair becomes unknown again and is tried again.
  *
  * <p>
  * An unknown pair is tried on a few workers of a service at once and only where the
@@ -53,7 +52,7 @@
 	public void observe(String worker, PairObservation observation) {
 		Pair pair = new Pair(observation.service(), observation.job());
 		this.observed.computeIfAbsent(pair, (key) -> new HashMap<>())
-			.put(worker, new Observed(observation.effect(), this.clock.nanoTime()));
+			.put(worker, new Observed(bounded(observation.effect()), this.clock.nanoTime()));
 	}
 
 	/**
@@ -63,13 +62,13 @@
 	 * @return the effect of the job on the service
 	 */
 	public JobEffect effect(String service, String job) {
-		double precision = priorPrecision();
-		double sum = precision * SlowdownModel.UNKNOWN_EFFECT.mean();
+		double precision = JobEffect.UNKNOWN.precision();
+		double sum = precision * JobEffect.UNKNOWN.mean();
 		Map<String, Observed> workers = this.observed.getOrDefault(new Pair(service, job), Map.of());
 		for (Observed observation : workers.values()) {
-			double weight = weight(observation);
-			precision += weight;
-			sum += weight * observation.effect().mean();
+			double freshness = freshness(observation);
+			precision += freshness * (observation.effect().precision() - JobEffect.UNKNOWN.precision());
+			sum += freshness * observation.effect().precision() * observation.effect().mean();
 		}
 		return new JobEffect(sum / precision, 1 / Math.sqrt(precision));
 	}
@@ -112,16 +111,13 @@
 			.count();
 	}
 
-	private double weight(Observed observation) {
-		double error = observation.effect().standardError();
-		double information = Math.max(0, 1 / (error * error) - priorPrecision());
-		double age = (double) (this.clock.nanoTime() - observation.nanos()) / this.settings.halfLife().toNanos();
-		return information * Math.pow(0.5, age);
+	private static JobEffect bounded(JobEffect effect) {
+		return new JobEffect(effect.mean(), Math.min(effect.standardError(), JobEffect.UNKNOWN.standardError()));
 	}
 
-	private static double priorPrecision() {
-		double error = SlowdownModel.UNKNOWN_EFFECT.standardError();
-		return 1 / (error * error);
+	private double freshness(Observed observation) {
+		double age = (double) (this.clock.nanoTime() - observation.nanos()) / this.settings.halfLife().toNanos();
+		return Math.pow(0.5, age);
 	}
 
 	private record Pair(String service, String job) {
--- a/src/main/java/org/crocuspost/interference/SlowdownModel.java
+++ b/src/main/java/org/crocuspost/interference/SlowdownModel.java
@@ -1,8 +1,10 @@
 package org.crocuspost.interference;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Estimates how much each job on a worker slows the service down, from the changes of
@@ -24,30 +26,35 @@
  */
 final class SlowdownModel {
 
-	/**
-	 * Effect of a job that has not been observed.
-	 */
-	static final JobEffect UNKNOWN_EFFECT = new JobEffect(0.1, 1.5);
-
 	private static final int MOST_JOBS = 24;
 
 	private static final double BASE_DEVIATION = 3;
 
 	private static final double BASE_DRIFT_VARIANCE = 1e-4;
 
-	private static final double EFFECT_DRIFT_VARIANCE = 1e-4;
+	private static final double EFFECT_DRIFT_VARIANCE = 1e-5;
 
 	private static final double LEAST_LOG_VARIANCE = 0.05;
 
 	private static final double MODEL_ERROR_VARIANCE = 4e-4;
 
+	private static final double LEAST_PRIOR_ERROR = 0.15;
+
+	private final EffectPriors priors;
+
 	private final List<String> jobs = new ArrayList<>();
 
+	private Set<String> present = Set.of();
+
 	private double[] state = new double[1];
 
 	private double[][] covariance = { { BASE_DEVIATION * BASE_DEVIATION } };
 
-	private boolean started;
+	private boolean initialized;
+
+	SlowdownModel(EffectPriors priors) {
+		this.priors = priors;
+	}
 
 	/**
 	 * Learns from one interval.
@@ -55,14 +62,15 @@
 	 * @param exposures the exposure of each job during the interval
 	 */
 	void observe(LatencyInterval interval, Map<String, Double> exposures) {
+		exposures.keySet().forEach(this::include);
+		this.present = Set.copyOf(exposures.keySet());
 		if (interval.samples() == 0) {
 			return;
 		}
-		if (!this.started) {
+		if (!this.initialized) {
 			this.state[0] = interval.meanLog();
-			this.started = true;
+			this.initialized = true;
 		}
-		exposures.keySet().forEach(this::include);
 		drift();
 		double logVariance = Math.max(LEAST_LOG_VARIANCE, interval.varianceLog());
 		correct(interval.meanLog(), features(exposures), logVariance / interval.samples() + MODEL_ERROR_VARIANCE);
@@ -76,29 +84,49 @@
 	JobEffect effect(String job) {
 		int index = this.jobs.indexOf(job) + 1;
 		if (index == 0) {
-			return UNKNOWN_EFFECT;
+			return prior(job);
 		}
 		return new JobEffect(this.state[index], Math.sqrt(this.covariance[index][index]));
 	}
 
+	private JobEffect prior(String job) {
+		JobEffect prior = this.priors.of(job);
+		return new JobEffect(prior.mean(), Math.max(LEAST_PRIOR_ERROR, prior.standardError()));
+	}
+
 	private void include(String job) {
-		if (this.jobs.contains(job)) {
-			return;
+		if (!this.jobs.contains(job)) {
+			append(job);
 		}
+		else if (!this.present.contains(job) && prior(job).precision() > effect(job).precision()) {
+			restart(job);
+		}
+	}
+
+	private void append(String job) {
 		if (this.jobs.size() == MOST_JOBS) {
 			remove(1);
 		}
 		this.jobs.add(job);
 		int size = this.jobs.size() + 1;
-		double[] grownState = java.util.Arrays.copyOf(this.state, size);
 		double[][] grown = new double[size][size];
 		for (int row = 0; row < size - 1; row++) {
 			System.arraycopy(this.covariance[row], 0, grown[row], 0, size - 1);
 		}
-		grownState[size - 1] = UNKNOWN_EFFECT.mean();
-		grown[size - 1][size - 1] = UNKNOWN_EFFECT.standardError() * UNKNOWN_EFFECT.standardError();
-		this.state = grownState;
+		this.state = Arrays.copyOf(this.state, size);
 		this.covariance = grown;
+		restart(job);
+	}
+
+	private void restart(String job) {
+		int index = this.jobs.indexOf(job) + 1;
+		JobEffect prior = prior(job);
+		for (int other = 0; other < this.state.length; other++) {
+			this.covariance[index][other] = 0;
+			this.covariance[other][index] = 0;
+		}
+		this.state[index] = prior.mean();
+		this.covariance[index][index] = 1 / prior.precision();
 	}
 
 	private void remove(int index) {
@@ -120,7 +148,7 @@
 
 	private void drift() {
 		this.covariance[0][0] += BASE_DRIFT_VARIANCE;
-		double most = UNKNOWN_EFFECT.standardError() * UNKNOWN_EFFECT.standardError();
+		double most = JobEffect.UNKNOWN.standardError() * JobEffect.UNKNOWN.standardError();
 		for (int i = 1; i < this.state.length; i++) {
 			if (this.covariance[i][i] < most) {
 				this.covariance[i][i] += EFFECT_DRIFT_VARIANCE;
--- a/src/test/java/org/crocuspost/interference/InterferenceControllerTests.java
+++ b/src/test/java/org/crocuspost/interference/InterferenceControllerTests.java
@@ -43,7 +43,8 @@
 	private double baseSeconds = 0.03;
 
 	private final InterferenceController controller = new InterferenceController(InterferenceSettings.DEFAULT,
-			this.time, CAPACITY, this.window, () -> this.running, this.percents::put, this.evictions::add);
+			this.time, CAPACITY, this.window, EffectPriors.NONE, () -> this.running, this.percents::put,
+			this.evictions::add);
 
 	@Test
 	void smallCulpritIsThrottledAndLargeNeighbourIsNot() {
--- a/src/test/java/org/crocuspost/interference/InterferenceMessagesTests.java
+++ b/src/test/java/org/crocuspost/interference/InterferenceMessagesTests.java
@@ -23,7 +23,7 @@
 		RunningAttempt attempt = new RunningAttempt(new AttemptKey("task", 1), "statements",
 				new Resources(1000, 1000, 0));
 		InterferenceController controller = new InterferenceController(InterferenceSettings.DEFAULT, time,
-				new Resources(2000, 2000, 0), window, () -> List.of(attempt), (key, percent) -> {
+				new Resources(2000, 2000, 0), window, EffectPriors.NONE, () -> List.of(attempt), (key, percent) -> {
 				}, (request) -> {
 				});
 		window.record(Duration.ofMillis(100));
--- a/src/test/java/org/crocuspost/interference/PairPenaltiesTests.java
+++ b/src/test/java/org/crocuspost/interference/PairPenaltiesTests.java
@@ -27,9 +27,9 @@
 
 	@Test
 	void unknownPairIsTriedOnFewWorkersAtOnce() {
-		observe("w1", SlowdownModel.UNKNOWN_EFFECT);
+		observe("w1", JobEffect.UNKNOWN);
 		assertThat(this.penalties.penalty("wallet", "statements", 0.2, AMPLE_ROOM)).isPresent();
-		observe("w2", SlowdownModel.UNKNOWN_EFFECT);
+		observe("w2", JobEffect.UNKNOWN);
 		assertThat(this.penalties.penalty("wallet", "statements", 0.2, AMPLE_ROOM)).isEmpty();
 		this.time.advance(Duration.ofMinutes(1));
 		assertThat(this.penalties.penalty("wallet", "statements", 0.2, AMPLE_ROOM)).isPresent();
@@ -59,7 +59,7 @@
 		assertThat(stale).isLessThan(fresh / 4);
 		this.penalties.expire();
 		assertThat(this.penalties.effect("wallet", "statements").standardError())
-			.isCloseTo(SlowdownModel.UNKNOWN_EFFECT.standardError(), Offset.offset(1e-9));
+			.isCloseTo(JobEffect.UNKNOWN.standardError(), Offset.offset(1e-9));
 	}
 
 	private void observe(String worker, JobEffect effect) {
