--- a/src/main/java/org/crocuspost/error/ErrorCode.java
+++ b/src/main/java/org/crocuspost/error/ErrorCode.java
@@ -46,6 +46,16 @@
 	 */
 	ANSWER_INCOMPLETE(502, Verdict.MAY_HAVE_RUN, "the answer of endpoint %s broke off"),
 
+	/**
+	 * The answer of the endpoint names another request.
+	 */
+	ANSWER_MISMATCHED(502, Verdict.MAY_HAVE_RUN, "the answer of endpoint %s belongs to another request"),
+
+	/**
+	 * An idempotency key was used before with another request.
+	 */
+	KEY_REUSED(422, Verdict.NOT_RUN, "the idempotency key was used before with another request"),
+
 	/**
 	 * The gate before an endpoint is closed because the endpoint is leaving.
 	 */
@@ -86,6 +96,16 @@
 	 */
 	NOTE_CONFLICT(409, Verdict.NOT_RUN, "the release note was written for version %s, but the version is %s"),
 
+	/**
+	 * Another release note was accepted under the same identity.
+	 */
+	NOTE_ID_TAKEN(409, Verdict.NOT_RUN, "another release note was accepted as %s at version %s"),
+
+	/**
+	 * A caller or operator sends more requests than its limit.
+	 */
+	RATE_LIMITED(429, Verdict.NOT_RUN, "more than %s requests a second"),
+
 	/**
 	 * Something named by its identity does not exist.
 	 */
