--- a/src/main/java/org/crocuspost/bench/policy/BenchTask.java
+++ b/src/main/java/org/crocuspost/bench/policy/BenchTask.java
@@ -1,6 +1,6 @@
 package org.crocuspost.bench.policy;
 
-import org.crocuspost.interference.RunningAttempt;
+import org.crocuspost.interference.ControlledAttempt;
 import org.crocuspost.platform.worker.AttemptKey;
 import org.crocuspost.platform.worker.Resources;
 import org.jspecify.annotations.Nullable;
@@ -94,8 +94,8 @@
 		this.worker = null;
 	}
 
-	RunningAttempt running() {
-		return new RunningAttempt(new AttemptKey(this.id, this.attempt), this.job.name(), this.reserved);
+	ControlledAttempt running() {
+		return new ControlledAttempt(new AttemptKey(this.id, this.attempt), this.job.name(), this.reserved);
 	}
 
 	AttemptKey key() {
--- a/src/main/java/org/crocuspost/bench/policy/BenchWorker.java
+++ b/src/main/java/org/crocuspost/bench/policy/BenchWorker.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.crocuspost.interference.RunningAttempt;
+import org.crocuspost.interference.ControlledAttempt;
 import org.crocuspost.interference.ServiceLatencyWindow;
 import org.crocuspost.placement.WorkerSnapshot;
 import org.crocuspost.platform.worker.AttemptKey;
@@ -76,7 +76,7 @@
 				(int) (this.pressure * 1000), jobs);
 	}
 
-	List<RunningAttempt> running() {
+	List<ControlledAttempt> running() {
 		return this.tasks.stream().map(BenchTask::running).toList();
 	}
 
--- a/src/main/java/org/crocuspost/interference/RunningAttempt.java
+++ b/src/main/java/org/crocuspost/interference/ControlledAttempt.java
@@ -10,5 +10,5 @@
  * @param job the name of its job
  * @param reserved the resources that are set aside for it
  */
-public record RunningAttempt(AttemptKey key, String job, Resources reserved) {
+public record ControlledAttempt(AttemptKey key, String job, Resources reserved) {
 }
--- a/src/main/java/org/crocuspost/interference/RunningAttempts.java
+++ b/src/main/java/org/crocuspost/interference/ControlledAttempts.java
@@ -6,12 +6,12 @@
  * Gives the batch attempts that run on the worker.
  */
 @FunctionalInterface
-public interface RunningAttempts {
+public interface ControlledAttempts {
 
 	/**
 	 * Returns the attempts that run now.
 	 * @return the attempts in a stable order
 	 */
-	List<RunningAttempt> current();
+	List<ControlledAttempt> current();
 
 }
--- a/src/main/java/org/crocuspost/interference/InterferenceController.java
+++ b/src/main/java/org/crocuspost/interference/InterferenceController.java
@@ -52,7 +52,7 @@
 
 	private final ServiceLatencyWindow window;
 
-	private final RunningAttempts attempts;
+	private final ControlledAttempts attempts;
 
 	private final ThrottleControl throttles;
 
@@ -86,7 +86,7 @@
 	 * @param evictions takes requests for evictions
 	 */
 	public InterferenceController(InterferenceSettings settings, Clock clock, Resources capacity,
-			ServiceLatencyWindow window, EffectPriors priors, RunningAttempts attempts, ThrottleControl throttles,
+			ServiceLatencyWindow window, EffectPriors priors, ControlledAttempts attempts, ThrottleControl throttles,
 			EvictionRequests evictions) {
 		this.settings = Objects.requireNonNull(settings, "settings");
 		this.clock = Objects.requireNonNull(clock, "clock");
@@ -107,7 +107,7 @@
 	 * @param objective the objective of the service
 	 */
 	public void control(String service, ServiceObjective objective) {
-		List<RunningAttempt> running = this.attempts.current();
+		List<ControlledAttempt> running = this.attempts.current();
 		forgetEnded(running);
 		LatencyInterval interval = this.window.nextInterval();
 		Map<String, Double> exposures = exposures(running);
@@ -154,21 +154,21 @@
 		return this.observations;
 	}
 
-	private void forgetEnded(List<RunningAttempt> running) {
-		Set<AttemptKey> keys = running.stream().map(RunningAttempt::key).collect(Collectors.toSet());
+	private void forgetEnded(List<ControlledAttempt> running) {
+		Set<AttemptKey> keys = running.stream().map(ControlledAttempt::key).collect(Collectors.toSet());
 		this.throttled.keySet().retainAll(keys);
 	}
 
-	private Map<String, Double> exposures(List<RunningAttempt> running) {
+	private Map<String, Double> exposures(List<ControlledAttempt> running) {
 		Map<String, Double> exposures = new HashMap<>();
-		for (RunningAttempt attempt : running) {
+		for (ControlledAttempt attempt : running) {
 			double exposure = share(attempt) * percent(attempt.key()) / 100;
 			exposures.merge(attempt.job(), exposure, Double::sum);
 		}
 		return exposures;
 	}
 
-	private double share(RunningAttempt attempt) {
+	private double share(ControlledAttempt attempt) {
 		return (double) attempt.reserved().milliCores() / this.capacity.milliCores();
 	}
 
@@ -189,10 +189,10 @@
 		return CAUTION_WITH_ROOM + (CAUTION_WITHOUT_ROOM - CAUTION_WITH_ROOM) * used;
 	}
 
-	private void setThrottles(List<RunningAttempt> running) {
+	private void setThrottles(List<ControlledAttempt> running) {
 		double caution = caution();
 		List<ThrottlePlanner.Candidate> candidates = new ArrayList<>();
-		for (RunningAttempt attempt : running) {
+		for (ControlledAttempt attempt : running) {
 			double effect = this.model.effect(attempt.job()).upperBound(caution);
 			candidates.add(new ThrottlePlanner.Candidate(share(attempt), effect));
 		}
@@ -218,15 +218,15 @@
 		}
 	}
 
-	private void requestEviction(List<RunningAttempt> running) {
-		Optional<RunningAttempt> culprit = running.stream()
+	private void requestEviction(List<ControlledAttempt> running) {
+		Optional<ControlledAttempt> culprit = running.stream()
 			.filter((attempt) -> heldAtLeast(attempt).compareTo(this.settings.evictionPatience()) >= 0)
 			.filter((attempt) -> this.model.effect(attempt.job()).significant())
 			.max(Comparator.comparingDouble((attempt) -> evidence(attempt)));
 		if (culprit.isEmpty() || !this.budget.take()) {
 			return;
 		}
-		RunningAttempt attempt = culprit.get();
+		ControlledAttempt attempt = culprit.get();
 		Duration held = heldAtLeast(attempt);
 		EvictionRequest request = new EvictionRequest(attempt.key(), attempt.job(), this.model.effect(attempt.job()),
 				this.pressure, held);
@@ -235,12 +235,12 @@
 		this.evictions.request(request);
 	}
 
-	private double evidence(RunningAttempt attempt) {
+	private double evidence(ControlledAttempt attempt) {
 		JobEffect effect = this.model.effect(attempt.job());
 		return effect.mean() / effect.standardError();
 	}
 
-	private Duration heldAtLeast(RunningAttempt attempt) {
+	private Duration heldAtLeast(ControlledAttempt attempt) {
 		Throttled state = this.throttled.get(attempt.key());
 		if (state == null || state.percent > this.settings.leastPercent()) {
 			return Duration.ZERO;
@@ -248,7 +248,7 @@
 		return Duration.ofNanos(this.clock.nanoTime() - state.aboveLeast);
 	}
 
-	private List<PairObservation> observe(String service, List<RunningAttempt> running) {
+	private List<PairObservation> observe(String service, List<ControlledAttempt> running) {
 		Set<String> jobs = new LinkedHashSet<>();
 		running.forEach((attempt) -> jobs.add(attempt.job()));
 		return jobs.stream().map((job) -> new PairObservation(service, job, this.ownModel.effect(job))).toList();
--- /dev/null
+++ b/src/main/java/org/crocuspost/interference/TaskAgentAttempts.java
@@ -0,0 +1,40 @@
+package org.crocuspost.interference;
+
+import java.util.List;
+
+import org.crocuspost.platform.worker.AttemptKey;
+import org.crocuspost.worker.RunningAttempts;
+
+/**
+ * Connects a controller to the attempts of the agent's worker.
+ */
+public final class TaskAgentAttempts implements ControlledAttempts, ThrottleControl, EvictionRequests {
+
+	private final RunningAttempts attempts;
+
+	/**
+	 * Creates the connection.
+	 * @param attempts the attempts of the worker
+	 */
+	public TaskAgentAttempts(RunningAttempts attempts) {
+		this.attempts = attempts;
+	}
+
+	@Override
+	public List<ControlledAttempt> current() {
+		return this.attempts.running()
+			.map((attempt) -> new ControlledAttempt(attempt.attempt(), attempt.job(), attempt.reserved()))
+			.asJava();
+	}
+
+	@Override
+	public void throttle(AttemptKey attempt, int percent) {
+		this.attempts.throttle(attempt, percent);
+	}
+
+	@Override
+	public void request(EvictionRequest request) {
+		this.attempts.requestEviction(request.attempt());
+	}
+
+}
--- a/src/test/java/org/crocuspost/interference/InterferenceControllerTests.java
+++ b/src/test/java/org/crocuspost/interference/InterferenceControllerTests.java
@@ -22,9 +22,9 @@
 
 	private static final ServiceObjective OBJECTIVE = new ServiceObjective(Duration.ofMillis(200), 0.99, 0.999);
 
-	private static final RunningAttempt SMALL_CULPRIT = attempt("small", "noisy", 4_000);
+	private static final ControlledAttempt SMALL_CULPRIT = attempt("small", "noisy", 4_000);
 
-	private static final RunningAttempt LARGE_NEIGHBOUR = attempt("large", "quiet", 16_000);
+	private static final ControlledAttempt LARGE_NEIGHBOUR = attempt("large", "quiet", 16_000);
 
 	private final VirtualTime time = new VirtualTime(Instant.EPOCH);
 
@@ -32,7 +32,7 @@
 
 	private final ServiceLatencyWindow window = new ServiceLatencyWindow(this.time);
 
-	private final List<RunningAttempt> running = new ArrayList<>();
+	private final List<ControlledAttempt> running = new ArrayList<>();
 
 	private final Map<AttemptKey, Integer> percents = new HashMap<>();
 
@@ -107,7 +107,7 @@
 
 	private Duration latency() {
 		double slowdown = 0;
-		for (RunningAttempt attempt : this.running) {
+		for (ControlledAttempt attempt : this.running) {
 			double share = (double) attempt.reserved().milliCores() / CAPACITY.milliCores();
 			double throttle = this.percents.getOrDefault(attempt.key(), 100) / 100.0;
 			slowdown += this.effects.getOrDefault(attempt.job(), 0.0) * share * throttle;
@@ -116,8 +116,8 @@
 		return Duration.ofNanos((long) (seconds * 1e9));
 	}
 
-	private static RunningAttempt attempt(String task, String job, long milliCores) {
-		return new RunningAttempt(new AttemptKey(task, 1), job, new Resources(milliCores, 1000, 0));
+	private static ControlledAttempt attempt(String task, String job, long milliCores) {
+		return new ControlledAttempt(new AttemptKey(task, 1), job, new Resources(milliCores, 1000, 0));
 	}
 
 }
--- a/src/test/java/org/crocuspost/interference/InterferenceMessagesTests.java
+++ b/src/test/java/org/crocuspost/interference/InterferenceMessagesTests.java
@@ -20,7 +20,7 @@
 	void schedulerReadsWhatTheAgentLearned() {
 		VirtualTime time = new VirtualTime(Instant.EPOCH);
 		ServiceLatencyWindow window = new ServiceLatencyWindow(time);
-		RunningAttempt attempt = new RunningAttempt(new AttemptKey("task", 1), "statements",
+		ControlledAttempt attempt = new ControlledAttempt(new AttemptKey("task", 1), "statements",
 				new Resources(1000, 1000, 0));
 		InterferenceController controller = new InterferenceController(InterferenceSettings.DEFAULT, time,
 				new Resources(2000, 2000, 0), window, EffectPriors.NONE, () -> List.of(attempt), (key, percent) -> {
--- /dev/null
+++ b/src/test/java/org/crocuspost/interference/LearnedPairPenaltyTests.java
@@ -0,0 +1,66 @@
+package org.crocuspost.interference;
+
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import org.crocuspost.placement.WorkerSnapshot;
+import org.crocuspost.platform.worker.Resources;
+import org.crocuspost.time.VirtualTime;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LearnedPairPenaltyTests {
+
+	private static final Resources CAPACITY = new Resources(32_000, 125_000, 0);
+
+	private static final double REFUSED = Double.POSITIVE_INFINITY;
+
+	private final PairPenalties penalties = new PairPenalties(PairPenaltySettings.DEFAULT,
+			new VirtualTime(Instant.EPOCH));
+
+	private final LearnedPairPenalty penalty = new LearnedPairPenalty(this.penalties,
+			(worker) -> worker.startsWith("plain") ? Optional.empty() : Optional.of("wallet"), (job) -> 6_400);
+
+	@ParameterizedTest(name = "{0}")
+	@MethodSource
+	void costFollowsWhatTheFleetLearned(Example example) {
+		learn("quiet", 0.01);
+		learn("noisy", 1.5);
+		double cost = this.penalty.cost(example.job(), worker(example.worker(), example.pressure(), example.tasks()));
+		assertThat(cost).isBetween(example.least(), example.most());
+	}
+
+	static Stream<Example> costFollowsWhatTheFleetLearned() {
+		return Stream.of(new Example("harmless job beside a service", "quiet", "w1", 300, Map.of(), 0, 0.05),
+				new Example("harmless job leaves workers without service to others", "quiet", "plain", 0, Map.of(),
+						0.06, 0.5),
+				new Example("first noisy task is let in", "noisy", "w1", 300, Map.of("quiet", 3), 0.2, 0.5),
+				new Example("second noisy task is refused", "noisy", "w1", 300, Map.of("noisy", 1), REFUSED, REFUSED),
+				new Example("unknown job is refused where the service has no room", "new", "w1", 950, Map.of(), REFUSED,
+						REFUSED),
+				new Example("unknown job is tried where the service has room", "new", "w1", 300, Map.of(), 0, 0.5));
+	}
+
+	private void learn(String job, double effect) {
+		this.penalties.observe("w9", new PairObservation("wallet", job, new JobEffect(effect, 0.05)));
+	}
+
+	private static WorkerSnapshot worker(String name, int pressure, Map<String, Integer> tasks) {
+		return new WorkerSnapshot(name, "rack", "domain", CAPACITY, CAPACITY, pressure, tasks);
+	}
+
+	record Example(String name, String job, String worker, int pressure, Map<String, Integer> tasks, double least,
+			double most) {
+
+		@Override
+		public String toString() {
+			return this.name;
+		}
+
+	}
+
+}
