--- a/src/main/java/org/crocuspost/interference/InterferenceMessages.java
+++ b/src/main/java/org/crocuspost/interference/InterferenceMessages.java
@@ -1,10 +1,13 @@
 package org.crocuspost.interference;
 
 import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
 
 import org.crocuspost.wire.EvictionProposal;
 import org.crocuspost.wire.PairEffect;
 import org.crocuspost.wire.WorkerReport;
+import org.crocuspost.wire.WorkerReportReply;
 
 /**
  * Translates between what the agent and the scheduler know of interference and the wire
@@ -45,6 +48,29 @@
 			.build();
 	}
 
+	/**
+	 * Adds what the fleet knows of the jobs on a worker to the answer to its report.
+	 * @param penalties what the fleet knows
+	 * @param report the report that is answered
+	 * @param reply the answer to complete
+	 */
+	public static void complete(PairPenalties penalties, WorkerReport report, WorkerReportReply.Builder reply) {
+		for (PairEffect reported : report.getPairEffectsList()) {
+			reply.addKnownEffects(toWire(reported.getJob(), penalties.effect(report.getService(), reported.getJob())));
+		}
+	}
+
+	/**
+	 * Reads what the fleet knows from the answer to a report.
+	 * @param reply the answer
+	 * @return the effects by job
+	 */
+	public static Map<String, JobEffect> knownEffects(WorkerReportReply reply) {
+		return reply.getKnownEffectsList()
+			.stream()
+			.collect(Collectors.toMap(PairEffect::getJob, InterferenceMessages::fromWire, (first, second) -> second));
+	}
+
 	/**
 	 * Reads what a worker has learned.
 	 * @param report the report of the worker
--- a/src/test/java/org/crocuspost/interference/InterferenceMessagesTests.java
+++ b/src/test/java/org/crocuspost/interference/InterferenceMessagesTests.java
@@ -9,7 +9,9 @@
 import org.crocuspost.platform.worker.Resources;
 import org.crocuspost.time.VirtualTime;
 import org.crocuspost.wire.EvictionProposal;
+import org.crocuspost.wire.PairEffect;
 import org.crocuspost.wire.WorkerReport;
+import org.crocuspost.wire.WorkerReportReply;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -38,6 +40,20 @@
 		});
 	}
 
+	@Test
+	void agentReadsWhatTheFleetKnowsOfItsJobs() {
+		PairPenalties penalties = new PairPenalties(PairPenaltySettings.DEFAULT, new VirtualTime(Instant.EPOCH));
+		penalties.observe("w1", new PairObservation("wallet", "statements", new JobEffect(2, 0.1)));
+		PairEffect reported = PairEffect.newBuilder().setJob("statements").build();
+		WorkerReport report = WorkerReport.newBuilder().setService("wallet").addPairEffects(reported).build();
+		WorkerReportReply.Builder reply = WorkerReportReply.newBuilder();
+		InterferenceMessages.complete(penalties, report, reply);
+		ReportedPriors priors = new ReportedPriors();
+		priors.received(reply.build());
+		assertThat(priors.of("statements").mean()).isBetween(1.9, 2.0);
+		assertThat(priors.of("other")).isEqualTo(JobEffect.UNKNOWN);
+	}
+
 	@Test
 	void proposalNamesTheAttemptAndItsEvidence() {
 		EvictionProposal proposal = InterferenceMessages.toWire(new EvictionRequest(new AttemptKey("task", 3),
