--- a/src/test/java/org/crocuspost/cli/OperatorMainTests.java
+++ b/src/test/java/org/crocuspost/cli/OperatorMainTests.java
@@ -3,6 +3,10 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -11,10 +15,14 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.crocuspost.error.ErrorCode;
 import org.crocuspost.json.Json;
+import org.crocuspost.release.NoteOutcome;
 import org.crocuspost.release.NoteTexts;
+import org.crocuspost.retry.RequestOutcome;
 import org.crocuspost.standin.WriteFault;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -149,6 +157,29 @@
 		assertThat(run("status")).isEqualTo(ExitCode.UNAVAILABLE.code());
 	}
 
+	@Test
+	void submitGoesToTheNextEntryWhenOneIsKilledBetweenCommitAndReply() throws Exception {
+		String text = NoteTexts.addService("first", 0, "shop");
+		try (ServerSocket dying = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			CompletableFuture<Void> died = CompletableFuture.runAsync(() -> acceptAndDie(dying, text));
+			this.servers = "http://127.0.0.1:" + dying.getLocalPort() + "," + this.deployment.url();
+			assertThat(run("note", "submit", file(text).toString())).isZero();
+			died.get();
+		}
+		assertThat(this.output.toString()).contains("version: 1").contains("the same note was accepted before");
+	}
+
+	private void acceptAndDie(ServerSocket dying, String text) {
+		try (Socket connection = dying.accept()) {
+			connection.getInputStream().read();
+			assertThat(this.deployment.acceptance().submit(text))
+				.isEqualTo(new NoteOutcome.Accepted("first", 1, false));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	@Test
 	void wrongTokenIsRefusedAndNeverShown() {
 		this.token = "guessed-token";
@@ -208,6 +239,18 @@
 		assertThat(Files.readString(page)).contains("<h2>shop</h2>", "data:image/png;base64,");
 	}
 
+	@Test
+	void requestsAndTasksAreExplained() {
+		this.deployment.requests()
+			.requestEnded("r-1", "shop", RequestOutcome.of(ErrorCode.OVERLOADED.with("shop")), Duration.ofMillis(3));
+		assertThat(run("explain", "request", "r-1")).isZero();
+		assertThat(this.output.toString()).contains("state: not-run")
+			.contains("overloaded: service shop is overloaded");
+		assertThat(run("explain", "request", "r-2")).isEqualTo(ExitCode.NOT_FOUND.code());
+		assertThat(run("explain", "task", "job/0")).isZero();
+		assertThat(this.output.toString()).contains("id: job/0").contains("no room");
+	}
+
 	@Test
 	void eventsAreShown() throws IOException {
 		run("note", "submit", file(NoteTexts.addService("first", 0, "shop")).toString());
