--- a/src/main/java/org/crocuspost/daemon/AgentProcess.java
+++ b/src/main/java/org/crocuspost/daemon/AgentProcess.java
@@ -4,7 +4,10 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.random.RandomGenerator;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.crocuspost.distribution.AgentConfiguration;
 import org.crocuspost.distribution.AgentEndpoint;
 import org.crocuspost.distribution.ConfigurationReceiver;
@@ -12,12 +15,20 @@
 import org.crocuspost.gate.GateSettings;
 import org.crocuspost.gate.RatpackEndpointClient;
 import org.crocuspost.gate.RequestGate;
+import org.crocuspost.membership.AgentConnectionSettings;
+import org.crocuspost.membership.AgentConnections;
+import org.crocuspost.membership.Dialer;
+import org.crocuspost.membership.EntryFinder;
+import org.crocuspost.metrics.Health;
+import org.crocuspost.metrics.HealthCheck;
+import org.crocuspost.metrics.MonitoringServer;
+import org.crocuspost.metrics.ProcessMetrics;
 import org.crocuspost.peer.CompositePeerListener;
 import org.crocuspost.peer.DeploymentSecret;
 import org.crocuspost.peer.PeerConnector;
 import org.crocuspost.peer.PeerIdentity;
-import org.crocuspost.peer.PeerLink;
 import org.crocuspost.peer.PeerSettings;
+import org.crocuspost.platform.table.TableService;
 import org.crocuspost.platform.worker.WorkerRuntime;
 import org.crocuspost.settings.AgentSettings;
 import org.crocuspost.worker.TaskAgent;
@@ -42,18 +53,23 @@
 
 	private final TaskAgent tasks;
 
-	private final List<PeerLink> links;
+	private final AgentConnections connections;
+
+	private final Health health;
+
+	private final MonitoringServer monitoring;
 
 	/**
 	 * Starts an agent.
 	 * @param settings the settings
 	 * @param runtime the runtime of the worker
 	 * @param incarnation drawn at random for this process
-	 * @param peers where entries and schedulers listen for agents
+	 * @param table the table service, read while the agent knows no entry
+	 * @param random spreads dialing
 	 * @param context the threads and the time of the process
 	 */
-	public AgentProcess(AgentSettings settings, WorkerRuntime runtime, String incarnation,
-			List<InetSocketAddress> peers, ProcessContext context) {
+	public AgentProcess(AgentSettings settings, WorkerRuntime runtime, String incarnation, TableService table,
+			RandomGenerator random, ProcessContext context) {
 		this.settings = settings;
 		PeerIdentity self = new PeerIdentity(PeerIdentity.Role.AGENT, settings.name(), incarnation,
 				settings.failureDomain());
@@ -62,10 +78,37 @@
 		this.gate = startGate(incarnation, context);
 		this.tasks = startTasks(runtime, context);
 		this.receiver.addListener(this::configure);
-		CompositePeerListener listener = new CompositePeerListener(List.of(this.receiver, this.gate, this.tasks));
-		PeerConnector connector = new PeerConnector(context.network(),
-				PeerSettings.of(self, new DeploymentSecret(settings.secret().reveal())), listener, context.timer());
-		this.links = peers.stream().map(connector::connect).toList();
+		this.connections = connect(self, table, random, context);
+		this.health = new Health(List.of(),
+				List.of(new HealthCheck("configuration", () -> this.receiver.current().version() > 0)));
+		PrometheusRegistry registry = new PrometheusRegistry();
+		ProcessMetrics.register(registry);
+		this.monitoring = MonitoringServer.start(settings.monitoring(), registry, this.health);
+		this.connections.start();
+	}
+
+	/**
+	 * Returns where metrics and health are served.
+	 * @return the address
+	 */
+	public InetSocketAddress monitoringAddress() {
+		return this.monitoring.address();
+	}
+
+	private AgentConnections connect(PeerIdentity self, TableService table, RandomGenerator random,
+			ProcessContext context) {
+		AtomicReference<PeerConnector> connector = new AtomicReference<>();
+		Dialer dialer = (address) -> connector.get().connect(address)::close;
+		AgentConnections created = new AgentConnections(
+				AgentConnectionSettings.of(this.settings.name(), this.settings.failureDomain(),
+						this.settings.entryConnections()),
+				new EntryFinder(table, this.settings.failureDomain()), dialer,
+				new CompositePeerListener(List.of(this.receiver, this.gate, this.tasks)), context.clock(),
+				context.blockingTimer("membership"), random);
+		connector.set(new PeerConnector(context.network(),
+				PeerSettings.of(self, new DeploymentSecret(this.settings.secret().reveal())), created,
+				context.timer()));
+		return created;
 	}
 
 	private RequestGate startGate(String incarnation, ProcessContext context) {
@@ -82,7 +125,7 @@
 		TaskAgentSettings taskSettings = new TaskAgentSettings(worker.name(), this.settings.rack(), worker.capacity(),
 				TaskAgentSettings.Times.DEFAULT);
 		TaskAgent agent = new TaskAgent(taskSettings, new AgentConditions(this.receiver, worker.reservedForService()),
-				runtime, context.clock(), context.blockingTimer());
+				runtime, context.clock(), context.blockingTimer("worker"));
 		agent.start();
 		return agent;
 	}
@@ -104,11 +147,13 @@
 
 	@Override
 	public void stop() {
+		this.health.drain();
 		leaveEndpoint();
 		this.tasks.stop();
-		this.links.forEach(PeerLink::close);
+		this.connections.stop();
 		this.gate.close();
 		this.http.close();
+		this.monitoring.close();
 	}
 
 }
--- a/src/main/java/org/crocuspost/daemon/DaemonCommand.java
+++ b/src/main/java/org/crocuspost/daemon/DaemonCommand.java
@@ -1,5 +1,6 @@
 package org.crocuspost.daemon;
 
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
@@ -96,6 +97,16 @@
 		}
 	}
 
+	/**
+	 * Makes a field of an address.
+	 * @param name the name of the field
+	 * @param address the address
+	 * @return the field with IP number and port
+	 */
+	public static Field address(String name, InetSocketAddress address) {
+		return Field.of(name, address.getAddress().getHostAddress() + ":" + address.getPort());
+	}
+
 	/**
 	 * Logs that a daemon is ready for work.
 	 * @param fields its name and addresses
--- a/src/main/java/org/crocuspost/daemon/EntryProcess.java
+++ b/src/main/java/org/crocuspost/daemon/EntryProcess.java
@@ -7,32 +7,46 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.vavr.control.Either;
 import org.crocuspost.configuration.ConfigurationSource;
 import org.crocuspost.distribution.ConfigurationPublisher;
 import org.crocuspost.distribution.HeadWatcher;
-import org.crocuspost.distribution.ProcessConfirmation;
 import org.crocuspost.entry.CallerServer;
 import org.crocuspost.entry.CallerSettings;
-import org.crocuspost.error.Failure;
-import org.crocuspost.error.Verdict;
+import org.crocuspost.entry.CompositeRequestListener;
+import org.crocuspost.entry.RequestListener;
+import org.crocuspost.membership.DirectoryPublisher;
+import org.crocuspost.membership.MemberDirectory;
+import org.crocuspost.membership.MembershipSettings;
+import org.crocuspost.membership.SchedulerConnections;
+import org.crocuspost.metrics.Health;
+import org.crocuspost.metrics.HealthCheck;
+import org.crocuspost.metrics.MonitoringServer;
+import org.crocuspost.metrics.ProcessMetrics;
+import org.crocuspost.operations.EndpointViews;
 import org.crocuspost.operations.NoteOperations;
 import org.crocuspost.operations.OperationsServer;
 import org.crocuspost.operations.OperationsSettings;
 import org.crocuspost.operations.OperationsViews;
+import org.crocuspost.operations.RemoteBatchViews;
+import org.crocuspost.operations.RequestLog;
+import org.crocuspost.operations.SchedulerQueries;
 import org.crocuspost.peer.CompositePeerListener;
 import org.crocuspost.peer.DeploymentSecret;
+import org.crocuspost.peer.PeerConnector;
 import org.crocuspost.peer.PeerIdentity;
 import org.crocuspost.peer.PeerServer;
 import org.crocuspost.peer.PeerSettings;
+import org.crocuspost.platform.table.TableService;
 import org.crocuspost.release.NoteAcceptance;
 import org.crocuspost.release.NoteRules;
 import org.crocuspost.release.SnapshotStore;
 import org.crocuspost.report.BurnReport;
+import org.crocuspost.report.ServiceLevelListener;
 import org.crocuspost.report.ServiceLevels;
 import org.crocuspost.retry.AttemptSender;
 import org.crocuspost.retry.FateResolver;
-import org.crocuspost.retry.RequestOutcome;
 import org.crocuspost.retry.RequestRunner;
 import org.crocuspost.retry.RetryBudget;
 import org.crocuspost.routing.EndpointDirectory;
@@ -52,20 +66,44 @@
 
 	private final EntrySettings settings;
 
+	private final ProcessContext context;
+
+	private final RandomGenerator random;
+
+	private final PeerIdentity self;
+
+	private final TableService table;
+
+	private final SnapshotStore snapshots;
+
 	private final HeadWatcher watcher;
 
 	private final ConfigurationPublisher publisher;
 
-	private final NoteAcceptance acceptance;
+	private final MemberDirectory members;
 
-	private final PeerServer peers;
+	private final EndpointDirectory endpoints;
+
+	private final SchedulerConnections schedulers;
+
+	private final SchedulerQueries queries = new SchedulerQueries();
+
+	private final RequestLog requestLog;
 
 	private final ServiceLevels serviceLevels;
 
+	private final PeerServer peers;
+
+	private final ProcessMembership membership;
+
 	private final CallerServer callers;
 
 	private final OperationsServer operations;
 
+	private final Health health;
+
+	private final MonitoringServer monitoring;
+
 	/**
 	 * Starts an entry.
 	 * @param settings the settings
@@ -77,56 +115,95 @@
 	public EntryProcess(EntrySettings settings, PlatformStores stores, String incarnation, RandomGenerator random,
 			ProcessContext context) {
 		this.settings = settings;
-		PeerIdentity self = new PeerIdentity(PeerIdentity.Role.ENTRY, settings.name(), incarnation,
-				settings.failureDomain());
-		SnapshotStore snapshots = new SnapshotStore(stores.objects());
-		this.watcher = new HeadWatcher(stores.table(), snapshots, context.clock(), context.timer(), context.blocking(),
+		this.context = context;
+		this.random = random;
+		this.self = new PeerIdentity(PeerIdentity.Role.ENTRY, settings.name(), incarnation, settings.failureDomain());
+		this.table = stores.table();
+		this.snapshots = new SnapshotStore(stores.objects());
+		this.watcher = new HeadWatcher(this.table, this.snapshots, context.clock(), context.timer(), context.blocking(),
 				random);
 		this.publisher = new ConfigurationPublisher(this.watcher, context.clock(), context.timer());
-		NoteRules rules = new NoteRules(Set.copyOf(settings.failureDomains()));
-		this.acceptance = new NoteAcceptance(stores.table(), snapshots, rules, context.clock(), this.watcher);
-		EndpointDirectory directory = new EndpointDirectory(this.watcher, context.clock(), context.timer());
-		this.peers = PeerServer.start(settings.addresses().peers(), context.network(),
-				PeerSettings.of(self, new DeploymentSecret(settings.secret().reveal())),
-				new CompositePeerListener(List.of(directory, this.publisher)), context.timer());
+		this.members = new MemberDirectory(MembershipSettings.DEFAULT, this.table, context.clock(),
+				context.blockingTimer("members"));
+		this.endpoints = new EndpointDirectory(this.watcher, context.clock(), context.timer());
+		this.schedulers = connectSchedulers();
+		this.requestLog = new RequestLog();
 		this.serviceLevels = new ServiceLevels(this.watcher, context.clock());
-		this.callers = startCallers(directory, incarnation, random, context);
-		this.operations = startOperations(stores, snapshots, rules, context);
-		this.watcher.start();
+		this.peers = startPeers();
+		this.membership = new ProcessMembership(this.self, this.peers.address(), this.publisher::summary, this.table,
+				context);
+		this.callers = startCallers();
+		this.operations = startOperations();
+		this.health = new Health(List.of(), List.of(new HealthCheck("configuration", this.watcher::ready)));
+		this.monitoring = startMonitoring();
+		startControl();
 	}
 
-	private OperationsServer startOperations(PlatformStores stores, SnapshotStore snapshots, NoteRules rules,
-			ProcessContext context) {
-		NoteOperations notes = new NoteOperations(this.acceptance, stores.table(), snapshots, this.watcher, rules,
-				this::confirmations);
-		OperationsSettings operationsSettings = new OperationsSettings(this.settings.addresses().operators(),
-				this.settings.operatorToken(), this.settings.limits().maximumNoteBytes(),
-				OperationsSettings.DEFAULT_REQUESTS_PER_SECOND);
-		OperationsViews views = OperationsViews.EMPTY.withBurn(() -> Either.right(this.serviceLevels.report()));
-		return OperationsServer.start(operationsSettings, this.settings.name(),
-				Set.copyOf(this.settings.failureDomains()), notes, views, context.clock());
+	private SchedulerConnections connectSchedulers() {
+		PeerConnector connector = new PeerConnector(this.context.network(), peerSettings(), this.queries,
+				this.context.timer());
+		return new SchedulerConnections((address) -> connector.connect(address)::close, this.context.timer());
 	}
 
-	private Either<Failure, List<ProcessConfirmation>> confirmations() {
-		return Either.right(List.of(new ProcessConfirmation("entry", this.settings.name(), this.publisher.summary())));
+	private PeerSettings peerSettings() {
+		return PeerSettings.of(this.self, new DeploymentSecret(this.settings.secret().reveal()));
 	}
 
-	private void recordServiceLevel(String service, RequestOutcome outcome, Duration latency) {
-		this.serviceLevels.record(service, outcome.verdict() == Verdict.RAN, latency);
+	private PeerServer startPeers() {
+		CompositePeerListener listener = new CompositePeerListener(
+				List.of(this.endpoints, this.publisher, new DirectoryPublisher(this.members)));
+		return PeerServer.start(this.settings.addresses().peers(), this.context.network(), peerSettings(), listener,
+				this.context.timer());
 	}
 
-	private CallerServer startCallers(EndpointDirectory directory, String incarnation, RandomGenerator random,
-			ProcessContext context) {
-		ExpectedTimePolicy policy = new ExpectedTimePolicy(this.settings.failureDomain(), CROSS_DOMAIN_COST, random);
-		AttemptSender sender = new AttemptSender(new FateResolver(directory, context.clock()), context.clock());
-		RequestRunner runner = new RequestRunner(directory, policy, sender, new RetryBudget(RETRY_SHARE, RETRY_BURST),
-				context.clock());
+	private CallerServer startCallers() {
+		ExpectedTimePolicy policy = new ExpectedTimePolicy(this.settings.failureDomain(), CROSS_DOMAIN_COST,
+				this.random);
+		AttemptSender sender = new AttemptSender(new FateResolver(this.endpoints, this.context.clock()),
+				this.context.clock());
+		RequestRunner runner = new RequestRunner(this.endpoints, policy, sender,
+				new RetryBudget(RETRY_SHARE, RETRY_BURST), this.context.clock());
 		EntrySettings.Limits limits = this.settings.limits();
 		CallerSettings callerSettings = new CallerSettings(this.settings.addresses().callers(),
 				limits.maximumBodyBytes(), this.settings.times().maximumTimeout(), this.settings.times().idleTimeout(),
 				limits.threads());
-		return CallerServer.start(callerSettings, incarnation, this.watcher, runner, this::recordServiceLevel,
-				context.clock(), context.timer());
+		return CallerServer.start(callerSettings, this.self.incarnation(), this.watcher, runner, requestListener(),
+				this.context.clock(), this.context.timer());
+	}
+
+	private RequestListener requestListener() {
+		return new CompositeRequestListener(List.of(new ServiceLevelListener(this.serviceLevels), this.requestLog));
+	}
+
+	private OperationsServer startOperations() {
+		NoteRules rules = new NoteRules(Set.copyOf(this.settings.failureDomains()));
+		NoteAcceptance acceptance = new NoteAcceptance(this.table, this.snapshots, rules, this.context.clock(),
+				this.watcher);
+		NoteOperations notes = new NoteOperations(acceptance, this.table, this.snapshots, this.watcher, rules,
+				this.members);
+		OperationsViews views = OperationsViews.EMPTY.withEndpoints(new EndpointViews(this.endpoints, this.watcher))
+			.withBatch(RemoteBatchViews.of(this.queries))
+			.withRequestExplainer(this.requestLog)
+			.withBurn(() -> Either.right(burn()));
+		OperationsSettings operationsSettings = new OperationsSettings(this.settings.addresses().operators(),
+				this.settings.operatorToken(), this.settings.limits().maximumNoteBytes(),
+				OperationsSettings.DEFAULT_REQUESTS_PER_SECOND);
+		return OperationsServer.start(operationsSettings, this.settings.name(),
+				Set.copyOf(this.settings.failureDomains()), notes, views, this.context.clock());
+	}
+
+	private MonitoringServer startMonitoring() {
+		PrometheusRegistry registry = new PrometheusRegistry();
+		ProcessMetrics.register(registry);
+		return MonitoringServer.start(this.settings.addresses().monitoring(), registry, this.health);
+	}
+
+	private void startControl() {
+		this.publisher.addSummaryListener(this.membership::changed);
+		this.members.addListener(this.schedulers);
+		this.watcher.start();
+		this.membership.start();
+		this.members.start();
 	}
 
 	/**
@@ -146,19 +223,27 @@
 	}
 
 	/**
-	 * Returns the configuration on which the entry acts.
-	 * @return the source
+	 * Returns where operators connect.
+	 * @return the address
 	 */
-	public ConfigurationSource configuration() {
-		return this.watcher;
+	public InetSocketAddress operatorAddress() {
+		return this.operations.address();
 	}
 
 	/**
-	 * Returns where operators connect.
+	 * Returns where metrics and health are served.
 	 * @return the address
 	 */
-	public InetSocketAddress operatorAddress() {
-		return this.operations.address();
+	public InetSocketAddress monitoringAddress() {
+		return this.monitoring.address();
+	}
+
+	/**
+	 * Returns the configuration on which the entry acts.
+	 * @return the source
+	 */
+	public ConfigurationSource configuration() {
+		return this.watcher;
 	}
 
 	/**
@@ -171,6 +256,8 @@
 
 	@Override
 	public void stop() {
+		this.health.drain();
+		this.membership.stop();
 		this.callers.drain()
 			.toCompletableFuture()
 			.completeOnTimeout(null, this.settings.times().drain().toMillis(), TimeUnit.MILLISECONDS)
@@ -178,8 +265,11 @@
 		this.callers.close();
 		this.operations.close();
 		this.publisher.stop();
+		this.members.stop();
+		this.schedulers.stop();
 		this.watcher.stop();
 		this.peers.close();
+		this.monitoring.close();
 	}
 
 }
--- a/src/main/java/org/crocuspost/daemon/ProcessContext.java
+++ b/src/main/java/org/crocuspost/daemon/ProcessContext.java
@@ -1,5 +1,7 @@
 package org.crocuspost.daemon;
 
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -20,11 +22,15 @@
 
 	private static final int BLOCKING_THREADS = 4;
 
+	private static final int TIMER_THREADS = 2;
+
 	private final Clock clock = new SystemClock();
 
 	private final ScheduledExecutorService timerExecutor;
 
-	private final ScheduledExecutorService blockingTimerExecutor;
+	private final List<ScheduledExecutorService> blockingTimers = new CopyOnWriteArrayList<>();
+
+	private final String name;
 
 	private final ExecutorService blocking;
 
@@ -36,8 +42,8 @@
 	 * @param networkThreads the number of threads for connections between processes
 	 */
 	public ProcessContext(String name, int networkThreads) {
-		this.timerExecutor = Executors.newSingleThreadScheduledExecutor(threads(name + "-timer"));
-		this.blockingTimerExecutor = Executors.newSingleThreadScheduledExecutor(threads(name + "-platform-timer"));
+		this.name = name;
+		this.timerExecutor = Executors.newScheduledThreadPool(TIMER_THREADS, threads(name + "-timer"));
 		this.blocking = Executors.newFixedThreadPool(BLOCKING_THREADS, threads(name + "-platform"));
 		this.network = new NioEventLoopGroup(networkThreads, threads(name + "-network"));
 	}
@@ -63,11 +69,15 @@
 	}
 
 	/**
-	 * Returns the timer for actions that call the platform. It runs one action at a time.
+	 * Starts a timer with a thread of its own, for actions that call the platform. It
+	 * runs one action at a time.
+	 * @param duty what the timer is for, part of the name of its thread
 	 * @return the timer
 	 */
-	public Timer blockingTimer() {
-		return new ExecutorTimer(this.blockingTimerExecutor);
+	public Timer blockingTimer(String duty) {
+		ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor(threads(this.name + "-" + duty));
+		this.blockingTimers.add(executor);
+		return new ExecutorTimer(executor);
 	}
 
 	/**
@@ -89,7 +99,7 @@
 	@Override
 	public void close() {
 		this.timerExecutor.shutdownNow();
-		this.blockingTimerExecutor.shutdownNow();
+		this.blockingTimers.forEach(ScheduledExecutorService::shutdownNow);
 		this.blocking.shutdownNow();
 		this.network.shutdownGracefully();
 	}
--- a/src/main/java/org/crocuspost/daemon/SchedulerProcess.java
+++ b/src/main/java/org/crocuspost/daemon/SchedulerProcess.java
@@ -1,9 +1,17 @@
 package org.crocuspost.daemon;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.random.RandomGenerator;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.crocuspost.distribution.ConfirmationSummary;
 import org.crocuspost.distribution.HeadWatcher;
+import org.crocuspost.metrics.Health;
+import org.crocuspost.metrics.HealthCheck;
+import org.crocuspost.metrics.MonitoringServer;
+import org.crocuspost.metrics.ProcessMetrics;
+import org.crocuspost.peer.CompositePeerListener;
 import org.crocuspost.peer.DeploymentSecret;
 import org.crocuspost.peer.PeerIdentity;
 import org.crocuspost.peer.PeerServer;
@@ -25,6 +33,12 @@
 
 	private final PeerServer peers;
 
+	private final ProcessMembership membership;
+
+	private final Health health;
+
+	private final MonitoringServer monitoring;
+
 	/**
 	 * Starts a scheduler.
 	 * @param settings the settings
@@ -41,11 +55,21 @@
 				context.timer(), context.blocking(), random);
 		this.scheduler = new BatchScheduler(
 				org.crocuspost.scheduler.SchedulerSettings.defaults(settings.failureDomains()), self, stores.table(),
-				this.watcher, new DefaultPlacementPolicy(PairPenalty.NONE), context.clock(), context.blockingTimer());
+				this.watcher, new DefaultPlacementPolicy(PairPenalty.NONE), context.clock(),
+				context.blockingTimer("rounds"));
 		this.peers = PeerServer.start(settings.addresses().peers(), context.network(),
-				PeerSettings.of(self, new DeploymentSecret(settings.secret().reveal())), this.scheduler,
-				context.timer());
+				PeerSettings.of(self, new DeploymentSecret(settings.secret().reveal())),
+				new CompositePeerListener(List.of(this.scheduler)), context.timer());
+		this.membership = new ProcessMembership(self, this.peers.address(),
+				() -> ConfirmationSummary.of(this.watcher.current()), stores.table(), context);
+		this.health = new Health(List.of(), List.of(new HealthCheck("configuration", this.watcher::ready),
+				new HealthCheck("member", this.membership::held)));
+		PrometheusRegistry registry = new PrometheusRegistry();
+		ProcessMetrics.register(registry);
+		this.monitoring = MonitoringServer.start(settings.addresses().monitoring(), registry, this.health);
+		this.watcher.addListener((configuration) -> this.membership.changed());
 		this.watcher.start();
+		this.membership.start();
 		this.scheduler.start();
 	}
 
@@ -57,11 +81,22 @@
 		return this.peers.address();
 	}
 
+	/**
+	 * Returns where metrics and health are served.
+	 * @return the address
+	 */
+	public InetSocketAddress monitoringAddress() {
+		return this.monitoring.address();
+	}
+
 	@Override
 	public void stop() {
+		this.health.drain();
 		this.scheduler.stop();
+		this.membership.stop();
 		this.watcher.stop();
 		this.peers.close();
+		this.monitoring.close();
 	}
 
 }
--- a/src/main/java/org/crocuspost/entry/CompositeRequestListener.java
+++ b/src/main/java/org/crocuspost/entry/CompositeRequestListener.java
@@ -6,7 +6,7 @@
 import org.crocuspost.retry.RequestOutcome;
 
 /**
- * Passes each answered request on to several listeners in order.
+ * Tells several listeners of each request, in order.
  */
 public final class CompositeRequestListener implements RequestListener {
 
@@ -14,7 +14,7 @@
 
 	/**
 	 * Creates the listener.
-	 * @param listeners the listeners
+	 * @param listeners those who are told
 	 */
 	public CompositeRequestListener(List<RequestListener> listeners) {
 		this.listeners = List.copyOf(listeners);
--- a/src/main/java/org/crocuspost/local/LocalDeployment.java
+++ b/src/main/java/org/crocuspost/local/LocalDeployment.java
@@ -1,6 +1,5 @@
 package org.crocuspost.local;
 
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -88,7 +87,7 @@
 		WorkerStandIn runtime = new WorkerStandIn(host.name(), this.context.clock(),
 				(start) -> new TaskBehavior(declaredRunTime(start.jobName()), start.resources(), false));
 		AgentProcess agent = new AgentProcess(this.roles.agent(host, endpoint.address()), runtime, incarnation(),
-				peerAddresses(), workerContext);
+				this.table, this.random.split(), workerContext);
 		this.workers.add(new LocalWorker(host, runtime, endpoint, agent));
 	}
 
@@ -107,13 +106,6 @@
 		return Duration.ofMillis(Math.round(declared * TASK_USE_OF_DECLARED));
 	}
 
-	private List<InetSocketAddress> peerAddresses() {
-		List<InetSocketAddress> addresses = new ArrayList<>();
-		this.entries.forEach((entry) -> addresses.add(entry.peerAddress()));
-		this.schedulers.forEach((scheduler) -> addresses.add(scheduler.peerAddress()));
-		return addresses;
-	}
-
 	private static String incarnation() {
 		return UUID.randomUUID().toString();
 	}
--- a/src/main/java/org/crocuspost/local/LocalMain.java
+++ b/src/main/java/org/crocuspost/local/LocalMain.java
@@ -1,7 +1,6 @@
 package org.crocuspost.local;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
@@ -10,7 +9,6 @@
 import org.crocuspost.daemon.BuildVersion;
 import org.crocuspost.daemon.DaemonCommand;
 import org.crocuspost.daemon.EntryProcess;
-import org.crocuspost.log.Field;
 import org.crocuspost.settings.DeploymentSettings;
 import org.crocuspost.settings.SettingsFaults;
 import org.crocuspost.settings.SettingsFile;
@@ -63,8 +61,8 @@
 		}
 		LocalDeployment deployment = new LocalDeployment(settings.get());
 		EntryProcess entry = deployment.entries().get(0);
-		DaemonCommand.logReady(Field.of("callers", text(entry.callerAddress())),
-				Field.of("operators", text(entry.operatorAddress())));
+		DaemonCommand.logReady(DaemonCommand.address("callers", entry.callerAddress()),
+				DaemonCommand.address("operators", entry.operatorAddress()));
 		return this.tour ? takeTour(deployment, settings.get()) : serve(deployment);
 	}
 
@@ -88,8 +86,4 @@
 		}
 	}
 
-	private static String text(InetSocketAddress address) {
-		return address.getAddress().getHostAddress() + ":" + address.getPort();
-	}
-
 }
