--- a/src/main/java/org/crocuspost/daemon/AgentProcess.java
+++ b/src/main/java/org/crocuspost/daemon/AgentProcess.java
@@ -123,13 +123,19 @@
 	private TaskAgent startTasks(WorkerRuntime runtime, ProcessContext context) {
 		AgentSettings.Worker worker = this.settings.worker();
 		TaskAgentSettings taskSettings = new TaskAgentSettings(worker.name(), this.settings.rack(), worker.capacity(),
-				TaskAgentSettings.Times.DEFAULT);
+				taskTimes());
 		TaskAgent agent = new TaskAgent(taskSettings, new AgentConditions(this.receiver, worker.reservedForService()),
 				runtime, context.clock(), context.blockingTimer("worker"));
 		agent.start();
 		return agent;
 	}
 
+	private TaskAgentSettings.Times taskTimes() {
+		AgentSettings.Times times = this.settings.times();
+		return new TaskAgentSettings.Times(times.heartbeat(), times.taskLease(), times.startBudget(),
+				times.checkpointInterval(), TaskAgentSettings.Times.DEFAULT.callTimeout());
+	}
+
 	private void configure(AgentConfiguration configuration) {
 		boolean withdrawn = configuration.endpointsWithdrawn().contains(this.settings.endpoint().id());
 		this.gate.configure(configuration.version(), !withdrawn && !configuration.domainOut());
--- /dev/null
+++ b/src/main/java/org/crocuspost/daemon/BatchTimes.java
@@ -0,0 +1,28 @@
+package org.crocuspost.daemon;
+
+import org.crocuspost.scheduler.SchedulerSettings.Limits;
+import org.crocuspost.scheduler.SchedulerSettings.Permission;
+import org.crocuspost.scheduler.SchedulerSettings.Times;
+import org.crocuspost.settings.SchedulerSettings;
+import org.crocuspost.shard.ShardLeaseSettings;
+
+/**
+ * Derives the settings of the batch scheduler from those of the process.
+ */
+final class BatchTimes {
+
+	private BatchTimes() {
+	}
+
+	static org.crocuspost.scheduler.SchedulerSettings of(SchedulerSettings settings) {
+		SchedulerSettings.Times times = settings.times();
+		ShardLeaseSettings lease = new ShardLeaseSettings(times.shardLease(), times.shardRenewal(),
+				times.driftMargin());
+		Permission defaults = Permission.DEFAULT;
+		Permission permission = new Permission(defaults.ordinary(), defaults.outage(), times.taskLease(),
+				defaults.driftMargin());
+		return new org.crocuspost.scheduler.SchedulerSettings(settings.failureDomains(), lease, Times.DEFAULT,
+				permission, Limits.DEFAULT);
+	}
+
+}
--- a/src/main/java/org/crocuspost/daemon/EntryProcess.java
+++ b/src/main/java/org/crocuspost/daemon/EntryProcess.java
@@ -123,15 +123,15 @@
 		this.watcher = new HeadWatcher(this.table, this.snapshots, context.clock(), context.timer(), context.blocking(),
 				random);
 		this.publisher = new ConfigurationPublisher(this.watcher, context.clock(), context.timer());
-		this.members = new MemberDirectory(MembershipSettings.DEFAULT, this.table, context.clock(),
+		this.members = new MemberDirectory(membershipTimes(), this.table, context.clock(),
 				context.blockingTimer("members"));
 		this.endpoints = new EndpointDirectory(this.watcher, context.clock(), context.timer());
 		this.schedulers = connectSchedulers();
 		this.requestLog = new RequestLog();
 		this.serviceLevels = new ServiceLevels(this.watcher, context.clock());
 		this.peers = startPeers();
-		this.membership = new ProcessMembership(this.self, this.peers.address(), this.publisher::summary, this.table,
-				context);
+		this.membership = new ProcessMembership(this.self, this.peers.address(), this.publisher::summary,
+				membershipTimes(), this.table, context);
 		this.callers = startCallers();
 		this.operations = startOperations();
 		this.health = new Health(List.of(), List.of(new HealthCheck("configuration", this.watcher::ready)));
@@ -139,6 +139,11 @@
 		startControl();
 	}
 
+	private MembershipSettings membershipTimes() {
+		EntrySettings.Times times = this.settings.times();
+		return ProcessMembership.times(times.memberLease(), times.storePoll());
+	}
+
 	private SchedulerConnections connectSchedulers() {
 		PeerConnector connector = new PeerConnector(this.context.network(), peerSettings(), this.queries,
 				this.context.timer());
--- a/src/main/java/org/crocuspost/daemon/ProcessMembership.java
+++ b/src/main/java/org/crocuspost/daemon/ProcessMembership.java
@@ -1,6 +1,7 @@
 package org.crocuspost.daemon;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.function.Supplier;
 
 import org.crocuspost.distribution.ConfirmationSummary;
@@ -16,6 +17,11 @@
  */
 final class ProcessMembership {
 
+	/**
+	 * Renewals that fit into a lease.
+	 */
+	private static final int RENEWALS_PER_LEASE = 3;
+
 	private final MemberLease lease;
 
 	/**
@@ -23,16 +29,29 @@
 	 * @param self the identity of the process
 	 * @param address where agents connect
 	 * @param confirmations the configuration that the process and its agents act on
+	 * @param settings the times of the membership
 	 * @param table the table service
 	 * @param context the threads and the time of the process
 	 */
 	ProcessMembership(PeerIdentity self, InetSocketAddress address, Supplier<ConfirmationSummary> confirmations,
-			TableService table, ProcessContext context) {
+			MembershipSettings settings, TableService table, ProcessContext context) {
 		MemberRecord first = new MemberRecord(self, Addresses.format(address), 0, false, ConfirmationSummary.NONE);
-		this.lease = new MemberLease(first, MembershipSettings.DEFAULT, table, confirmations, context.clock(),
+		this.lease = new MemberLease(first, settings, table, confirmations, context.clock(),
 				context.blockingTimer("member-lease"));
 	}
 
+	/**
+	 * Makes the times of the membership.
+	 * @param lease how long a process that does not renew its row counts as live
+	 * @param poll the time between two polls of the rows
+	 * @return the times
+	 */
+	static MembershipSettings times(Duration lease, Duration poll) {
+		MembershipSettings defaults = MembershipSettings.DEFAULT;
+		return new MembershipSettings(lease.dividedBy(RENEWALS_PER_LEASE), defaults.soonest(), lease, poll,
+				defaults.forget());
+	}
+
 	void start() {
 		this.lease.start();
 	}
--- a/src/main/java/org/crocuspost/daemon/SchedulerProcess.java
+++ b/src/main/java/org/crocuspost/daemon/SchedulerProcess.java
@@ -53,15 +53,15 @@
 				settings.failureDomain());
 		this.watcher = new HeadWatcher(stores.table(), new SnapshotStore(stores.objects()), context.clock(),
 				context.timer(), context.blocking(), random);
-		this.scheduler = new BatchScheduler(
-				org.crocuspost.scheduler.SchedulerSettings.defaults(settings.failureDomains()), self, stores.table(),
-				this.watcher, new DefaultPlacementPolicy(PairPenalty.NONE), context.clock(),
-				context.blockingTimer("rounds"));
+		this.scheduler = new BatchScheduler(BatchTimes.of(settings), self, stores.table(), this.watcher,
+				new DefaultPlacementPolicy(PairPenalty.NONE), context.clock(), context.blockingTimer("rounds"));
 		this.peers = PeerServer.start(settings.addresses().peers(), context.network(),
 				PeerSettings.of(self, new DeploymentSecret(settings.secret().reveal())),
 				new CompositePeerListener(List.of(this.scheduler)), context.timer());
 		this.membership = new ProcessMembership(self, this.peers.address(),
-				() -> ConfirmationSummary.of(this.watcher.current()), stores.table(), context);
+				() -> ConfirmationSummary.of(this.watcher.current()),
+				ProcessMembership.times(settings.times().memberLease(), settings.times().storePoll()), stores.table(),
+				context);
 		this.health = new Health(List.of(), List.of(new HealthCheck("configuration", this.watcher::ready),
 				new HealthCheck("member", this.membership::held)));
 		PrometheusRegistry registry = new PrometheusRegistry();
--- a/src/main/java/org/crocuspost/settings/EntrySettings.java
+++ b/src/main/java/org/crocuspost/settings/EntrySettings.java
@@ -44,15 +44,14 @@
 	 *
 	 * @param maximumBodyBytes the largest request body of a caller
 	 * @param maximumNoteBytes the largest release note
-	 * @param maximumConnections the most open connections of callers
 	 * @param threads the number of network threads
 	 */
-	public record Limits(int maximumBodyBytes, int maximumNoteBytes, int maximumConnections, int threads) {
+	public record Limits(int maximumBodyBytes, int maximumNoteBytes, int threads) {
 
 		/**
 		 * Limits that apply unless the settings say otherwise.
 		 */
-		public static final Limits DEFAULT = new Limits(1024 * 1024, 1024 * 1024, 10_000, 4);
+		public static final Limits DEFAULT = new Limits(1024 * 1024, 1024 * 1024, 4);
 
 	}
 
--- a/src/main/java/org/crocuspost/settings/ProcessReaders.java
+++ b/src/main/java/org/crocuspost/settings/ProcessReaders.java
@@ -20,8 +20,6 @@
 
 	private static final int LARGEST_NOTE = 16 * 1024 * 1024;
 
-	private static final int MOST_CONNECTIONS = 1_000_000;
-
 	private static final int MOST_THREADS = 256;
 
 	private ProcessReaders() {
@@ -51,8 +49,6 @@
 		EntrySettings.Limits limits = new EntrySettings.Limits(
 				members.optional("maximumBodyBytes", CommonReaders.count(0, LARGEST_BODY), defaults.maximumBodyBytes()),
 				members.optional("maximumNoteBytes", CommonReaders.count(1, LARGEST_NOTE), defaults.maximumNoteBytes()),
-				members.optional("maximumConnections", CommonReaders.count(1, MOST_CONNECTIONS),
-						defaults.maximumConnections()),
 				members.optional("threads", CommonReaders.count(1, MOST_THREADS), defaults.threads()));
 		members.finish();
 		return Optional.of(limits);
