Survive malformed updates, newer writers and versions that do not exist

An update that could not be read threw on a network thread, and a row of a newer process could not be read during a replacement of hosts. A version that an agent of another deployment confirmed kept an entry from renewing for ever; a confirmed read now refutes it.

--- a/src/main/java/org/crocuspost/distribution/ConfigurationReceiver.java
+++ b/src/main/java/org/crocuspost/distribution/ConfigurationReceiver.java
@@ -1,5 +1,6 @@
 package org.crocuspost.distribution;
 
+import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Set;
@@ -109,7 +110,12 @@
 	@Override
 	public void received(Peer peer, Frame frame) {
 		if (frame.hasConfigurationUpdate()) {
-			received(peer, frame.getConfigurationUpdate());
+			try {
+				received(peer, frame.getConfigurationUpdate());
+			}
+			catch (UncheckedIOException ex) {
+				EventLog.warn(DistributionEvent.CONFIGURATION_MALFORMED, Field.of("entry", peer.identity().name()));
+			}
 		}
 	}
 
--- a/src/main/java/org/crocuspost/distribution/DistributionEvent.java
+++ b/src/main/java/org/crocuspost/distribution/DistributionEvent.java
@@ -23,8 +23,8 @@
 	CONFIGURATION_READABLE,
 
 	/**
-	 * No entry has renewed this agent's configuration in time; it starts no task.
+	 * An update from an entry could not be read and was ignored.
 	 */
-	CONFIGURATION_LAPSED
+	CONFIGURATION_MALFORMED
 
 }
--- a/src/main/java/org/crocuspost/distribution/HeadWatcher.java
+++ b/src/main/java/org/crocuspost/distribution/HeadWatcher.java
@@ -119,14 +119,24 @@
 	 */
 	public void poll() {
 		long startedAt = this.clock.nanoTime();
+		long heardBefore = this.newestHeardOf;
 		boolean confirm = !this.ready || behind();
 		Either<Failure, Row> row = confirm ? this.heads.readConfirmed() : this.heads.read();
 		row.map(ConfigurationHead::of)
 			.flatMap(this::load)
 			.peek((configuration) -> succeeded(configuration, startedAt))
+			.peek((configuration) -> refute(confirm, heardBefore))
 			.peekLeft(this::failed);
 	}
 
+	// After a confirmed read a newer version that was heard of before it does not exist:
+	// it comes from another deployment or from a table that was set back.
+	private synchronized void refute(boolean confirmed, long heardBefore) {
+		if (confirmed && this.newestHeardOf == heardBefore) {
+			this.newestHeardOf = Math.min(heardBefore, this.current.version());
+		}
+	}
+
 	private Either<Failure, Configuration> load(ConfigurationHead head) {
 		Configuration known = this.current;
 		return (head.version() <= known.version()) ? Either.right(known) : this.snapshots.load(head);
@@ -169,7 +179,7 @@
 	 * Takes note that another process acts on a version.
 	 * @param version the version
 	 */
-	public void heardOf(long version) {
+	public synchronized void heardOf(long version) {
 		if (version > this.newestHeardOf) {
 			this.newestHeardOf = version;
 		}
--- a/src/main/java/org/crocuspost/json/Json.java
+++ b/src/main/java/org/crocuspost/json/Json.java
@@ -56,8 +56,9 @@
 	}
 
 	/**
-	 * Reads a text that crocuspost wrote itself. For input from outside use a reader that
-	 * reports faults.
+	 * Reads a text that crocuspost wrote itself. Members that this version does not know
+	 * are ignored, since during a replacement of hosts the writer may be newer. For input
+	 * from outside use a reader that reports faults.
 	 * @param text the JSON text
 	 * @param type the type to read
 	 * @param <T> the type to read
@@ -65,7 +66,11 @@
 	 */
 	public static <T> T read(String text, Class<T> type) {
 		try {
-			return MAPPER.readValue(text, type);
+			T value = MAPPER.readerFor(type).without(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).readValue(text);
+			if (value == null) {
+				throw new IOException("null in place of " + type.getSimpleName());
+			}
+			return value;
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
--- a/src/test/java/org/crocuspost/distribution/DistributionTests.java
+++ b/src/test/java/org/crocuspost/distribution/DistributionTests.java
@@ -142,6 +142,17 @@
 		assertThat(this.first.watcher.current().version()).isEqualTo(2);
 	}
 
+	@Test
+	void versionThatDoesNotExistIsRefutedByAConfirmedRead() {
+		accept("\"domains\": {\"out\": [\"zone-b\"]}");
+		connect(this.agent, this.first);
+		this.first.watcher.heardOf(Long.MAX_VALUE);
+		assertThat(this.first.watcher.behind()).isTrue();
+		pass(Duration.ofSeconds(5));
+		assertThat(this.first.watcher.behind()).isFalse();
+		assertThat(this.agent.receiver.allowsStarts()).isTrue();
+	}
+
 	@Test
 	void agentThatMissedManyVersionsGetsTheNewestAtOnce() {
 		connect(this.agent, this.first).cut();
--- a/src/test/java/org/crocuspost/distribution/PeerPair.java
+++ b/src/test/java/org/crocuspost/distribution/PeerPair.java
@@ -50,6 +50,10 @@
 		this.atAgent.receiver().disconnected(this.atEntry);
 	}
 
+	void sendToAgent(Frame frame) {
+		this.atEntry.send(frame);
+	}
+
 	long bytesToAgent() {
 		return this.atEntry.bytes;
 	}
