Add idempotency keys, hedging and fate resolution; test the faults

Cause: a caller's retry through another entry could run a request twice, and no test brought about the faults of endpoints, callers and connections. Change: keys are claimed at two agents found by rendezvous hashing before an attempt is sent; idempotent requests are hedged within the retry budget; connections to an endpoint are closed off the event loops, which Ratpack would otherwise block for good. Conclusion: the caller's verdict agrees with the endpoint's ledger in each case of the tables.

--- a/src/main/java/org/crocuspost/gate/ConnectionGeneration.java
+++ b/src/main/java/org/crocuspost/gate/ConnectionGeneration.java
@@ -1,5 +1,7 @@
 package org.crocuspost.gate;
 
+import java.util.concurrent.Executor;
+
 import ratpack.http.client.HttpClient;
 
 /**
@@ -9,12 +11,21 @@
 
 	private final HttpClient client;
 
+	private final Executor closer;
+
 	private int users;
 
 	private boolean retired;
 
-	ConnectionGeneration(HttpClient client) {
+	/**
+	 * Creates a generation.
+	 * @param client the client that owns the pool
+	 * @param closer closes the client; closing blocks until the event loops have closed
+	 * the connections, so it must not run on one of them
+	 */
+	ConnectionGeneration(HttpClient client, Executor closer) {
 		this.client = client;
+		this.closer = closer;
 	}
 
 	HttpClient client() {
@@ -37,7 +48,7 @@
 
 	private void closeIfUnused() {
 		if (this.retired && this.users == 0) {
-			this.client.close();
+			this.closer.execute(this.client::close);
 		}
 	}
 
--- a/src/main/java/org/crocuspost/gate/KeyKeeper.java
+++ b/src/main/java/org/crocuspost/gate/KeyKeeper.java
@@ -46,8 +46,9 @@
 	}
 
 	private static boolean mayTake(KeyClaim claim, KeyClaim holder) {
-		return holder.getRequestId().equals(claim.getRequestId())
-				|| holder.getRequestId().equals(claim.getReplacedRequestId());
+		boolean replaced = holder.getRequestId().equals(claim.getReplacedRequestId())
+				&& holder.getAttempt() == claim.getReplacedAttempt();
+		return replaced || holder.getRequestId().equals(claim.getRequestId());
 	}
 
 	private static KeyClaimReply refusal(KeyClaim holder) {
--- a/src/main/java/org/crocuspost/gate/RatpackEndpointClient.java
+++ b/src/main/java/org/crocuspost/gate/RatpackEndpointClient.java
@@ -48,7 +48,11 @@
 	public RatpackEndpointClient(GateSettings settings, ExecController controller) {
 		this.settings = settings;
 		this.controller = controller;
-		this.generation = new AtomicReference<>(new ConnectionGeneration(newClient()));
+		this.generation = new AtomicReference<>(newGeneration());
+	}
+
+	private ConnectionGeneration newGeneration() {
+		return new ConnectionGeneration(newClient(), this.controller.getBlockingExecutor());
 	}
 
 	private HttpClient newClient() {
@@ -131,7 +135,7 @@
 
 	@Override
 	public void renewConnections() {
-		this.generation.getAndSet(new ConnectionGeneration(newClient())).retire();
+		this.generation.getAndSet(newGeneration()).retire();
 	}
 
 	@Override
--- a/src/main/java/org/crocuspost/retry/RequestRunner.java
+++ b/src/main/java/org/crocuspost/retry/RequestRunner.java
@@ -4,12 +4,17 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.stream.Stream;
 
+import io.vavr.control.Either;
 import org.crocuspost.error.ErrorCode;
+import org.crocuspost.error.Failure;
 import org.crocuspost.routing.EndpointDirectory;
+import org.crocuspost.routing.EndpointSelector;
 import org.crocuspost.routing.RoutedEndpoint;
 import org.crocuspost.routing.RoutingPolicy;
 import org.crocuspost.time.Clock;
+import org.crocuspost.time.Timer;
 
 /**
  * Runs a request: chooses an endpoint, sends an attempt, and sends another one as long as
@@ -19,14 +24,21 @@
 
 	private static final int MAXIMUM_ATTEMPTS = 3;
 
-	private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+	/**
+	 * A hedge takes the number after that of its attempt.
+	 */
+	private static final int NUMBERS_PER_ATTEMPT = 2;
 
-	private final EndpointDirectory directory;
+	private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
-	private final RoutingPolicy policy;
+	private final EndpointSelector selector;
 
 	private final AttemptSender sender;
 
+	private final HedgedAttempts hedged;
+
+	private final KeyedAttempts keyed;
+
 	private final RetryBudget budget;
 
 	private final Clock clock;
@@ -35,17 +47,20 @@
 	 * Creates a runner.
 	 * @param directory the endpoints
 	 * @param policy chooses among them
-	 * @param sender sends attempts
-	 * @param budget bounds the extra attempts
+	 * @param settings the settings
 	 * @param clock the clock of the process
+	 * @param timer the timer of the process
 	 */
-	public RequestRunner(EndpointDirectory directory, RoutingPolicy policy, AttemptSender sender, RetryBudget budget,
-			Clock clock) {
-		this.directory = directory;
-		this.policy = policy;
-		this.sender = sender;
-		this.budget = budget;
+	public RequestRunner(EndpointDirectory directory, RoutingPolicy policy, RetrySettings settings, Clock clock,
+			Timer timer) {
+		FateResolver fates = new FateResolver(directory, clock);
 		this.clock = clock;
+		this.selector = new EndpointSelector(directory, policy);
+		this.sender = new AttemptSender(fates, clock);
+		this.budget = new RetryBudget(settings.share(), settings.burst());
+		this.hedged = new HedgedAttempts(this.selector, this.sender, this.budget, clock, timer);
+		KeyClaims claims = new KeyClaims(new KeyKeepers(directory, settings.keyMemory()));
+		this.keyed = new KeyedAttempts(claims, fates, this.sender);
 	}
 
 	/**
@@ -58,38 +73,35 @@
 		return attempt(request, 1, List.of());
 	}
 
-	private CompletionStage<RequestOutcome> attempt(RoutedRequest request, int number, List<RoutedEndpoint> tried) {
-		String service = request.service().name();
-		List<RoutedEndpoint> candidates = untried(this.directory.candidates(service), tried);
-		if (candidates.isEmpty()) {
-			return refuse(ErrorCode.NO_ENDPOINT, service);
+	private CompletionStage<RequestOutcome> attempt(RoutedRequest request, int attempt, List<RoutedEndpoint> tried) {
+		Either<Failure, RoutedEndpoint> selected = this.selector.select(request.service(), tried);
+		if (selected.isLeft()) {
+			return CompletableFuture.completedFuture(new RequestOutcome.NotRun(selected.getLeft(), RETRY_AFTER));
 		}
-		List<RoutedEndpoint> withRoom = candidates.stream().filter((endpoint) -> endpoint.room() > 0).toList();
-		if (withRoom.isEmpty()) {
-			return refuse(ErrorCode.OVERLOADED, service);
-		}
-		RoutedEndpoint endpoint = this.policy.choose(withRoom);
-		return this.sender.send(request, number, endpoint)
-			.thenCompose((outcome) -> proceed(request, number, append(tried, endpoint), outcome));
+		RoutedEndpoint endpoint = selected.get();
+		int number = 1 + (attempt - 1) * NUMBERS_PER_ATTEMPT;
+		return send(request, number, endpoint)
+			.thenCompose((outcome) -> proceed(request, attempt, append(tried, endpoint), outcome));
 	}
 
-	private static List<RoutedEndpoint> untried(List<RoutedEndpoint> candidates, List<RoutedEndpoint> tried) {
-		List<RoutedEndpoint> rest = candidates.stream().filter((endpoint) -> !tried.contains(endpoint)).toList();
-		return rest.isEmpty() ? candidates : rest;
+	private CompletionStage<RequestOutcome> send(RoutedRequest request, int number, RoutedEndpoint endpoint) {
+		if (request.idempotent()) {
+			return this.hedged.send(request, number, endpoint);
+		}
+		if (!request.idempotencyKey().isEmpty()) {
+			return this.keyed.send(request, number, endpoint);
+		}
+		return this.sender.send(request, number, endpoint);
 	}
 
 	private static List<RoutedEndpoint> append(List<RoutedEndpoint> tried, RoutedEndpoint endpoint) {
-		return java.util.stream.Stream.concat(tried.stream(), java.util.stream.Stream.of(endpoint)).toList();
-	}
-
-	private static CompletionStage<RequestOutcome> refuse(ErrorCode code, String service) {
-		return CompletableFuture.completedFuture(new RequestOutcome.NotRun(code.with(service), RETRY_AFTER));
+		return Stream.concat(tried.stream(), Stream.of(endpoint)).toList();
 	}
 
-	private CompletionStage<RequestOutcome> proceed(RoutedRequest request, int number, List<RoutedEndpoint> tried,
+	private CompletionStage<RequestOutcome> proceed(RoutedRequest request, int attempt, List<RoutedEndpoint> tried,
 			RequestOutcome outcome) {
-		if (number < MAXIMUM_ATTEMPTS && timeLeft(request) && mayRepeat(request, outcome)) {
-			return attempt(request, number + 1, tried);
+		if (attempt < MAXIMUM_ATTEMPTS && timeLeft(request) && mayRepeat(request, outcome)) {
+			return attempt(request, attempt + 1, tried);
 		}
 		return CompletableFuture.completedFuture(outcome);
 	}
--- a/src/main/java/org/crocuspost/routing/EndpointDirectory.java
+++ b/src/main/java/org/crocuspost/routing/EndpointDirectory.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import org.crocuspost.configuration.Configuration;
@@ -35,6 +36,8 @@
 
 	private final Map<Peer, RoutedEndpoint> endpoints = new ConcurrentHashMap<>();
 
+	private final DepartedAgents departed;
+
 	private final Map<String, Set<CompletableFuture<Optional<Peer>>>> awaited = new ConcurrentHashMap<>();
 
 	/**
@@ -47,6 +50,7 @@
 		this.configurations = configurations;
 		this.clock = clock;
 		this.timer = timer;
+		this.departed = new DepartedAgents(clock);
 	}
 
 	/**
@@ -95,6 +99,24 @@
 			.toList();
 	}
 
+	/**
+	 * Returns the agents of a service whose connection ended within the given time and
+	 * that have not come back in the same incarnation.
+	 * @param service the name of the service
+	 * @param within the time
+	 * @return the identities that the agents had
+	 */
+	public List<PeerIdentity> departedAgents(String service, Duration within) {
+		Set<String> present = this.endpoints.keySet()
+			.stream()
+			.map((peer) -> peer.identity().incarnation())
+			.collect(Collectors.toSet());
+		return this.departed.within(service, within)
+			.stream()
+			.filter((identity) -> !present.contains(identity.incarnation()))
+			.toList();
+	}
+
 	/**
 	 * Returns all endpoints.
 	 * @return the endpoints
@@ -156,7 +178,10 @@
 
 	@Override
 	public void disconnected(Peer peer) {
-		this.endpoints.remove(peer);
+		RoutedEndpoint endpoint = this.endpoints.remove(peer);
+		if (endpoint != null) {
+			this.departed.add(endpoint.status().getService(), peer.identity());
+		}
 	}
 
 }
--- a/src/main/java/org/crocuspost/routing/RoutedEndpoint.java
+++ b/src/main/java/org/crocuspost/routing/RoutedEndpoint.java
@@ -19,6 +19,8 @@
 
 	private static final Duration HALF_LIFE = Duration.ofSeconds(5);
 
+	private static final int LOWEST_PRIORITY = 9;
+
 	private static final double LEAST_SUCCESS = 0.1;
 
 	private final Peer peer;
@@ -131,11 +133,14 @@
 	}
 
 	/**
-	 * Returns the number of requests that the endpoint would still take.
-	 * @return the number; 0 if slots and queue are full
+	 * Says whether the endpoint is likely to admit one more request. The lower the
+	 * priority of a request, the less of the queue it may use.
+	 * @param priority the priority of the request; 0 is the highest, 9 the lowest
+	 * @return true if there is room
 	 */
-	public synchronized int room() {
-		return Math.max(0, this.status.getSlots() + this.status.getQueueLimit() - load());
+	public synchronized boolean hasRoom(int priority) {
+		int queue = this.status.getQueueLimit() * (LOWEST_PRIORITY + 1 - priority) / (LOWEST_PRIORITY + 1);
+		return load() < this.status.getSlots() + queue;
 	}
 
 	/**
--- /dev/null
+++ b/src/test/java/org/crocuspost/entry/CallerFaultTests.java
@@ -0,0 +1,98 @@
+package org.crocuspost.entry;
+
+import java.io.OutputStream;
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.stream.Stream;
+
+import org.crocuspost.standin.endpoint.EndpointStandIn;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * What callers that do something wrong are told.
+ */
+class CallerFaultTests {
+
+	static Stream<CallerFault> faults() {
+		String[] none = {};
+		return Stream.of(new CallerFault("no service at the path", "/other", "body", none, 404, "service-unknown"),
+				new CallerFault("the prefix does not end at a slash", "/topups", "body", none, 404, "service-unknown"),
+				new CallerFault("the body is too large", "/topup", "x".repeat(1024 * 1024 + 1), none, 413,
+						"request-too-large"),
+				new CallerFault("the deadline is no number", "/topup", "body",
+						new String[] { "Crocuspost-Deadline-Milliseconds", "soon" }, 400, "malformed"),
+				new CallerFault("the deadline is negative", "/topup", "body",
+						new String[] { "Crocuspost-Deadline-Milliseconds", "-5" }, 400, "malformed"),
+				new CallerFault("the deadline is over", "/topup", "body",
+						new String[] { "Crocuspost-Deadline-Milliseconds", "0" }, 504, "deadline-before-start"));
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@MethodSource("faults")
+	void isRefusedAsNotRun(CallerFault fault) throws Exception {
+		try (RequestPathFixture path = new RequestPathFixture()) {
+			EndpointStandIn endpoint = path.endpoint();
+			LoopbackEntry entry = path.entry("entry-1");
+			path.agent("agent-1", endpoint, entry);
+			HttpResponse<String> response = RequestPathFixture
+				.get(path.sendTo(entry, fault.path(), "POST", fault.body(), fault.headers()));
+			assertThat(response.statusCode()).isEqualTo(fault.status());
+			assertThat(response.headers().firstValue("Crocuspost-Verdict")).contains("not-run");
+			assertThat(response.body()).contains("\"code\":\"" + fault.code() + "\"");
+			assertThat(endpoint.ledger()).isEmpty();
+		}
+	}
+
+	@Test
+	void aCallerThatStallsInItsBodyRunsNothingAndHoldsUpNobody() throws Exception {
+		try (RequestPathFixture path = new RequestPathFixture()) {
+			EndpointStandIn endpoint = path.endpoint();
+			LoopbackEntry entry = path.entry("entry-1");
+			path.agent("agent-1", endpoint, entry);
+			try (Socket slow = new Socket("127.0.0.1", entry.callerAddress().getPort())) {
+				write(slow, "POST /topup HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nhalf");
+				for (int count = 0; count < 10; count++) {
+					assertThat(RequestPathFixture.get(path.send(entry, "POST", "whole")).statusCode()).isEqualTo(200);
+				}
+			}
+			assertThat(endpoint.ledger()).hasSize(10).allMatch((run) -> run.body().equals("whole"));
+		}
+	}
+
+	@Test
+	void aMalformedRequestIsRefusedAndRunsNothing() throws Exception {
+		try (RequestPathFixture path = new RequestPathFixture()) {
+			EndpointStandIn endpoint = path.endpoint();
+			LoopbackEntry entry = path.entry("entry-1");
+			path.agent("agent-1", endpoint, entry);
+			try (Socket socket = new Socket("127.0.0.1", entry.callerAddress().getPort())) {
+				socket.setSoTimeout((int) RequestPathFixture.GENEROUS.toMillis());
+				write(socket, "POST /topup HTTP/1.1\r\nHost: x\r\nContent-Length: many\r\n\r\nbody");
+				byte[] answer = socket.getInputStream().readNBytes("HTTP/1.1 400".length());
+				assertThat(new String(answer, StandardCharsets.US_ASCII)).isIn("HTTP/1.1 400", "");
+			}
+			assertThat(endpoint.ledger()).isEmpty();
+		}
+	}
+
+	private static void write(Socket socket, String text) throws Exception {
+		OutputStream output = socket.getOutputStream();
+		output.write(text.getBytes(StandardCharsets.US_ASCII));
+		output.flush();
+	}
+
+	record CallerFault(String description, String path, String body, String[] headers, int status, String code) {
+
+		@Override
+		public String toString() {
+			return this.description;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/crocuspost/entry/EndpointFaultTests.java
@@ -0,0 +1,126 @@
+package org.crocuspost.entry;
+
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+
+import org.crocuspost.standin.endpoint.EndpointFault;
+import org.crocuspost.standin.endpoint.EndpointStandIn;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * What a caller is told when its endpoint fails, and what the endpoint then has in its
+ * ledger.
+ */
+class EndpointFaultTests {
+
+	private static final String DEADLINE = "Crocuspost-Deadline-Milliseconds";
+
+	static Stream<FaultCase> cases() {
+		return Stream.of(
+				new FaultCase("the endpoint refuses the connection", EndpointStandIn::close, 503, "not-run",
+						"endpoint-refused", 0),
+				fault(EndpointFault.NONE, 200, "ran", "", 1), fault(EndpointFault.ERROR, 500, "ran", "", 1),
+				fault(EndpointFault.RESET_BEFORE, 502, "may-have-run", "connection-lost", 0),
+				fault(EndpointFault.RESET_DURING, 502, "may-have-run", "connection-lost", 1),
+				fault(EndpointFault.RESET_AFTER, 200, "ran", "", 1),
+				fault(EndpointFault.TRUNCATED, 502, "may-have-run", "connection-lost", 1),
+				fault(EndpointFault.CROSSED, 502, "may-have-run", "answer-mismatched", 1),
+				fault(EndpointFault.SILENT, 504, "may-have-run", "deadline-after-start", 1),
+				new FaultCase("the endpoint answers past the deadline",
+						(endpoint) -> endpoint.setServiceTime(Duration.ofMillis(1500)), 504, "may-have-run",
+						"deadline-after-start", 1));
+	}
+
+	private static FaultCase fault(EndpointFault fault, int status, String verdict, String code, int runs) {
+		return new FaultCase("the endpoint does " + fault, (endpoint) -> endpoint.setFault(fault), status, verdict,
+				code, runs);
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@MethodSource("cases")
+	void aRequestThatIsNotIdempotent(FaultCase faultCase) throws Exception {
+		try (RequestPathFixture path = new RequestPathFixture()) {
+			EndpointStandIn endpoint = path.endpoint();
+			LoopbackEntry entry = path.entry("entry-1");
+			path.agent("agent-1", endpoint, entry);
+			faultCase.arrange().accept(endpoint);
+			HttpResponse<String> response = RequestPathFixture.get(path.send(entry, "POST", "body", DEADLINE, "1000"));
+			assertThat(response.statusCode()).isEqualTo(faultCase.status());
+			assertThat(response.headers().firstValue("Crocuspost-Verdict")).contains(faultCase.verdict());
+			if (!faultCase.code().isEmpty()) {
+				assertThat(response.body()).contains("\"code\":\"" + faultCase.code() + "\"");
+			}
+			assertThat(endpoint.ledger()).hasSize(faultCase.runs());
+		}
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@MethodSource("cases")
+	void anIdempotentRequestIsAnsweredByAnotherEndpoint(FaultCase faultCase) throws Exception {
+		try (RequestPathFixture path = new RequestPathFixture()) {
+			EndpointStandIn faulty = path.endpoint();
+			EndpointStandIn healthy = path.endpoint();
+			LoopbackEntry entry = path.entry("entry-1");
+			path.agent("agent-1", faulty, entry);
+			path.agent("agent-2", healthy, entry);
+			faultCase.arrange().accept(faulty);
+			for (int count = 0; count < 4; count++) {
+				HttpResponse<String> response = RequestPathFixture.get(path.send(entry, "GET", "", DEADLINE, "4000"));
+				boolean ownAnswer = faultCase.code().isEmpty();
+				assertThat(response.statusCode()).isIn(ownAnswer ? List.of(200, faultCase.status()) : List.of(200));
+				assertThat(response.headers().firstValue("Crocuspost-Verdict")).contains("ran");
+			}
+		}
+	}
+
+	@Test
+	void aLateAnswerIsNotTakenForTheAnswerToTheNextRequest() throws Exception {
+		try (RequestPathFixture path = new RequestPathFixture()) {
+			EndpointStandIn endpoint = path.endpoint();
+			LoopbackEntry entry = path.entry("entry-1");
+			path.agent("agent-1", endpoint, entry);
+			endpoint.setServiceTime(Duration.ofMillis(300));
+			RequestPathFixture.get(path.send(entry, "POST", "first", DEADLINE, "100"));
+			endpoint.setServiceTime(Duration.ZERO);
+			for (int count = 0; count < 20; count++) {
+				String body = "later " + count;
+				assertThat(RequestPathFixture.get(path.send(entry, "POST", body)).body()).isEqualTo(body);
+			}
+			path.await(() -> endpoint.running() == 0);
+			assertThat(RequestPathFixture.get(path.send(entry, "POST", "last")).body()).isEqualTo("last");
+		}
+	}
+
+	@Test
+	void silentConnectionsToTheEndpointAreGivenUpAfterTheFirstDeadline() throws Exception {
+		try (RequestPathFixture path = new RequestPathFixture()) {
+			EndpointStandIn endpoint = path.endpoint();
+			LoopbackEntry entry = path.entry("entry-1");
+			path.agent("agent-1", endpoint, entry);
+			RequestPathFixture.get(path.send(entry, "POST", "opens a connection"));
+			endpoint.silenceOpenConnections();
+			HttpResponse<String> lost = RequestPathFixture.get(path.send(entry, "POST", "lost", DEADLINE, "200"));
+			HttpResponse<String> next = RequestPathFixture.get(path.send(entry, "POST", "next", DEADLINE, "4000"));
+			assertThat(lost.headers().firstValue("Crocuspost-Verdict")).contains("may-have-run");
+			assertThat(next.body()).isEqualTo("next");
+		}
+	}
+
+	record FaultCase(String description, Consumer<EndpointStandIn> arrange, int status, String verdict, String code,
+			int runs) {
+
+		@Override
+		public String toString() {
+			return this.description;
+		}
+
+	}
+
+}
--- a/src/test/java/org/crocuspost/entry/LoopbackAgent.java
+++ b/src/test/java/org/crocuspost/entry/LoopbackAgent.java
@@ -1,5 +1,6 @@
 package org.crocuspost.entry;
 
+import java.net.InetSocketAddress;
 import java.net.URI;
 import java.util.List;
 
@@ -25,20 +26,27 @@
 
 	private final List<PeerLink> links;
 
-	LoopbackAgent(RequestPathFixture fixture, EventLoopGroup group, String name, URI endpoint,
-			List<LoopbackEntry> entries) {
+	LoopbackAgent(RequestPathFixture fixture, EventLoopGroup group, String name, String domain, URI endpoint,
+			List<InetSocketAddress> entries) {
 		String incarnation = name + "-" + fixture.clock.nanoTime();
-		PeerIdentity self = new PeerIdentity(PeerIdentity.Role.AGENT, name, incarnation, "bkk-a");
+		PeerIdentity self = new PeerIdentity(PeerIdentity.Role.AGENT, name, incarnation, domain);
 		GateSettings settings = GateSettings.of(name, RequestPathFixture.SERVICE, endpoint, 8, 64);
 		this.gate = new RequestGate(settings, incarnation, new RatpackEndpointClient(settings, this.controller),
 				fixture.clock, fixture.timer);
 		PeerConnector connector = new PeerConnector(group, PeerSettings.of(self, RequestPathFixture.SECRET), this.gate,
 				fixture.timer);
-		this.links = entries.stream().map((entry) -> connector.connect(entry.peerAddress())).toList();
+		this.links = entries.stream().map((entry) -> connector.connect(entry)).toList();
 	}
 
-	void close() {
+	/**
+	 * Dies: the connections end and nothing is said.
+	 */
+	void kill() {
 		this.links.forEach(PeerLink::close);
+	}
+
+	void close() {
+		kill();
 		this.gate.close();
 		this.controller.close();
 	}
--- a/src/test/java/org/crocuspost/entry/LoopbackEntry.java
+++ b/src/test/java/org/crocuspost/entry/LoopbackEntry.java
@@ -3,17 +3,15 @@
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.time.Duration;
-import java.util.SplittableRandom;
+import java.util.Random;
 import java.util.concurrent.CompletionStage;
 
 import io.netty.channel.EventLoopGroup;
 import org.crocuspost.peer.PeerIdentity;
 import org.crocuspost.peer.PeerServer;
 import org.crocuspost.peer.PeerSettings;
-import org.crocuspost.retry.AttemptSender;
-import org.crocuspost.retry.FateResolver;
 import org.crocuspost.retry.RequestRunner;
-import org.crocuspost.retry.RetryBudget;
+import org.crocuspost.retry.RetrySettings;
 import org.crocuspost.routing.EndpointDirectory;
 import org.crocuspost.routing.ExpectedTimePolicy;
 
@@ -33,10 +31,9 @@
 		this.directory = new EndpointDirectory(fixture.configurations(), fixture.clock, fixture.timer);
 		this.peers = PeerServer.start(RequestPathFixture.loopback(), group,
 				PeerSettings.of(self, RequestPathFixture.SECRET), this.directory, fixture.timer);
-		AttemptSender sender = new AttemptSender(new FateResolver(this.directory, fixture.clock), fixture.clock);
 		RequestRunner runner = new RequestRunner(this.directory,
-				new ExpectedTimePolicy("bkk-a", Duration.ofMillis(2), new SplittableRandom(1)), sender,
-				new RetryBudget(0.1, 10), fixture.clock);
+				new ExpectedTimePolicy("bkk-a", Duration.ofMillis(2), new Random(1)), RetrySettings.DEFAULT,
+				fixture.clock, fixture.timer);
 		this.callers = CallerServer.start(CallerSettings.of(RequestPathFixture.loopback()), self.incarnation(),
 				fixture.configurations(), runner, (service, outcome, latency) -> {
 				}, fixture.clock, fixture.timer);
--- a/src/test/java/org/crocuspost/entry/RequestPathFixture.java
+++ b/src/test/java/org/crocuspost/entry/RequestPathFixture.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -93,12 +94,31 @@
 	}
 
 	LoopbackAgent agent(String name, EndpointStandIn endpoint, LoopbackEntry... entries) {
-		LoopbackAgent agent = new LoopbackAgent(this, this.group, name, endpoint.address(), List.of(entries));
+		return agent(name, "bkk-a", endpoint, entries);
+	}
+
+	LoopbackAgent agent(String name, String domain, EndpointStandIn endpoint, LoopbackEntry... entries) {
+		List<InetSocketAddress> addresses = Stream.of(entries).map(LoopbackEntry::peerAddress).toList();
+		LoopbackAgent agent = new LoopbackAgent(this, this.group, name, domain, endpoint.address(), addresses);
+		this.parts.add(agent::close);
+		await(() -> Stream.of(entries).allMatch((entry) -> entry.knows(name)));
+		return agent;
+	}
+
+	LoopbackAgent agent(String name, EndpointStandIn endpoint, SilencingRelay relay, LoopbackEntry entry) {
+		LoopbackAgent agent = new LoopbackAgent(this, this.group, name, "bkk-a", endpoint.address(),
+				List.of(relay.address()));
 		this.parts.add(agent::close);
-		await(() -> List.of(entries).stream().allMatch((entry) -> entry.knows(name)));
+		await(() -> entry.knows(name));
 		return agent;
 	}
 
+	SilencingRelay relay(InetSocketAddress target) {
+		SilencingRelay relay = new SilencingRelay(this.group, target);
+		this.parts.add(relay::close);
+		return relay;
+	}
+
 	CompletableFuture<HttpResponse<String>> send(LoopbackEntry entry, String method, String body, String... headers) {
 		return sendTo(entry, "/topup/1", method, body, headers);
 	}
