--- a/src/main/java/org/crocuspost/daemon/EntryProcess.java
+++ b/src/main/java/org/crocuspost/daemon/EntryProcess.java
@@ -20,10 +20,8 @@
 import org.crocuspost.release.NoteAcceptance;
 import org.crocuspost.release.NoteRules;
 import org.crocuspost.release.SnapshotStore;
-import org.crocuspost.retry.AttemptSender;
-import org.crocuspost.retry.FateResolver;
 import org.crocuspost.retry.RequestRunner;
-import org.crocuspost.retry.RetryBudget;
+import org.crocuspost.retry.RetrySettings;
 import org.crocuspost.routing.EndpointDirectory;
 import org.crocuspost.routing.ExpectedTimePolicy;
 import org.crocuspost.settings.EntrySettings;
@@ -35,10 +33,6 @@
 
 	private static final Duration CROSS_DOMAIN_COST = Duration.ofMillis(2);
 
-	private static final double RETRY_SHARE = 0.1;
-
-	private static final int RETRY_BURST = 10;
-
 	private final EntrySettings settings;
 
 	private final HeadWatcher watcher;
@@ -81,9 +75,8 @@
 	private CallerServer startCallers(EndpointDirectory directory, String incarnation, RandomGenerator random,
 			ProcessContext context) {
 		ExpectedTimePolicy policy = new ExpectedTimePolicy(this.settings.failureDomain(), CROSS_DOMAIN_COST, random);
-		AttemptSender sender = new AttemptSender(new FateResolver(directory, context.clock()), context.clock());
-		RequestRunner runner = new RequestRunner(directory, policy, sender, new RetryBudget(RETRY_SHARE, RETRY_BURST),
-				context.clock());
+		RequestRunner runner = new RequestRunner(directory, policy, RetrySettings.DEFAULT, context.clock(),
+				context.timer());
 		EntrySettings.Limits limits = this.settings.limits();
 		CallerSettings callerSettings = new CallerSettings(this.settings.addresses().callers(),
 				limits.maximumBodyBytes(), this.settings.times().maximumTimeout(), this.settings.times().idleTimeout(),
