--- a/src/main/java/org/crocuspost/bench/batch/BatchDeployment.java
+++ b/src/main/java/org/crocuspost/bench/batch/BatchDeployment.java
@@ -52,6 +52,8 @@
 
 	private final Map<LinkKey, MemoryLink> links = new LinkedHashMap<>();
 
+	private int schedulersStarted;
+
 	/**
 	 * Creates a deployment without workers and schedulers.
 	 * @param domains the failure domains
@@ -97,7 +99,7 @@
 	 */
 	public void startScheduler(String name) {
 		PeerIdentity identity = new PeerIdentity(PeerIdentity.Role.SCHEDULER, name,
-				name + "@" + this.time.instant().toEpochMilli(), this.domains.get(0));
+				name + "-" + this.schedulersStarted++, this.domains.get(0));
 		VirtualProcess process = new VirtualProcess(this.time);
 		BatchScheduler scheduler = new BatchScheduler(SchedulerSettings.defaults(this.domains), identity, this.table,
 				this.configuration, this.policy, this.time, process);
@@ -107,6 +109,13 @@
 		this.workers.values().forEach((worker) -> connect(worker, virtual));
 	}
 
+	/**
+	 * Starts a scheduler under a name that no other has had.
+	 */
+	public void startScheduler() {
+		startScheduler("scheduler-" + this.schedulersStarted);
+	}
+
 	private void connect(VirtualWorker worker, VirtualScheduler scheduler) {
 		MemoryLink link = new MemoryLink(this.time, LINK_DELAY,
 				new MemoryLink.End(worker.process(), worker.identity(), worker.agent()),
--- a/src/main/java/org/crocuspost/bench/batch/VirtualWorker.java
+++ b/src/main/java/org/crocuspost/bench/batch/VirtualWorker.java
@@ -6,6 +6,7 @@
 import org.crocuspost.standin.process.VirtualProcess;
 import org.crocuspost.standin.worker.WorkerStandIn;
 import org.crocuspost.time.VirtualTime;
+import org.crocuspost.worker.ReportContributor;
 import org.crocuspost.worker.TaskAgent;
 import org.crocuspost.worker.TaskAgentSettings;
 import org.crocuspost.worker.WorkerConditions;
@@ -41,7 +42,7 @@
 		this.time = time;
 		this.runtime = runtime;
 		this.process = new VirtualProcess(time);
-		this.agent = new TaskAgent(settings, this, runtime, time, this.process);
+		this.agent = new TaskAgent(settings, this, runtime, ReportContributor.NONE, time, this.process);
 		this.agent.start();
 	}
 
@@ -52,7 +53,7 @@
 		this.process.kill();
 		this.incarnation++;
 		this.process = new VirtualProcess(this.time);
-		this.agent = new TaskAgent(this.settings, this, this.runtime, this.time, this.process);
+		this.agent = new TaskAgent(this.settings, this, this.runtime, ReportContributor.NONE, this.time, this.process);
 		this.agent.start();
 	}
 
--- a/src/main/java/org/crocuspost/placement/PairPenalty.java
+++ b/src/main/java/org/crocuspost/placement/PairPenalty.java
@@ -9,14 +9,14 @@
 	/**
 	 * Penalty that is zero for every pair.
 	 */
-	PairPenalty NONE = (job, worker) -> 0;
+	PairPenalty NONE = (request, worker) -> 0;
 
 	/**
-	 * Returns the expected harm.
-	 * @param job the name of the job
+	 * Returns the expected harm. Positive infinity forbids the pair.
+	 * @param request the task
 	 * @param worker the worker
-	 * @return the harm, from 0 for none to 1 for a service that misses its objective
+	 * @return the harm, at least 0 for none
 	 */
-	double cost(String job, WorkerSnapshot worker);
+	double cost(PlacementRequest request, WorkerSnapshot worker);
 
 }
--- a/src/main/java/org/crocuspost/scheduler/BatchScheduler.java
+++ b/src/main/java/org/crocuspost/scheduler/BatchScheduler.java
@@ -1,6 +1,7 @@
 package org.crocuspost.scheduler;
 
-import java.util.Map;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 import io.vavr.control.Option;
 import org.crocuspost.configuration.ConfigurationSource;
@@ -35,6 +36,10 @@
 
 	private final SchedulingRound round;
 
+	private final SchedulerView view;
+
+	private final List<WorkerReportListener> reportListeners = new CopyOnWriteArrayList<>();
+
 	private @Nullable Cancellable rounds;
 
 	/**
@@ -58,6 +63,7 @@
 		this.answers = new ReportAnswers(this.leases, tasks, permissions);
 		this.round = new SchedulingRound(settings, self, table, configuration, policy, clock, this.workers, this.leases,
 				permissions, tasks, this.answers);
+		this.view = new DefaultSchedulerView(configuration, tasks, this.workers, this.leases, this.round);
 	}
 
 	/**
@@ -79,11 +85,19 @@
 	}
 
 	/**
-	 * Returns why the tasks of jobs wait.
-	 * @return the reasons by job, as of the last round
+	 * Adds a listener that is told of each report.
+	 * @param listener the listener
+	 */
+	public void addReportListener(WorkerReportListener listener) {
+		this.reportListeners.add(listener);
+	}
+
+	/**
+	 * Returns what operators may see.
+	 * @return the view
 	 */
-	public Map<String, JobWait> waits() {
-		return this.round.waits();
+	public SchedulerView view() {
+		return this.view;
 	}
 
 	/**
@@ -105,6 +119,7 @@
 			return;
 		}
 		this.workers.update(peer, frame.getWorkerReport());
+		this.reportListeners.forEach((listener) -> listener.reported(frame.getWorkerReport()));
 		peer.send(Frame.newBuilder()
 			.setCorrelation(frame.getCorrelation())
 			.setAnswer(true)
--- a/src/main/java/org/crocuspost/scheduler/ClaimPlan.java
+++ b/src/main/java/org/crocuspost/scheduler/ClaimPlan.java
@@ -7,7 +7,8 @@
  * Result of the planning of one round.
  *
  * @param claims the claims
+ * @param evictions the tasks to evict for urgent ones
  * @param waits why tasks wait, by job
  */
-record ClaimPlan(List<Claim> claims, Map<String, JobWait> waits) {
+record ClaimPlan(List<Claim> claims, List<CachedTask> evictions, Map<String, JobWait> waits) {
 }
--- a/src/main/java/org/crocuspost/scheduler/ClaimPlanner.java
+++ b/src/main/java/org/crocuspost/scheduler/ClaimPlanner.java
@@ -33,19 +33,19 @@
 
 	private final PendingTasks pending;
 
-	private final LearnedSizes sizes;
+	private final Knowledge knowledge;
 
-	private final FailureTracker failures;
+	private final PreemptionPlanner preemption;
 
 	private List<JobSpecification> ordered = List.of();
 
 	private long orderedVersion = -1;
 
-	ClaimPlanner(PlacementPolicy policy, PendingTasks pending, LearnedSizes sizes, FailureTracker failures) {
+	ClaimPlanner(PlacementPolicy policy, PendingTasks pending, Knowledge knowledge, PreemptionPlanner preemption) {
 		this.policy = policy;
 		this.pending = pending;
-		this.sizes = sizes;
-		this.failures = failures;
+		this.knowledge = knowledge;
+		this.preemption = preemption;
 	}
 
 	/**
@@ -59,11 +59,12 @@
 	 */
 	ClaimPlan plan(Configuration configuration, WorkerRooms rooms, TeamUse use, Predicate<CachedTask> preferred,
 			int limit) {
-		Round round = new Round(rooms, use, preferred, limit);
+		PreemptionPlanner.Round preemptions = this.preemption.begin(configuration, rooms);
+		Round round = new Round(rooms, preemptions, use, preferred, limit);
 		for (JobSpecification job : inOrder(configuration)) {
 			round.plan(job, configuration.version());
 		}
-		return new ClaimPlan(round.claims, round.waits);
+		return new ClaimPlan(round.claims, preemptions.victims(), round.waits);
 	}
 
 	private List<JobSpecification> inOrder(Configuration configuration) {
@@ -78,6 +79,8 @@
 
 		private final WorkerRooms rooms;
 
+		private final PreemptionPlanner.Round preemptions;
+
 		private final TeamUse use;
 
 		private final Predicate<CachedTask> preferred;
@@ -90,8 +93,10 @@
 
 		private final List<Resources> refused = new ArrayList<>();
 
-		private Round(WorkerRooms rooms, TeamUse use, Predicate<CachedTask> preferred, int limit) {
+		private Round(WorkerRooms rooms, PreemptionPlanner.Round preemptions, TeamUse use,
+				Predicate<CachedTask> preferred, int limit) {
 			this.rooms = rooms;
+			this.preemptions = preemptions;
 			this.use = use;
 			this.preferred = preferred;
 			this.limit = limit;
@@ -104,7 +109,7 @@
 				JobWait wait = claim(job, task);
 				if (wait != null) {
 					this.waits.put(job.name(), wait);
-					if (wait.reason() != WaitReason.OTHER_SCHEDULER) {
+					if (wait.reason() != WaitReason.OTHER_SCHEDULER && wait.reason() != WaitReason.EVICTING_OTHERS) {
 						return;
 					}
 				}
@@ -112,7 +117,7 @@
 		}
 
 		private @Nullable JobWait claim(JobSpecification job, CachedTask task) {
-			Resources size = ClaimPlanner.this.sizes.sizeOf(job);
+			Resources size = ClaimPlanner.this.knowledge.sizes().sizeOf(job);
 			JobWait obstacle = obstacle(job, task, size);
 			if (obstacle != null) {
 				return obstacle;
@@ -120,8 +125,10 @@
 			OptionalInt chosen = ClaimPlanner.this.policy.choose(new PlacementRequest(job, size),
 					this.rooms.snapshots());
 			if (chosen.isEmpty()) {
-				this.refused.add(size);
-				return noRoom(size);
+				return noRoom(job, size);
+			}
+			if (job.urgent()) {
+				this.preemptions.placed(this.rooms.state(chosen.getAsInt()).worker());
 			}
 			this.rooms.take(chosen.getAsInt(), job.name(), size);
 			this.use.add(job, size);
@@ -130,7 +137,7 @@
 		}
 
 		private @Nullable JobWait obstacle(JobSpecification job, CachedTask task, Resources size) {
-			if (ClaimPlanner.this.failures.held(job.name())) {
+			if (ClaimPlanner.this.knowledge.failures().held(job.name())) {
 				return new JobWait(WaitReason.FAILS_EVERYWHERE, "its tasks failed on several workers");
 			}
 			if (!this.use.everAllows(job, size)) {
@@ -143,8 +150,8 @@
 			if (this.rooms.isEmpty()) {
 				return new JobWait(WaitReason.NO_DOMAIN, "no worker takes tasks now");
 			}
-			if (this.refused.stream().anyMatch((other) -> other.fitsInto(size)) || this.claims.size() >= this.limit) {
-				return noRoom(size);
+			if (refusedBefore(size) || this.claims.size() >= this.limit) {
+				return noRoom(job, size);
 			}
 			if (!this.preferred.test(task)) {
 				return new JobWait(WaitReason.OTHER_SCHEDULER, "another scheduler starts it");
@@ -152,7 +159,15 @@
 			return null;
 		}
 
-		private JobWait noRoom(Resources size) {
+		private boolean refusedBefore(Resources size) {
+			return this.refused.stream().anyMatch((other) -> other.fitsInto(size));
+		}
+
+		private JobWait noRoom(JobSpecification job, Resources size) {
+			if (job.urgent() && this.preemptions.hold(job, size)) {
+				return new JobWait(WaitReason.EVICTING_OTHERS, "other tasks are evicted to make room");
+			}
+			this.refused.add(size);
 			if (!this.rooms.largeEnough(size)) {
 				return new JobWait(WaitReason.LARGER_THAN_EVERY_WORKER, "a task needs " + size);
 			}
--- /dev/null
+++ b/src/main/java/org/crocuspost/scheduler/EvictionBudgets.java
@@ -0,0 +1,42 @@
+package org.crocuspost.scheduler;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+import org.crocuspost.interference.EvictionBudget;
+import org.crocuspost.time.Clock;
+
+/**
+ * Bounds the evictions that agents ask for, per worker and for the fleet, so that a wave
+ * of noisy tasks does not become a wave of evictions. Evictions for urgent tasks, for a
+ * failure domain that is out and for a withdrawn job are not bounded.
+ */
+final class EvictionBudgets {
+
+	private static final Duration WORKER_INTERVAL = Duration.ofSeconds(30);
+
+	private static final int WORKER_BURST = 2;
+
+	private static final Duration FLEET_INTERVAL = Duration.ofMillis(500);
+
+	private static final int FLEET_BURST = 20;
+
+	private final Clock clock;
+
+	private final EvictionBudget fleet;
+
+	private final Map<String, EvictionBudget> workers = new HashMap<>();
+
+	EvictionBudgets(Clock clock) {
+		this.clock = clock;
+		this.fleet = new EvictionBudget(clock, FLEET_INTERVAL, FLEET_BURST);
+	}
+
+	boolean take(String worker) {
+		EvictionBudget budget = this.workers.computeIfAbsent(worker,
+				(name) -> new EvictionBudget(this.clock, WORKER_INTERVAL, WORKER_BURST));
+		return budget.take() && this.fleet.take();
+	}
+
+}
--- a/src/main/java/org/crocuspost/scheduler/FailureTracker.java
+++ b/src/main/java/org/crocuspost/scheduler/FailureTracker.java
@@ -34,6 +34,10 @@
 
 	private static final Duration HOLD = Duration.ofMinutes(5);
 
+	private static final Duration FIRST_RETRY_DELAY = Duration.ofSeconds(2);
+
+	private static final int MOST_DOUBLINGS = 5;
+
 	private final Clock clock;
 
 	private final Map<String, Set<String>> jobsByWorker = new HashMap<>();
@@ -44,6 +48,8 @@
 
 	private final Map<String, Stopwatch> holds = new HashMap<>();
 
+	private final Map<String, Delay> delays = new HashMap<>();
+
 	FailureTracker(Clock clock) {
 		this.clock = clock;
 	}
@@ -53,6 +59,7 @@
 	 * @param task the row before the transition
 	 */
 	synchronized void succeeded(TaskRecord task) {
+		this.delays.remove(task.taskId());
 		this.jobsByWorker.remove(task.worker());
 		this.workersByJob.remove(task.job());
 		this.probations.remove(task.worker());
@@ -66,6 +73,9 @@
 	 * blame
 	 */
 	synchronized boolean failed(TaskRecord task) {
+		int doublings = Math.min(task.failures(), MOST_DOUBLINGS);
+		this.delays.put(task.taskId(),
+				new Delay(Stopwatch.start(this.clock), FIRST_RETRY_DELAY.multipliedBy(1L << doublings)));
 		Set<String> jobs = this.jobsByWorker.computeIfAbsent(task.worker(), (worker) -> new HashSet<>());
 		jobs.add(task.job());
 		if (jobs.size() >= JOBS_BEFORE_PROBATION) {
@@ -84,6 +94,24 @@
 		return true;
 	}
 
+	/**
+	 * Says whether a failed task waits before it is tried again. The delay doubles with
+	 * each failure.
+	 * @param taskId the identity of the task
+	 * @return true if it waits
+	 */
+	synchronized boolean delayed(String taskId) {
+		Delay delay = this.delays.get(taskId);
+		if (delay == null) {
+			return false;
+		}
+		if (!active(delay.start(), delay.length())) {
+			this.delays.remove(taskId);
+			return false;
+		}
+		return true;
+	}
+
 	synchronized boolean onProbation(String worker) {
 		return active(this.probations.get(worker), PROBATION);
 	}
@@ -96,4 +124,7 @@
 		return start != null && start.observerElapsed().compareTo(length) < 0;
 	}
 
+	private record Delay(Stopwatch start, Duration length) {
+	}
+
 }
--- /dev/null
+++ b/src/main/java/org/crocuspost/scheduler/Knowledge.java
@@ -0,0 +1,18 @@
+package org.crocuspost.scheduler;
+
+import org.crocuspost.time.Clock;
+
+/**
+ * What the scheduler has learned since it started. Lost when the process ends.
+ *
+ * @param sizes the sizes of jobs
+ * @param runTimes the run times of jobs
+ * @param failures the failures of workers and jobs
+ */
+record Knowledge(LearnedSizes sizes, LearnedRunTimes runTimes, FailureTracker failures) {
+
+	static Knowledge none(Clock clock) {
+		return new Knowledge(new LearnedSizes(), new LearnedRunTimes(clock), new FailureTracker(clock));
+	}
+
+}
--- a/src/main/java/org/crocuspost/scheduler/LearnedSizes.java
+++ b/src/main/java/org/crocuspost/scheduler/LearnedSizes.java
@@ -16,14 +16,14 @@
  */
 final class LearnedSizes {
 
-	private static final int MEASUREMENTS_TO_GROW = 1;
-
 	private static final int MEASUREMENTS_TO_SHRINK = 30;
 
 	private static final double PROCESSOR_PERCENTILE = 95;
 
 	private static final double HEADROOM = 1.25;
 
+	private static final double TOLERANCE = 1.02;
+
 	private static final int SIGNIFICANT_DIGITS = 2;
 
 	private final Map<String, Use> uses = new HashMap<>();
@@ -55,18 +55,18 @@
 		}
 
 		private Resources apply(Resources declared) {
-			long processor = Math.round(this.milliCores.getValueAtPercentile(PROCESSOR_PERCENTILE) * HEADROOM);
-			long largest = Math.round(this.memory.getMaxValue() * HEADROOM);
+			long processor = this.milliCores.getValueAtPercentile(PROCESSOR_PERCENTILE);
 			return new Resources(bounded(declared.milliCores(), processor),
-					bounded(declared.memoryMebibytes(), largest), declared.accelerators());
+					bounded(declared.memoryMebibytes(), this.memory.getMaxValue()), declared.accelerators());
 		}
 
-		private long bounded(long declared, long learned) {
-			long measurements = this.memory.getTotalCount();
-			if (learned > declared) {
-				return (measurements >= MEASUREMENTS_TO_GROW) ? learned : declared;
+		private long bounded(long declared, long used) {
+			long learned = Math.max(1, Math.round(used * HEADROOM));
+			if (used > declared * TOLERANCE) {
+				return learned;
 			}
-			return (measurements >= MEASUREMENTS_TO_SHRINK) ? Math.max(1, learned) : declared;
+			boolean evidence = this.memory.getTotalCount() >= MEASUREMENTS_TO_SHRINK;
+			return evidence ? Math.min(declared, learned) : declared;
 		}
 
 	}
--- a/src/main/java/org/crocuspost/scheduler/PendingTasks.java
+++ b/src/main/java/org/crocuspost/scheduler/PendingTasks.java
@@ -19,14 +19,18 @@
 
 	private final TaskTable table;
 
+	private final FailureTracker failures;
+
 	private final Map<String, Integer> cursors = new HashMap<>();
 
-	PendingTasks(TaskTable table) {
+	PendingTasks(TaskTable table, FailureTracker failures) {
 		this.table = table;
+		this.failures = failures;
 	}
 
 	/**
-	 * Lists waiting tasks, those that have run before first.
+	 * Lists waiting tasks, those that have run before first. Leaves out tasks that failed
+	 * a short time ago.
 	 * @param job the job
 	 * @param configurationVersion the version of the configuration that declares the job
 	 * @param limit the most tasks to list
@@ -38,7 +42,9 @@
 			if (found.size() == limit) {
 				return found;
 			}
-			found.add(task);
+			if (!this.failures.delayed(task.record().taskId())) {
+				found.add(task);
+			}
 		}
 		for (int index = cursor(job); index < job.count() && found.size() < limit; index++) {
 			String taskId = TaskIds.of(job.name(), index);
--- a/src/main/java/org/crocuspost/scheduler/SchedulingRound.java
+++ b/src/main/java/org/crocuspost/scheduler/SchedulingRound.java
@@ -64,9 +64,9 @@
 
 	private final CommandSender commands;
 
-	private final FailureTracker failures;
+	private final Knowledge knowledge;
 
-	private final LearnedSizes sizes;
+	private final DomainRamp ramp;
 
 	private final PendingTasks pending;
 
@@ -98,11 +98,12 @@
 		this.tasks = tasks;
 		this.answers = answers;
 		this.commands = new CommandSender(clock, settings, workers);
-		this.failures = new FailureTracker(clock);
-		this.sizes = new LearnedSizes();
-		this.pending = new PendingTasks(tasks);
-		this.reconciler = new TaskReconciler(settings, workers, permissions, this.commands, this.failures, this.sizes);
-		this.planner = new ClaimPlanner(policy, this.pending, this.sizes, this.failures);
+		this.knowledge = Knowledge.none(clock);
+		this.ramp = new DomainRamp(clock);
+		this.pending = new PendingTasks(tasks, this.knowledge.failures());
+		this.reconciler = new TaskReconciler(settings, workers, permissions, this.commands, this.knowledge,
+				new EvictionBudgets(clock));
+		this.planner = new ClaimPlanner(policy, this.pending, this.knowledge, new PreemptionPlanner(clock));
 		this.lastScan = Stopwatch.start(clock);
 	}
 
@@ -110,6 +111,10 @@
 		return this.waits;
 	}
 
+	Knowledge knowledge() {
+		return this.knowledge;
+	}
+
 	void run() {
 		Either<Failure, Seq<Row>> shards = this.table.scan(TableKeys.SHARDS);
 		if (shards.isLeft()) {
@@ -243,6 +248,7 @@
 	}
 
 	private void claim(List<ShardToken> tokens, RoundConfiguration configuration) {
+		this.ramp.observe(configuration.configuration().domainsOut());
 		WorkerRooms rooms = new WorkerRooms();
 		TeamUse use = new TeamUse(configuration.configuration());
 		this.settings.domains()
@@ -258,7 +264,7 @@
 		ClaimPlan plan = this.planner.plan(configuration.configuration(), rooms, use,
 				(task) -> preferred(task.record().taskId(), preference), this.settings.limits().rowsPerTransaction());
 		this.waits = Map.copyOf(plan.waits());
-		tokens.forEach((token) -> commitClaims(token, plan.claims(), configuration));
+		tokens.forEach((token) -> commitPlan(token, plan, configuration));
 	}
 
 	private void addRooms(ShardToken token, WorkerRooms rooms) {
@@ -266,9 +272,9 @@
 		for (CachedTask task : this.tasks.activeIn(token.domain())) {
 			rows.computeIfAbsent(task.record().worker(), (worker) -> new ArrayList<>()).add(task);
 		}
-		for (WorkerState worker : this.workers.in(token.domain())) {
+		for (WorkerState worker : this.ramp.admitted(token.domain(), this.workers.in(token.domain()))) {
 			boolean takesTasks = this.workers.live(worker) && !worker.domainOut() && worker.epoch() == token.epoch()
-					&& !this.failures.onProbation(worker.worker());
+					&& !this.knowledge.failures().onProbation(worker.worker());
 			if (takesTasks) {
 				rooms.add(worker, rows.getOrDefault(worker.worker(), List.of()));
 			}
@@ -284,11 +290,18 @@
 		return since.observerElapsed().compareTo(this.settings.times().foreignTasks()) >= 0;
 	}
 
-	private void commitClaims(ShardToken token, List<Claim> claims, RoundConfiguration configuration) {
-		List<TaskChange> changes = claims.stream()
+	private void commitPlan(ShardToken token, ClaimPlan plan, RoundConfiguration configuration) {
+		List<TaskChange> changes = new ArrayList<>();
+		plan.claims()
+			.stream()
 			.filter((claim) -> claim.worker().domain().equals(token.domain()))
 			.map((claim) -> change(token, claim))
-			.toList();
+			.forEach(changes::add);
+		plan.evictions()
+			.stream()
+			.filter((task) -> task.record().domain().equals(token.domain()))
+			.map(SchedulingRound::preemption)
+			.forEach(changes::add);
 		if (!changes.isEmpty()) {
 			commit(token, changes, configuration.claimConditions(token.domain()));
 		}
@@ -301,6 +314,11 @@
 		return TaskChange.of(claim.task(), row).thenStart(claim.worker());
 	}
 
+	private static TaskChange preemption(CachedTask task) {
+		TaskRecord row = task.record().apply(TaskTransition.EVICT, "", "an urgent task needs the room");
+		return TaskChange.of(task, row).then(TaskCommand.Kind.KIND_CHECKPOINT_AND_STOP);
+	}
+
 	private boolean commit(ShardToken token, List<TaskChange> changes, List<Transaction.Condition> conditions) {
 		Either<Failure, List<TaskChange>> committed = this.tasks.commit(token, changes, conditions);
 		if (committed.isRight()) {
@@ -326,6 +344,9 @@
 		if (change.command() == TaskCommand.Kind.KIND_UNSPECIFIED) {
 			return;
 		}
+		if (change.command() == TaskCommand.Kind.KIND_START) {
+			this.knowledge.runTimes().started(change.after().attemptKey());
+		}
 		WorkerState worker = (change.startOn() != null) ? change.startOn()
 				: this.workers.find(change.after().worker()).getOrNull();
 		if (worker != null) {
--- a/src/main/java/org/crocuspost/scheduler/TaskReconciler.java
+++ b/src/main/java/org/crocuspost/scheduler/TaskReconciler.java
@@ -27,18 +27,18 @@
 
 	private final CommandSender commands;
 
-	private final FailureTracker failures;
+	private final Knowledge knowledge;
 
-	private final LearnedSizes sizes;
+	private final EvictionBudgets budgets;
 
 	TaskReconciler(SchedulerSettings settings, WorkerDirectory workers, RenewalPermissions permissions,
-			CommandSender commands, FailureTracker failures, LearnedSizes sizes) {
+			CommandSender commands, Knowledge knowledge, EvictionBudgets budgets) {
 		this.settings = settings;
 		this.workers = workers;
 		this.permissions = permissions;
 		this.commands = commands;
-		this.failures = failures;
-		this.sizes = sizes;
+		this.knowledge = knowledge;
+		this.budgets = budgets;
 	}
 
 	/**
@@ -75,10 +75,14 @@
 
 	private TaskChange ended(CachedTask task, AttemptReport report) {
 		TaskRecord row = task.record();
-		this.sizes.measured(row.job(), WireResources.fromWire(report.getUsed()));
+		this.knowledge.sizes().measured(row.job(), WireResources.fromWire(report.getUsed()));
+		if (report.getPhase() != AttemptReport.Phase.PHASE_SUCCEEDED) {
+			this.knowledge.runTimes().stopped(row.attemptKey());
+		}
 		return switch (report.getPhase()) {
 			case PHASE_SUCCEEDED -> {
-				this.failures.succeeded(row);
+				this.knowledge.failures().succeeded(row);
+				this.knowledge.runTimes().succeeded(row.attemptKey(), row.job());
 				yield TaskChange.of(task, row.apply(TaskTransition.SUCCEED, report.getCheckpoint(), ""));
 			}
 			case PHASE_FAILED -> failed(task, report);
@@ -102,7 +106,7 @@
 		if (row.status() == TaskStatus.CANCELLING) {
 			return TaskChange.of(task, row.apply(TaskTransition.CONFIRM_CANCELLED, "", report.getMessage()));
 		}
-		if (!this.failures.failed(row)) {
+		if (!this.knowledge.failures().failed(row)) {
 			return TaskChange.of(task, row.apply(TaskTransition.RETRY, report.getCheckpoint(), report.getMessage()));
 		}
 		boolean last = row.failures() + 1 >= this.settings.limits().failuresPerTask();
@@ -153,10 +157,10 @@
 		return Option.none();
 	}
 
-	private static Option<TaskChange> leaving(CachedTask task, AttemptReport report, RoundConfiguration configuration) {
+	private Option<TaskChange> leaving(CachedTask task, AttemptReport report, RoundConfiguration configuration) {
 		TaskRecord row = task.record();
 		boolean out = configuration.configuration().domainsOut().contains(row.domain());
-		if (out || report.getEvictRequested()) {
+		if (out || (report.getEvictRequested() && this.budgets.take(row.worker()))) {
 			String reason = out ? "failure domain " + row.domain() + " is out" : "the agent asked for the eviction";
 			return Option.of(TaskChange.of(task, row.apply(TaskTransition.EVICT, report.getCheckpoint(), reason))
 				.then(TaskCommand.Kind.KIND_CHECKPOINT_AND_STOP));
--- a/src/main/java/org/crocuspost/scheduler/WorkerDirectory.java
+++ b/src/main/java/org/crocuspost/scheduler/WorkerDirectory.java
@@ -62,6 +62,10 @@
 		return this.workers.values().stream().filter((state) -> state.domain().equals(domain)).toList();
 	}
 
+	List<WorkerState> all() {
+		return List.copyOf(this.workers.values());
+	}
+
 	boolean live(WorkerState state) {
 		return state.peer().open() && state.received().observerElapsed().compareTo(this.live) < 0;
 	}
@@ -70,12 +74,4 @@
 		return in(domain).stream().filter(this::live).mapToLong((state) -> state.capacity().milliCores()).sum();
 	}
 
-	/**
-	 * Removes a worker whose tasks have all lapsed.
-	 * @param state the state that was judged
-	 */
-	void remove(WorkerState state) {
-		this.workers.remove(state.worker(), state);
-	}
-
 }
--- a/src/main/java/org/crocuspost/scheduler/WorkerRooms.java
+++ b/src/main/java/org/crocuspost/scheduler/WorkerRooms.java
@@ -23,9 +23,15 @@
 
 	private final List<WorkerSnapshot> snapshots = new ArrayList<>();
 
-	void add(WorkerState worker, List<CachedTask> rows) {
+	private final List<List<CachedTask>> rows = new ArrayList<>();
+
+	private final Map<String, Integer> indexes = new HashMap<>();
+
+	void add(WorkerState worker, List<CachedTask> workerRows) {
+		this.indexes.put(worker.worker(), this.states.size());
 		this.states.add(worker);
-		this.snapshots.add(snapshot(worker, rows));
+		this.rows.add(workerRows);
+		this.snapshots.add(snapshot(worker, workerRows));
 	}
 
 	private static WorkerSnapshot snapshot(WorkerState worker, List<CachedTask> rows) {
@@ -70,6 +76,27 @@
 		this.snapshots.set(index, this.snapshots.get(index).with(job, resources));
 	}
 
+	List<CachedTask> rows(int index) {
+		return this.rows.get(index);
+	}
+
+	int index(String worker) {
+		return this.indexes.getOrDefault(worker, -1);
+	}
+
+	/**
+	 * Keeps room for an urgent task from all that are placed later.
+	 * @param worker the worker
+	 * @param resources the room, some of which may still be in use
+	 */
+	void reserve(String worker, Resources resources) {
+		int index = index(worker);
+		WorkerSnapshot snapshot = this.snapshots.get(index);
+		this.snapshots.set(index,
+				new WorkerSnapshot(snapshot.worker(), snapshot.rack(), snapshot.domain(), snapshot.capacity(),
+						snapshot.free().minus(resources), snapshot.servicePressure(), snapshot.tasksByJob()));
+	}
+
 	boolean largeEnough(Resources resources) {
 		return this.states.stream()
 			.anyMatch((state) -> resources.fitsInto(state.capacity().minus(state.serviceReserve())));
--- a/src/main/java/org/crocuspost/worker/TaskAgent.java
+++ b/src/main/java/org/crocuspost/worker/TaskAgent.java
@@ -60,6 +60,8 @@
 
 	private final WorkerRuntime runtime;
 
+	private final ReportContributor contributor;
+
 	private final ReportLog reports;
 
 	private final RenewalGrant grant;
@@ -79,15 +81,17 @@
 	 * @param settings the settings
 	 * @param conditions what the agent knows about its worker
 	 * @param runtime the worker runtime
+	 * @param contributor adds to each report
 	 * @param clock the clock
 	 * @param timer runs all work of the agent, one action at a time
 	 */
-	public TaskAgent(TaskAgentSettings settings, WorkerConditions conditions, WorkerRuntime runtime, Clock clock,
-			Timer timer) {
+	public TaskAgent(TaskAgentSettings settings, WorkerConditions conditions, WorkerRuntime runtime,
+			ReportContributor contributor, Clock clock, Timer timer) {
 		this.settings = settings;
 		this.conditions = conditions;
 		this.timer = timer;
 		this.runtime = runtime;
+		this.contributor = contributor;
 		this.registry = new AttemptRegistry(runtime, clock);
 		this.reports = new ReportLog(clock);
 		this.grant = new RenewalGrant(clock);
@@ -234,6 +238,7 @@
 			.setServicePressure(this.conditions.servicePressure())
 			.setEpoch(this.acknowledgedEpoch);
 		this.registry.all().forEach((attempt) -> report.addAttempts(attempt.report()));
+		this.contributor.complete(report);
 		Frame frame = Frame.newBuilder().setWorkerReport(report).build();
 		peer.call(frame, this.settings.times().callTimeout())
 			.thenAccept((answer) -> this.timer.schedule(Duration.ZERO, () -> answered(sent, answer)));
