--- a/src/main/java/org/crocuspost/worker/TaskAgent.java
+++ b/src/main/java/org/crocuspost/worker/TaskAgent.java
@@ -76,6 +76,20 @@
 
 	private @Nullable Cancellable heartbeat;
 
+	/**
+	 * Creates the agent without contributors to its reports. It does nothing until it is
+	 * started.
+	 * @param settings the settings
+	 * @param conditions what the agent knows about its worker
+	 * @param runtime the worker runtime
+	 * @param clock the clock
+	 * @param timer runs all work of the agent, one action at a time
+	 */
+	public TaskAgent(TaskAgentSettings settings, WorkerConditions conditions, WorkerRuntime runtime, Clock clock,
+			Timer timer) {
+		this(settings, conditions, runtime, ReportContributor.NONE, clock, timer);
+	}
+
 	/**
 	 * Creates the agent. It does nothing until it is started.
 	 * @param settings the settings
