--- a/src/main/java/org/crocuspost/placement/DefaultPlacementPolicy.java
+++ b/src/main/java/org/crocuspost/placement/DefaultPlacementPolicy.java
@@ -77,7 +77,7 @@
 		double pressure = worker.servicePressure() / PRESSURE_UNIT;
 		double cost = LOAD_WEIGHT * (1 - processorLeft);
 		cost += IMBALANCE_WEIGHT * Math.abs(processorLeft - memoryLeft);
-		cost += PENALTY_WEIGHT * (pressure + this.penalty.cost(request, worker));
+		cost += PENALTY_WEIGHT * (pressure + this.penalty.cost(request.job().name(), worker));
 		cost += SPREAD_WEIGHT * share(tasksByRack.getOrDefault(worker.rack(), 0), request.job().count());
 		cost += blocksAccelerator ? ACCELERATOR_WEIGHT : 0;
 		return cost;
--- a/src/main/java/org/crocuspost/placement/PairPenalty.java
+++ b/src/main/java/org/crocuspost/placement/PairPenalty.java
@@ -9,14 +9,14 @@
 	/**
 	 * Penalty that is zero for every pair.
 	 */
-	PairPenalty NONE = (request, worker) -> 0;
+	PairPenalty NONE = (job, worker) -> 0;
 
 	/**
 	 * Returns the expected harm. Positive infinity forbids the pair.
-	 * @param request the task
+	 * @param job the name of the job
 	 * @param worker the worker
 	 * @return the harm, at least 0 for none
 	 */
-	double cost(PlacementRequest request, WorkerSnapshot worker);
+	double cost(String job, WorkerSnapshot worker);
 
 }
--- a/src/main/java/org/crocuspost/scheduler/ClaimPlanner.java
+++ b/src/main/java/org/crocuspost/scheduler/ClaimPlanner.java
@@ -150,7 +150,10 @@
 			if (this.rooms.isEmpty()) {
 				return new JobWait(WaitReason.NO_DOMAIN, "no worker takes tasks now");
 			}
-			if (refusedBefore(size) || this.claims.size() >= this.limit) {
+			if (this.claims.size() >= this.limit) {
+				return new JobWait(WaitReason.NO_ROOM, "other tasks are started first");
+			}
+			if (refusedBefore(size)) {
 				return noRoom(job, size);
 			}
 			if (!this.preferred.test(task)) {
@@ -164,6 +167,9 @@
 		}
 
 		private JobWait noRoom(JobSpecification job, Resources size) {
+			if (this.rooms.fits(size)) {
+				return new JobWait(WaitReason.WOULD_DISTURB_SERVICES, "the workers with room run services that suffer");
+			}
 			if (job.urgent() && this.preemptions.hold(job, size)) {
 				return new JobWait(WaitReason.EVICTING_OTHERS, "other tasks are evicted to make room");
 			}
--- a/src/main/java/org/crocuspost/scheduler/WaitReason.java
+++ b/src/main/java/org/crocuspost/scheduler/WaitReason.java
@@ -15,6 +15,11 @@
 	 */
 	LARGER_THAN_EVERY_WORKER,
 
+	/**
+	 * The workers with room run services that the job would disturb too much.
+	 */
+	WOULD_DISTURB_SERVICES,
+
 	/**
 	 * The quota of the team is used up.
 	 */
--- a/src/main/java/org/crocuspost/scheduler/WorkerRooms.java
+++ b/src/main/java/org/crocuspost/scheduler/WorkerRooms.java
@@ -97,6 +97,10 @@
 						snapshot.free().minus(resources), snapshot.servicePressure(), snapshot.tasksByJob()));
 	}
 
+	boolean fits(Resources resources) {
+		return this.snapshots.stream().anyMatch((snapshot) -> resources.fitsInto(snapshot.free()));
+	}
+
 	boolean largeEnough(Resources resources) {
 		return this.states.stream()
 			.anyMatch((state) -> resources.fitsInto(state.capacity().minus(state.serviceReserve())));
