--- a/src/main/java/org/crocuspost/scheduler/SchedulerSettings.java
+++ b/src/main/java/org/crocuspost/scheduler/SchedulerSettings.java
@@ -89,13 +89,14 @@
 	 *
 	 * @param rowsPerTransaction the most rows that one transaction writes
 	 * @param failuresPerTask how many attempts of a task may fail before it is given up
+	 * @param confirmationsPerRound the most confirmed starts that a round writes
 	 */
-	public record Limits(int rowsPerTransaction, int failuresPerTask) {
+	public record Limits(int rowsPerTransaction, int failuresPerTask, int confirmationsPerRound) {
 
 		/**
 		 * Bounds for production.
 		 */
-		public static final Limits DEFAULT = new Limits(250, 5);
+		public static final Limits DEFAULT = new Limits(250, 5, 1);
 
 	}
 
--- a/src/main/java/org/crocuspost/scheduler/SchedulingRound.java
+++ b/src/main/java/org/crocuspost/scheduler/SchedulingRound.java
@@ -132,6 +132,7 @@
 			return;
 		}
 		RoundConfiguration configuration = read.get();
+		this.reconciler.beginRound();
 		tokens.forEach((token) -> reconcile(token, configuration));
 		if (configuration.current()) {
 			claim(tokens, configuration);
--- a/src/main/java/org/crocuspost/scheduler/TaskReconciler.java
+++ b/src/main/java/org/crocuspost/scheduler/TaskReconciler.java
@@ -31,6 +31,8 @@
 
 	private final EvictionBudgets budgets;
 
+	private int confirmations;
+
 	TaskReconciler(SchedulerSettings settings, WorkerDirectory workers, RenewalPermissions permissions,
 			CommandSender commands, Knowledge knowledge, EvictionBudgets budgets) {
 		this.settings = settings;
@@ -41,6 +43,14 @@
 		this.budgets = budgets;
 	}
 
+	/**
+	 * Begins a round. Confirmed starts are shown to operators but nothing depends on
+	 * them, so a round writes only a few.
+	 */
+	void beginRound() {
+		this.confirmations = this.settings.limits().confirmationsPerRound();
+	}
+
 	/**
 	 * Works out the changes of a failure domain.
 	 * @param token the proof of the lease
@@ -165,7 +175,16 @@
 			return Option.of(TaskChange.of(task, row.apply(TaskTransition.EVICT, report.getCheckpoint(), reason))
 				.then(TaskCommand.Kind.KIND_CHECKPOINT_AND_STOP));
 		}
-		return Option.none();
+		return confirmed(task, report);
+	}
+
+	private Option<TaskChange> confirmed(CachedTask task, AttemptReport report) {
+		if (task.record().status() != TaskStatus.CLAIMED || this.confirmations == 0) {
+			return Option.none();
+		}
+		this.confirmations--;
+		return Option
+			.of(TaskChange.of(task, task.record().apply(TaskTransition.CONFIRM_START, report.getCheckpoint(), "")));
 	}
 
 	private static Option<TaskChange> withdrawn(CachedTask task, RoundConfiguration configuration) {
--- a/src/main/java/org/crocuspost/worker/TaskAgent.java
+++ b/src/main/java/org/crocuspost/worker/TaskAgent.java
@@ -48,6 +48,11 @@
  */
 public final class TaskAgent implements PeerListener, RunningAttempts {
 
+	/**
+	 * Time between checkpoints once the permission to renew is about to end.
+	 */
+	private static final Duration LAST_CHECKPOINT_INTERVAL = Duration.ofSeconds(5);
+
 	private final TaskAgentSettings settings;
 
 	private final WorkerConditions conditions;
@@ -193,6 +198,9 @@
 		if (!remaining.isZero()) {
 			this.registry.renew((remaining.compareTo(lease) < 0) ? remaining : lease);
 		}
+		if (remaining.compareTo(lease) < 0) {
+			this.registry.checkpointDue(LAST_CHECKPOINT_INTERVAL);
+		}
 	}
 
 	private void requestEvictionIfOverfull() {
