--- a/src/main/java/org/crocuspost/worker/TaskAgent.java
+++ b/src/main/java/org/crocuspost/worker/TaskAgent.java
@@ -48,6 +48,11 @@
  */
 public final class TaskAgent implements PeerListener, RunningAttempts {
 
+	/**
+	 * Time between checkpoints once the permission to renew is about to end.
+	 */
+	private static final Duration LAST_CHECKPOINT_INTERVAL = Duration.ofSeconds(5);
+
 	private final TaskAgentSettings settings;
 
 	private final WorkerConditions conditions;
@@ -60,6 +65,8 @@
 
 	private final WorkerRuntime runtime;
 
+	private final ReportContributor contributor;
+
 	private final ReportLog reports;
 
 	private final RenewalGrant grant;
@@ -75,7 +82,8 @@
 	private @Nullable Cancellable heartbeat;
 
 	/**
-	 * Creates the agent. It does nothing until it is started.
+	 * Creates the agent without contributors to its reports. It does nothing until it is
+	 * started.
 	 * @param settings the settings
 	 * @param conditions what the agent knows about its worker
 	 * @param runtime the worker runtime
@@ -84,10 +92,25 @@
 	 */
 	public TaskAgent(TaskAgentSettings settings, WorkerConditions conditions, WorkerRuntime runtime, Clock clock,
 			Timer timer) {
+		this(settings, conditions, runtime, ReportContributor.NONE, clock, timer);
+	}
+
+	/**
+	 * Creates the agent. It does nothing until it is started.
+	 * @param settings the settings
+	 * @param conditions what the agent knows about its worker
+	 * @param runtime the worker runtime
+	 * @param contributor adds to each report
+	 * @param clock the clock
+	 * @param timer runs all work of the agent, one action at a time
+	 */
+	public TaskAgent(TaskAgentSettings settings, WorkerConditions conditions, WorkerRuntime runtime,
+			ReportContributor contributor, Clock clock, Timer timer) {
 		this.settings = settings;
 		this.conditions = conditions;
 		this.timer = timer;
 		this.runtime = runtime;
+		this.contributor = contributor;
 		this.registry = new AttemptRegistry(runtime, clock);
 		this.reports = new ReportLog(clock);
 		this.grant = new RenewalGrant(clock);
@@ -175,6 +198,9 @@
 		if (!remaining.isZero()) {
 			this.registry.renew((remaining.compareTo(lease) < 0) ? remaining : lease);
 		}
+		if (remaining.compareTo(lease) < 0) {
+			this.registry.checkpointDue(LAST_CHECKPOINT_INTERVAL);
+		}
 	}
 
 	private void requestEvictionIfOverfull() {
@@ -234,6 +260,7 @@
 			.setServicePressure(this.conditions.servicePressure())
 			.setEpoch(this.acknowledgedEpoch);
 		this.registry.all().forEach((attempt) -> report.addAttempts(attempt.report()));
+		this.contributor.complete(report);
 		Frame frame = Frame.newBuilder().setWorkerReport(report).build();
 		peer.call(frame, this.settings.times().callTimeout())
 			.thenAccept((answer) -> this.timer.schedule(Duration.ZERO, () -> answered(sent, answer)));
