--- a/src/main/java/org/crocuspost/daemon/EntryProcess.java
+++ b/src/main/java/org/crocuspost/daemon/EntryProcess.java
@@ -45,10 +45,8 @@
 import org.crocuspost.report.BurnReport;
 import org.crocuspost.report.ServiceLevelListener;
 import org.crocuspost.report.ServiceLevels;
-import org.crocuspost.retry.AttemptSender;
-import org.crocuspost.retry.FateResolver;
 import org.crocuspost.retry.RequestRunner;
-import org.crocuspost.retry.RetryBudget;
+import org.crocuspost.retry.RetrySettings;
 import org.crocuspost.routing.EndpointDirectory;
 import org.crocuspost.routing.ExpectedTimePolicy;
 import org.crocuspost.settings.EntrySettings;
@@ -60,10 +58,6 @@
 
 	private static final Duration CROSS_DOMAIN_COST = Duration.ofMillis(2);
 
-	private static final double RETRY_SHARE = 0.1;
-
-	private static final int RETRY_BURST = 10;
-
 	private final EntrySettings settings;
 
 	private final ProcessContext context;
@@ -164,10 +158,8 @@
 	private CallerServer startCallers() {
 		ExpectedTimePolicy policy = new ExpectedTimePolicy(this.settings.failureDomain(), CROSS_DOMAIN_COST,
 				this.random);
-		AttemptSender sender = new AttemptSender(new FateResolver(this.endpoints, this.context.clock()),
-				this.context.clock());
-		RequestRunner runner = new RequestRunner(this.endpoints, policy, sender,
-				new RetryBudget(RETRY_SHARE, RETRY_BURST), this.context.clock());
+		RequestRunner runner = new RequestRunner(this.endpoints, policy, RetrySettings.DEFAULT, this.context.clock(),
+				this.context.timer());
 		EntrySettings.Limits limits = this.settings.limits();
 		CallerSettings callerSettings = new CallerSettings(this.settings.addresses().callers(),
 				limits.maximumBodyBytes(), this.settings.times().maximumTimeout(), this.settings.times().idleTimeout(),
