Connect the control of interference and the views of batch work

Cause: the agent's control of interference, the scheduler's learned penalties and the views of jobs, tasks and workers existed but nothing joined them. Change: the gate's answer times feed the control, its findings travel with the worker reports, the placement uses what the scheduler learned, and schedulers answer the entries' queries. A task is explained as pending while it runs if the scheduler that does not hold it answers first.

--- a/src/main/java/org/crocuspost/daemon/AgentConditions.java
+++ b/src/main/java/org/crocuspost/daemon/AgentConditions.java
@@ -13,8 +13,11 @@
 
 	private final Resources serviceReserve;
 
-	AgentConditions(ConfigurationReceiver receiver, Resources serviceReserve) {
+	private final AgentInterference interference;
+
+	AgentConditions(ConfigurationReceiver receiver, Resources serviceReserve, AgentInterference interference) {
 		this.receiver = receiver;
+		this.interference = interference;
 		this.serviceReserve = serviceReserve;
 	}
 
@@ -35,7 +38,7 @@
 
 	@Override
 	public int servicePressure() {
-		return 0;
+		return this.interference.pressureThousandths();
 	}
 
 }
--- a/src/main/java/org/crocuspost/daemon/AgentProcess.java
+++ b/src/main/java/org/crocuspost/daemon/AgentProcess.java
@@ -13,6 +13,7 @@
 import org.crocuspost.distribution.ConfigurationReceiver;
 import org.crocuspost.gate.EndpointClient;
 import org.crocuspost.gate.GateSettings;
+import org.crocuspost.gate.MeasuredEndpointClient;
 import org.crocuspost.gate.RatpackEndpointClient;
 import org.crocuspost.gate.RequestGate;
 import org.crocuspost.membership.AgentConnectionSettings;
@@ -31,6 +32,7 @@
 import org.crocuspost.platform.table.TableService;
 import org.crocuspost.platform.worker.WorkerRuntime;
 import org.crocuspost.settings.AgentSettings;
+import org.crocuspost.time.Timer;
 import org.crocuspost.worker.TaskAgent;
 import org.crocuspost.worker.TaskAgentSettings;
 import ratpack.exec.ExecController;
@@ -49,6 +51,8 @@
 
 	private final ConfigurationReceiver receiver;
 
+	private final AgentInterference interference;
+
 	private final RequestGate gate;
 
 	private final TaskAgent tasks;
@@ -75,6 +79,8 @@
 				settings.failureDomain());
 		this.receiver = new ConfigurationReceiver(
 				new AgentEndpoint(settings.endpoint().service(), settings.endpoint().id()), context.clock());
+		this.interference = new AgentInterference(settings.endpoint().service(), settings.worker().capacity(),
+				this.receiver, context.clock());
 		this.gate = startGate(incarnation, context);
 		this.tasks = startTasks(runtime, context);
 		this.receiver.addListener(this::configure);
@@ -116,7 +122,8 @@
 		GateSettings gateSettings = new GateSettings(endpoint.id(), endpoint.service(), endpoint.url(),
 				this.settings.worker().name(), this.settings.rack(), endpoint.slots(), endpoint.connections(),
 				endpoint.queue(), GateSettings.GateLimits.DEFAULT);
-		EndpointClient client = new RatpackEndpointClient(gateSettings, this.http);
+		EndpointClient client = new MeasuredEndpointClient(new RatpackEndpointClient(gateSettings, this.http),
+				context.clock(), this.interference.window()::record);
 		return new RequestGate(gateSettings, incarnation, client, context.clock(), context.timer());
 	}
 
@@ -124,9 +131,12 @@
 		AgentSettings.Worker worker = this.settings.worker();
 		TaskAgentSettings taskSettings = new TaskAgentSettings(worker.name(), this.settings.rack(), worker.capacity(),
 				taskTimes());
-		TaskAgent agent = new TaskAgent(taskSettings, new AgentConditions(this.receiver, worker.reservedForService()),
-				runtime, context.clock(), context.blockingTimer("worker"));
+		Timer timer = context.blockingTimer("worker");
+		TaskAgent agent = new TaskAgent(taskSettings,
+				new AgentConditions(this.receiver, worker.reservedForService(), this.interference), runtime,
+				this.interference, context.clock(), timer);
 		agent.start();
+		this.interference.start(agent, timer);
 		return agent;
 	}
 
@@ -155,6 +165,7 @@
 	public void stop() {
 		this.health.drain();
 		leaveEndpoint();
+		this.interference.stop();
 		this.tasks.stop();
 		this.connections.stop();
 		this.gate.close();
--- a/src/main/java/org/crocuspost/daemon/SchedulerProcess.java
+++ b/src/main/java/org/crocuspost/daemon/SchedulerProcess.java
@@ -11,13 +11,14 @@
 import org.crocuspost.metrics.HealthCheck;
 import org.crocuspost.metrics.MonitoringServer;
 import org.crocuspost.metrics.ProcessMetrics;
+import org.crocuspost.operations.SchedulerBatchViews;
+import org.crocuspost.operations.ViewQueryListener;
 import org.crocuspost.peer.CompositePeerListener;
 import org.crocuspost.peer.DeploymentSecret;
 import org.crocuspost.peer.PeerIdentity;
 import org.crocuspost.peer.PeerServer;
 import org.crocuspost.peer.PeerSettings;
 import org.crocuspost.placement.DefaultPlacementPolicy;
-import org.crocuspost.placement.PairPenalty;
 import org.crocuspost.release.SnapshotStore;
 import org.crocuspost.scheduler.BatchScheduler;
 import org.crocuspost.settings.SchedulerSettings;
@@ -53,11 +54,15 @@
 				settings.failureDomain());
 		this.watcher = new HeadWatcher(stores.table(), new SnapshotStore(stores.objects()), context.clock(),
 				context.timer(), context.blocking(), random);
+		SchedulerInterference interference = new SchedulerInterference(this.watcher, context.clock());
 		this.scheduler = new BatchScheduler(BatchTimes.of(settings), self, stores.table(), this.watcher,
-				new DefaultPlacementPolicy(PairPenalty.NONE), context.clock(), context.blockingTimer("rounds"));
+				new DefaultPlacementPolicy(interference), context.clock(), context.blockingTimer("rounds"));
+		this.scheduler.addReportListener(interference);
 		this.peers = PeerServer.start(settings.addresses().peers(), context.network(),
 				PeerSettings.of(self, new DeploymentSecret(settings.secret().reveal())),
-				new CompositePeerListener(List.of(this.scheduler)), context.timer());
+				new CompositePeerListener(
+						List.of(this.scheduler, new ViewQueryListener(SchedulerBatchViews.of(this.scheduler.view())))),
+				context.timer());
 		this.membership = new ProcessMembership(self, this.peers.address(),
 				() -> ConfirmationSummary.of(this.watcher.current()),
 				ProcessMembership.times(settings.times().memberLease(), settings.times().storePoll()), stores.table(),
--- a/src/main/java/org/crocuspost/scheduler/BatchScheduler.java
+++ b/src/main/java/org/crocuspost/scheduler/BatchScheduler.java
@@ -15,6 +15,7 @@
 import org.crocuspost.time.Clock;
 import org.crocuspost.time.Timer;
 import org.crocuspost.wire.Frame;
+import org.crocuspost.wire.WorkerReportReply;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -120,10 +121,12 @@
 		}
 		this.workers.update(peer, frame.getWorkerReport());
 		this.reportListeners.forEach((listener) -> listener.reported(frame.getWorkerReport()));
+		WorkerReportReply.Builder reply = this.answers.answer(peer, frame.getWorkerReport()).toBuilder();
+		this.reportListeners.forEach((listener) -> listener.answering(frame.getWorkerReport(), reply));
 		peer.send(Frame.newBuilder()
 			.setCorrelation(frame.getCorrelation())
 			.setAnswer(true)
-			.setWorkerReportReply(this.answers.answer(peer, frame.getWorkerReport()))
+			.setWorkerReportReply(reply)
 			.build());
 	}
 
--- a/src/main/java/org/crocuspost/scheduler/WorkerReportListener.java
+++ b/src/main/java/org/crocuspost/scheduler/WorkerReportListener.java
@@ -1,6 +1,7 @@
 package org.crocuspost.scheduler;
 
 import org.crocuspost.wire.WorkerReport;
+import org.crocuspost.wire.WorkerReportReply;
 
 /**
  * Is told of each report of a worker. Called on network threads, so an implementation
@@ -15,4 +16,12 @@
 	 */
 	void reported(WorkerReport report);
 
+	/**
+	 * The scheduler is about to answer a report. By default nothing is added.
+	 * @param report the report
+	 * @param reply the answer, to be completed
+	 */
+	default void answering(WorkerReport report, WorkerReportReply.Builder reply) {
+	}
+
 }
--- a/src/main/java/org/crocuspost/worker/ReportContributor.java
+++ b/src/main/java/org/crocuspost/worker/ReportContributor.java
@@ -1,6 +1,7 @@
 package org.crocuspost.worker;
 
 import org.crocuspost.wire.WorkerReport;
+import org.crocuspost.wire.WorkerReportReply;
 
 /**
  * Adds to each report what another part of the agent knows.
@@ -20,4 +21,11 @@
 	 */
 	void complete(WorkerReport.Builder report);
 
+	/**
+	 * The scheduler has answered a report. Must not block.
+	 * @param reply the answer
+	 */
+	default void answered(WorkerReportReply reply) {
+	}
+
 }
--- a/src/main/java/org/crocuspost/worker/TaskAgent.java
+++ b/src/main/java/org/crocuspost/worker/TaskAgent.java
@@ -278,6 +278,7 @@
 			this.grant.revoke();
 		}
 		this.acknowledgedEpoch = reply.getEpoch();
+		this.contributor.answered(reply);
 		this.grant.extend(sent, Duration.ofMillis(reply.getRenewalBudgetMilliseconds()));
 		for (AttemptIdentity recorded : reply.getRecordedList()) {
 			this.registry.forget(new AttemptKey(recorded.getTaskId(), recorded.getAttempt()));
