Believe the scheduler that knows more of a task

Cause: a task that ran in one failure domain was explained as pending, because a scheduler of another domain learns of it late and answered first; the counts of a job had the same fault. Change: of several answers the one with more progress counts, and a state other than pending goes before pending. Measured: the new test fails on the old merge and passes now. Conclusion: operators see the newest state that any scheduler knows.

--- a/src/main/java/org/crocuspost/operations/RemoteBatchViews.java
+++ b/src/main/java/org/crocuspost/operations/RemoteBatchViews.java
@@ -1,6 +1,7 @@
 package org.crocuspost.operations;
 
 import java.io.IOException;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -19,6 +20,12 @@
  */
 public final class RemoteBatchViews {
 
+	private static final Comparator<JobView> PROGRESS = Comparator
+		.comparingInt((JobView job) -> job.succeeded() + job.failed())
+		.thenComparingInt(JobView::running);
+
+	private static final String PENDING = "pending";
+
 	private final SchedulerQueries queries;
 
 	private RemoteBatchViews(SchedulerQueries queries) {
@@ -39,11 +46,20 @@
 		return merge(ViewQuery.View.VIEW_WORKERS, WorkerView[].class, WorkerView::name, (first, second) -> first);
 	}
 
-	// Every scheduler counts all tasks, but each knows why tasks wait only for its own
-	// failure domains.
 	private Either<Failure, List<JobView>> jobs() {
-		return merge(ViewQuery.View.VIEW_JOBS, JobView[].class, JobView::name,
-				(first, second) -> first.reason().isEmpty() ? second : first);
+		return merge(ViewQuery.View.VIEW_JOBS, JobView[].class, JobView::name, RemoteBatchViews::newer);
+	}
+
+	// Every scheduler counts all tasks, but learns late of those in foreign failure
+	// domains;
+	// so the one that counts more progress is right. Each knows why tasks wait only for
+	// its
+	// own failure domains.
+	private static JobView newer(JobView first, JobView second) {
+		JobView newest = (PROGRESS.compare(first, second) >= 0) ? first : second;
+		String reason = first.reason().isEmpty() ? second.reason() : first.reason();
+		return new JobView(newest.name(), newest.team(), newest.tasks(), newest.pending(), newest.running(),
+				newest.succeeded(), newest.failed(), (newest.pending() > 0) ? reason : "");
 	}
 
 	private Either<Failure, List<TaskView>> tasks() {
@@ -55,7 +71,8 @@
 		return merge(ask(ViewQuery.View.VIEW_EXPLAIN_TASK, id), Explanation.class,
 				(explanation) -> List.of(explanation))
 			.map((explanations) -> explanations.stream()
-				.reduce((first, second) -> (first.reasons().size() >= second.reasons().size()) ? first : second)
+				.max(Comparator.comparing((Explanation explanation) -> explanation.reasons().size())
+					.thenComparing((explanation) -> !explanation.state().equals(PENDING)))
 				.orElseThrow());
 	}
 
--- a/src/test/java/org/crocuspost/operations/RemoteBatchViewsTests.java
+++ b/src/test/java/org/crocuspost/operations/RemoteBatchViewsTests.java
@@ -40,6 +40,14 @@
 		assertThat(this.views.taskExplainer().explain("job/0").get().reasons()).containsExactly("no-room");
 	}
 
+	@Test
+	void schedulerThatKnowsMoreOfTasksIsBelieved() {
+		connect("scheduler-1", knowing(new JobView("job", "team", 2, 0, 1, 1, 0, ""), "running"), true);
+		connect("scheduler-2", knowing(new JobView("job", "team", 2, 2, 0, 0, 0, ""), "pending"), true);
+		assertThat(this.views.jobs().read().get()).containsExactly(new JobView("job", "team", 2, 0, 1, 1, 0, ""));
+		assertThat(this.views.taskExplainer().explain("job/0").get().state()).isEqualTo("running");
+	}
+
 	@Test
 	void schedulerThatDoesNotAnswerIsLeftOut() {
 		connect("scheduler-1", FIRST, false);
@@ -54,6 +62,11 @@
 		assertThat(this.views.workers().read().getLeft().code()).isEqualTo(ErrorCode.CONNECTION_LOST);
 	}
 
+	private static BatchViews knowing(JobView job, String state) {
+		return new BatchViews(View.empty(), () -> Either.right(List.of(job)), View.empty(),
+				(id) -> Either.right(new Explanation(id, state, List.of())));
+	}
+
 	private void connect(String name, BatchViews remote, boolean answering) {
 		this.queries.connected(new CallingPeer(name, new ViewQueryListener(remote), answering));
 	}
