--- a/src/main/java/org/crocuspost/placement/PairPenalty.java
+++ b/src/main/java/org/crocuspost/placement/PairPenalty.java
@@ -12,10 +12,10 @@
 	PairPenalty NONE = (job, worker) -> 0;
 
 	/**
-	 * Returns the expected harm.
+	 * Returns the expected harm. Positive infinity forbids the pair.
 	 * @param job the name of the job
 	 * @param worker the worker
-	 * @return the harm, from 0 for none to 1 for a service that misses its objective
+	 * @return the harm, at least 0 for none
 	 */
 	double cost(String job, WorkerSnapshot worker);
 
