--- a/src/main/java/org/crocuspost/scheduler/ClaimPlanner.java
+++ b/src/main/java/org/crocuspost/scheduler/ClaimPlanner.java
@@ -67,6 +67,16 @@
 		return new ClaimPlan(round.claims, preemptions.victims(), round.waits);
 	}
 
+	/**
+	 * Says whether any task waits.
+	 * @param configuration the configuration in force
+	 * @return true if one does
+	 */
+	boolean anyWaiting(Configuration configuration) {
+		return inOrder(configuration).stream()
+			.anyMatch((job) -> !this.pending.of(job, configuration.version(), 1).isEmpty());
+	}
+
 	private List<JobSpecification> inOrder(Configuration configuration) {
 		if (configuration.version() != this.orderedVersion) {
 			this.ordered = configuration.jobs().values().stream().sorted(ORDER).toList();
--- a/src/main/java/org/crocuspost/scheduler/SchedulingRound.java
+++ b/src/main/java/org/crocuspost/scheduler/SchedulingRound.java
@@ -250,6 +250,10 @@
 
 	private void claim(List<ShardToken> tokens, RoundConfiguration configuration) {
 		this.ramp.observe(configuration.configuration().domainsOut());
+		if (!this.planner.anyWaiting(configuration.configuration())) {
+			this.waits = Map.of();
+			return;
+		}
 		WorkerRooms rooms = new WorkerRooms();
 		TeamUse use = new TeamUse(configuration.configuration());
 		this.settings.domains()
--- a/src/main/java/org/crocuspost/standin/worker/WorkerStandIn.java
+++ b/src/main/java/org/crocuspost/standin/worker/WorkerStandIn.java
@@ -181,11 +181,11 @@
 		if (this.faults.silent()) {
 			return unavailable();
 		}
-		settle();
 		Run run = this.runs.get(attempt);
 		if (run == null) {
 			return Either.left(ErrorCode.NOT_FOUND.with("attempt " + attempt));
 		}
+		run.settle(now());
 		action.accept(run);
 		return answer(run.state());
 	}
