--- a/src/main/java/org/crocuspost/bench/batch/BatchBenchmark.java
+++ b/src/main/java/org/crocuspost/bench/batch/BatchBenchmark.java
@@ -72,9 +72,7 @@
 		}
 	}
 
-	/**
-	 * Declares jobs with 63 tasks a second and counts the table's calls.
-	 */
+	// Declares jobs with 63 tasks a second and counts the table's calls.
 	private void starts(Duration length) {
 		Duration runTime = Duration.ofSeconds(100);
 		BatchDeployment deployment = deployment(WORKERS, runTime, new DefaultPlacementPolicy(PairPenalty.NONE));
