Allow scheduling by declared sizes as a baseline

Processor time is set aside with a tenth more than the 95th percentile of use instead of a quarter; memory keeps a quarter above the largest use.

--- a/src/main/java/org/crocuspost/bench/batch/BatchBenchmark.java
+++ b/src/main/java/org/crocuspost/bench/batch/BatchBenchmark.java
@@ -20,6 +20,7 @@
 import org.crocuspost.placement.WorkerSnapshot;
 import org.crocuspost.platform.worker.Resources;
 import org.crocuspost.platform.worker.TaskState.Phase;
+import org.crocuspost.scheduler.SchedulerSettings;
 import org.crocuspost.standin.StoreCounts;
 import org.crocuspost.standin.worker.RunRecord;
 import org.crocuspost.standin.worker.TaskBehavior;
@@ -196,14 +197,19 @@
 	 * with the capacity that remained, beside first fit on declared sizes.
 	 */
 	private void domain() {
-		domain("default", new DefaultPlacementPolicy(PairPenalty.NONE));
-		domain("first fit", new FirstFitPlacementPolicy());
+		SchedulerSettings learned = SchedulerSettings.defaults(DOMAINS);
+		PlacementPolicy policy = new DefaultPlacementPolicy(PairPenalty.NONE);
+		domain("sizes right, default", learned, policy, TASK);
+		domain("sizes right, first fit", learned.withDeclaredSizes(), new FirstFitPlacementPolicy(), TASK);
+		domain("declared twice the size, default", learned, policy, URGENT_TASK);
+		domain("declared twice the size, first fit", learned.withDeclaredSizes(), new FirstFitPlacementPolicy(),
+				URGENT_TASK);
 	}
 
-	private void domain(String name, PlacementPolicy policy) {
+	private void domain(String name, SchedulerSettings settings, PlacementPolicy policy, Resources declared) {
 		int workers = 210;
-		BatchDeployment deployment = deployment(workers, Duration.ofSeconds(90), policy);
-		deployment.configuration().declare(job("work", 500_000, TASK, false));
+		BatchDeployment deployment = deployment(settings, workers, Duration.ofSeconds(90), policy);
+		deployment.configuration().declare(job("work", 500_000, declared, false));
 		deployment.advance(Duration.ofMinutes(3));
 		Instant start = deployment.time().instant();
 		double before = work(deployment);
@@ -230,7 +236,12 @@
 	}
 
 	private static BatchDeployment deployment(int workers, Duration runTime, PlacementPolicy policy) {
-		BatchDeployment deployment = new BatchDeployment(DOMAINS,
+		return deployment(SchedulerSettings.defaults(DOMAINS), workers, runTime, policy);
+	}
+
+	private static BatchDeployment deployment(SchedulerSettings settings, int workers, Duration runTime,
+			PlacementPolicy policy) {
+		BatchDeployment deployment = new BatchDeployment(settings,
 				(start) -> new TaskBehavior(runTime, new Resources(2000, 4000, 0), false), policy);
 		for (int index = 0; index < DOMAINS.size(); index++) {
 			int count = workers / DOMAINS.size() + ((index < workers % DOMAINS.size()) ? 1 : 0);
--- a/src/main/java/org/crocuspost/bench/batch/BatchDeployment.java
+++ b/src/main/java/org/crocuspost/bench/batch/BatchDeployment.java
@@ -46,6 +46,8 @@
 
 	private final PlacementPolicy policy;
 
+	private final SchedulerSettings settings;
+
 	private final Map<String, VirtualScheduler> schedulers = new LinkedHashMap<>();
 
 	private final Map<String, VirtualWorker> workers = new LinkedHashMap<>();
@@ -61,7 +63,18 @@
 	 * @param policy chooses workers
 	 */
 	public BatchDeployment(List<String> domains, TaskBehaviors behaviors, PlacementPolicy policy) {
-		this.domains = List.copyOf(domains);
+		this(SchedulerSettings.defaults(domains), behaviors, policy);
+	}
+
+	/**
+	 * Creates a deployment without workers and schedulers.
+	 * @param settings the settings of schedulers
+	 * @param behaviors what tasks truly do
+	 * @param policy chooses workers
+	 */
+	public BatchDeployment(SchedulerSettings settings, TaskBehaviors behaviors, PlacementPolicy policy) {
+		this.domains = settings.domains();
+		this.settings = settings;
 		this.behaviors = behaviors;
 		this.policy = policy;
 	}
@@ -101,8 +114,8 @@
 		PeerIdentity identity = new PeerIdentity(PeerIdentity.Role.SCHEDULER, name,
 				name + "-" + this.schedulersStarted++, this.domains.get(0));
 		VirtualProcess process = new VirtualProcess(this.time);
-		BatchScheduler scheduler = new BatchScheduler(SchedulerSettings.defaults(this.domains), identity, this.table,
-				this.configuration, this.policy, this.time, process);
+		BatchScheduler scheduler = new BatchScheduler(this.settings, identity, this.table, this.configuration,
+				this.policy, this.time, process);
 		VirtualScheduler virtual = new VirtualScheduler(identity, process, scheduler);
 		this.schedulers.put(name, virtual);
 		scheduler.start();
--- a/src/main/java/org/crocuspost/scheduler/Knowledge.java
+++ b/src/main/java/org/crocuspost/scheduler/Knowledge.java
@@ -11,8 +11,8 @@
  */
 record Knowledge(LearnedSizes sizes, LearnedRunTimes runTimes, FailureTracker failures) {
 
-	static Knowledge none(Clock clock) {
-		return new Knowledge(new LearnedSizes(), new LearnedRunTimes(clock), new FailureTracker(clock));
+	static Knowledge none(Clock clock, boolean learnSizes) {
+		return new Knowledge(new LearnedSizes(learnSizes), new LearnedRunTimes(clock), new FailureTracker(clock));
 	}
 
 }
--- a/src/main/java/org/crocuspost/scheduler/LearnedSizes.java
+++ b/src/main/java/org/crocuspost/scheduler/LearnedSizes.java
@@ -20,16 +20,24 @@
 
 	private static final double PROCESSOR_PERCENTILE = 95;
 
-	private static final double HEADROOM = 1.25;
+	private static final double PROCESSOR_HEADROOM = 1.1;
+
+	private static final double MEMORY_HEADROOM = 1.25;
 
 	private static final double TOLERANCE = 1.02;
 
 	private static final int SIGNIFICANT_DIGITS = 2;
 
+	private final boolean enabled;
+
 	private final Map<String, Use> uses = new HashMap<>();
 
+	LearnedSizes(boolean enabled) {
+		this.enabled = enabled;
+	}
+
 	synchronized void measured(String job, Resources used) {
-		if (used.memoryMebibytes() > 0 || used.milliCores() > 0) {
+		if (this.enabled && (used.memoryMebibytes() > 0 || used.milliCores() > 0)) {
 			this.uses.computeIfAbsent(job, (name) -> new Use()).add(used);
 		}
 	}
@@ -56,12 +64,13 @@
 
 		private Resources apply(Resources declared) {
 			long processor = this.milliCores.getValueAtPercentile(PROCESSOR_PERCENTILE);
-			return new Resources(bounded(declared.milliCores(), processor),
-					bounded(declared.memoryMebibytes(), this.memory.getMaxValue()), declared.accelerators());
+			return new Resources(bounded(declared.milliCores(), processor, PROCESSOR_HEADROOM),
+					bounded(declared.memoryMebibytes(), this.memory.getMaxValue(), MEMORY_HEADROOM),
+					declared.accelerators());
 		}
 
-		private long bounded(long declared, long used) {
-			long learned = Math.max(1, Math.round(used * HEADROOM));
+		private long bounded(long declared, long used, double headroom) {
+			long learned = Math.max(1, Math.round(used * headroom));
 			if (used > declared * TOLERANCE) {
 				return learned;
 			}
--- a/src/main/java/org/crocuspost/scheduler/SchedulerSettings.java
+++ b/src/main/java/org/crocuspost/scheduler/SchedulerSettings.java
@@ -13,9 +13,11 @@
  * @param times the times of rounds and commands
  * @param permission the times of the permission to renew task leases
  * @param limits the bounds on what one round does
+ * @param learnSizes whether the resources that are set aside follow the use; otherwise
+ * they are those that jobs declare
  */
 public record SchedulerSettings(List<String> domains, ShardLeaseSettings shardLease, Times times, Permission permission,
-		Limits limits) {
+		Limits limits, boolean learnSizes) {
 
 	public SchedulerSettings {
 		domains = List.copyOf(domains);
@@ -28,7 +30,15 @@
 	 */
 	public static SchedulerSettings defaults(List<String> domains) {
 		return new SchedulerSettings(domains, ShardLeaseSettings.DEFAULT, Times.DEFAULT, Permission.DEFAULT,
-				Limits.DEFAULT);
+				Limits.DEFAULT, true);
+	}
+
+	/**
+	 * Returns the same settings without learned sizes. Baseline for measurements.
+	 * @return the settings
+	 */
+	public SchedulerSettings withDeclaredSizes() {
+		return new SchedulerSettings(this.domains, this.shardLease, this.times, this.permission, this.limits, false);
 	}
 
 	/**
--- a/src/main/java/org/crocuspost/scheduler/SchedulingRound.java
+++ b/src/main/java/org/crocuspost/scheduler/SchedulingRound.java
@@ -98,7 +98,7 @@
 		this.tasks = tasks;
 		this.answers = answers;
 		this.commands = new CommandSender(clock, settings, workers);
-		this.knowledge = Knowledge.none(clock);
+		this.knowledge = Knowledge.none(clock, settings.learnSizes());
 		this.ramp = new DomainRamp(clock);
 		this.pending = new PendingTasks(tasks, this.knowledge.failures());
 		this.reconciler = new TaskReconciler(settings, workers, permissions, this.commands, this.knowledge,
