--- a/src/main/java/org/crocuspost/scheduler/SchedulerSettings.java
+++ b/src/main/java/org/crocuspost/scheduler/SchedulerSettings.java
@@ -23,6 +23,19 @@
 		domains = List.copyOf(domains);
 	}
 
+	/**
+	 * Creates settings with learned sizes.
+	 * @param domains the failure domains of the deployment
+	 * @param shardLease the times of the scheduling leases
+	 * @param times the times of rounds and commands
+	 * @param permission the times of the permission to renew task leases
+	 * @param limits the bounds on what one round does
+	 */
+	public SchedulerSettings(List<String> domains, ShardLeaseSettings shardLease, Times times, Permission permission,
+			Limits limits) {
+		this(domains, shardLease, times, permission, limits, true);
+	}
+
 	/**
 	 * Returns settings with defaults.
 	 * @param domains the failure domains of the deployment
