Let batch work use the latency room of a service up to a set share

Batch work may slow a service down by more than the tolerated 8% as long as the tail stays below 0.4 of the objective. Workers without service cost more, so that harmless jobs leave them to noisy ones.

--- a/src/main/java/org/crocuspost/interference/InterferenceController.java
+++ b/src/main/java/org/crocuspost/interference/InterferenceController.java
@@ -196,13 +196,27 @@
 			double effect = this.model.effect(attempt.job()).upperBound(caution);
 			candidates.add(new ThrottlePlanner.Candidate(share(attempt), effect));
 		}
-		double limit = Math.log(this.settings.toleratedSlowdown()) * this.allowance;
+		double limit = limit(candidates, running) * this.allowance;
 		int[] planned = this.planner.plan(candidates, limit);
 		for (int i = 0; i < planned.length; i++) {
 			setThrottle(running.get(i).key(), planned[i]);
 		}
 	}
 
+	private double limit(List<ThrottlePlanner.Candidate> candidates, List<ControlledAttempt> running) {
+		double tolerated = Math.log(this.settings.toleratedSlowdown());
+		if (this.pressure <= 0) {
+			return tolerated;
+		}
+		double caused = 0;
+		for (int i = 0; i < running.size(); i++) {
+			ThrottlePlanner.Candidate candidate = candidates.get(i);
+			caused += candidate.exposure() * candidate.effect() * percent(running.get(i).key()) / 100;
+		}
+		double room = Math.log(this.settings.relaxedPressure() / this.pressure) + caused;
+		return Math.max(tolerated, room);
+	}
+
 	private void setThrottle(AttemptKey attempt, int planned) {
 		int present = percent(attempt);
 		int next = Math.min(planned, present + this.settings.recoveryPercent());
--- a/src/main/java/org/crocuspost/interference/InterferenceSettings.java
+++ b/src/main/java/org/crocuspost/interference/InterferenceSettings.java
@@ -10,6 +10,8 @@
  * example 1.1
  * @param highPressure the tail latency relative to the objective from which batch work
  * must yield
+ * @param relaxedPressure the tail latency relative to the objective up to which batch
+ * work may slow the service down by more than tolerated
  * @param leastPercent the least processor share of an attempt
  * @param recoveryPercent the most by which a share rises in one interval
  * @param evictionPatience how long an attempt stays at the least share before its
@@ -17,14 +19,15 @@
  * @param evictionInterval the mean time between two evictions that one worker may request
  * @param evictionBurst the number of evictions that one worker may request at once
  */
-public record InterferenceSettings(Duration interval, double toleratedSlowdown, double highPressure, int leastPercent,
-		int recoveryPercent, Duration evictionPatience, Duration evictionInterval, int evictionBurst) {
+public record InterferenceSettings(Duration interval, double toleratedSlowdown, double highPressure,
+		double relaxedPressure, int leastPercent, int recoveryPercent, Duration evictionPatience,
+		Duration evictionInterval, int evictionBurst) {
 
 	/**
 	 * Settings for a first deployment.
 	 */
-	public static final InterferenceSettings DEFAULT = new InterferenceSettings(Duration.ofSeconds(1), 1.08, 0.9, 5, 10,
-			Duration.ofSeconds(180), Duration.ofMinutes(10), 1);
+	public static final InterferenceSettings DEFAULT = new InterferenceSettings(Duration.ofSeconds(1), 1.08, 0.9, 0.4,
+			5, 10, Duration.ofSeconds(180), Duration.ofMinutes(10), 1);
 
 	public InterferenceSettings {
 		if (toleratedSlowdown <= 1) {
--- a/src/main/java/org/crocuspost/interference/LearnedPairPenalty.java
+++ b/src/main/java/org/crocuspost/interference/LearnedPairPenalty.java
@@ -22,7 +22,7 @@
 
 	private static final double PRESSURE_UNIT = 1000;
 
-	private static final double COST_WITHOUT_SERVICE = 0.1;
+	private static final double COST_WITHOUT_SERVICE = 0.2;
 
 	private static final double MOST_EXPECTED_SLOWDOWN = 0.15;
 
