Keep sums of what the fleet knows of a pair

Each look-up went through the observations of all workers, and a placement looks up every job on every worker.

--- a/src/main/java/org/crocuspost/bench/capacity/SlopeMeasurement.java
+++ b/src/main/java/org/crocuspost/bench/capacity/SlopeMeasurement.java
@@ -15,7 +15,9 @@
 import org.crocuspost.interference.EffectPriors;
 import org.crocuspost.interference.InterferenceController;
 import org.crocuspost.interference.InterferenceSettings;
+import org.crocuspost.interference.JobEffect;
 import org.crocuspost.interference.LearnedPairPenalty;
+import org.crocuspost.interference.PairObservation;
 import org.crocuspost.interference.PairPenalties;
 import org.crocuspost.interference.PairPenaltySettings;
 import org.crocuspost.interference.ServiceLatencyWindow;
@@ -108,6 +110,9 @@
 				new LearnedPairPenalty(penalties, (worker) -> Optional.of("lunchwallet"), (job) -> TASK.milliCores()));
 		List<WorkerSnapshot> snapshots = new ArrayList<>();
 		for (int i = 0; i < workers; i++) {
+			for (String job : List.of("job-1", "job-2")) {
+				penalties.observe("worker-" + i, new PairObservation("lunchwallet", job, new JobEffect(0.05, 0.1)));
+			}
 			snapshots.add(new WorkerSnapshot("worker-" + i, "rack-" + i / 20, "domain", CAPACITY, CAPACITY, 300,
 					Map.of("job-1", 4, "job-2", 4)));
 		}
--- a/src/main/java/org/crocuspost/interference/PairPenalties.java
+++ b/src/main/java/org/crocuspost/interference/PairPenalties.java
@@ -32,7 +32,7 @@
 
 	private final Clock clock;
 
-	private final Map<Pair, Map<String, Observed>> observed = new HashMap<>();
+	private final Map<Pair, PairEvidence> evidence = new HashMap<>();
 
 	/**
 	 * Creates penalties without knowledge.
@@ -51,8 +51,8 @@
 	 */
 	public void observe(String worker, PairObservation observation) {
 		Pair pair = new Pair(observation.service(), observation.job());
-		this.observed.computeIfAbsent(pair, (key) -> new HashMap<>())
-			.put(worker, new Observed(bounded(observation.effect()), this.clock.nanoTime()));
+		this.evidence.computeIfAbsent(pair, (key) -> new PairEvidence(this.settings.halfLife()))
+			.observe(worker, observation.effect(), this.clock.nanoTime());
 	}
 
 	/**
@@ -62,15 +62,8 @@
 	 * @return the effect of the job on the service
 	 */
 	public JobEffect effect(String service, String job) {
-		double precision = JobEffect.UNKNOWN.precision();
-		double sum = precision * JobEffect.UNKNOWN.mean();
-		Map<String, Observed> workers = this.observed.getOrDefault(new Pair(service, job), Map.of());
-		for (Observed observation : workers.values()) {
-			double freshness = freshness(observation);
-			precision += freshness * (observation.effect().precision() - JobEffect.UNKNOWN.precision());
-			sum += freshness * observation.effect().precision() * observation.effect().mean();
-		}
-		return new JobEffect(sum / precision, 1 / Math.sqrt(precision));
+		PairEvidence known = this.evidence.get(new Pair(service, job));
+		return (known != null) ? known.effect(this.clock.nanoTime()) : JobEffect.UNKNOWN;
 	}
 
 	/**
@@ -98,32 +91,15 @@
 	 */
 	public void expire() {
 		long oldest = this.clock.nanoTime() - this.settings.halfLife().multipliedBy(MOST_HALF_LIVES).toNanos();
-		this.observed.values().forEach((workers) -> workers.values().removeIf((entry) -> entry.nanos() < oldest));
-		this.observed.values().removeIf(Map::isEmpty);
+		this.evidence.values().removeIf((known) -> known.expire(oldest));
 	}
 
 	private long exploring(String service, String job) {
-		long oldest = this.clock.nanoTime() - EXPLORATION_MEMORY.toNanos();
-		return this.observed.getOrDefault(new Pair(service, job), Map.of())
-			.values()
-			.stream()
-			.filter((entry) -> entry.nanos() >= oldest)
-			.count();
-	}
-
-	private static JobEffect bounded(JobEffect effect) {
-		return new JobEffect(effect.mean(), Math.min(effect.standardError(), JobEffect.UNKNOWN.standardError()));
-	}
-
-	private double freshness(Observed observation) {
-		double age = (double) (this.clock.nanoTime() - observation.nanos()) / this.settings.halfLife().toNanos();
-		return Math.pow(0.5, age);
+		PairEvidence known = this.evidence.get(new Pair(service, job));
+		return (known != null) ? known.observedSince(this.clock.nanoTime() - EXPLORATION_MEMORY.toNanos()) : 0;
 	}
 
 	private record Pair(String service, String job) {
 	}
 
-	private record Observed(JobEffect effect, long nanos) {
-	}
-
 }
