--- a/src/main/java/org/crocuspost/scheduler/SchedulerSettings.java
+++ b/src/main/java/org/crocuspost/scheduler/SchedulerSettings.java
@@ -13,14 +13,29 @@
  * @param times the times of rounds and commands
  * @param permission the times of the permission to renew task leases
  * @param limits the bounds on what one round does
+ * @param learnSizes whether the resources that are set aside follow the use; otherwise
+ * they are those that jobs declare
  */
 public record SchedulerSettings(List<String> domains, ShardLeaseSettings shardLease, Times times, Permission permission,
-		Limits limits) {
+		Limits limits, boolean learnSizes) {
 
 	public SchedulerSettings {
 		domains = List.copyOf(domains);
 	}
 
+	/**
+	 * Creates settings with learned sizes.
+	 * @param domains the failure domains of the deployment
+	 * @param shardLease the times of the scheduling leases
+	 * @param times the times of rounds and commands
+	 * @param permission the times of the permission to renew task leases
+	 * @param limits the bounds on what one round does
+	 */
+	public SchedulerSettings(List<String> domains, ShardLeaseSettings shardLease, Times times, Permission permission,
+			Limits limits) {
+		this(domains, shardLease, times, permission, limits, true);
+	}
+
 	/**
 	 * Returns settings with defaults.
 	 * @param domains the failure domains of the deployment
@@ -28,7 +43,15 @@
 	 */
 	public static SchedulerSettings defaults(List<String> domains) {
 		return new SchedulerSettings(domains, ShardLeaseSettings.DEFAULT, Times.DEFAULT, Permission.DEFAULT,
-				Limits.DEFAULT);
+				Limits.DEFAULT, true);
+	}
+
+	/**
+	 * Returns the same settings without learned sizes. Baseline for measurements.
+	 * @return the settings
+	 */
+	public SchedulerSettings withDeclaredSizes() {
+		return new SchedulerSettings(this.domains, this.shardLease, this.times, this.permission, this.limits, false);
 	}
 
 	/**
--- a/src/main/java/org/crocuspost/scheduler/SchedulingRound.java
+++ b/src/main/java/org/crocuspost/scheduler/SchedulingRound.java
@@ -98,7 +98,7 @@
 		this.tasks = tasks;
 		this.answers = answers;
 		this.commands = new CommandSender(clock, settings, workers);
-		this.knowledge = Knowledge.none(clock);
+		this.knowledge = Knowledge.none(clock, settings.learnSizes());
 		this.ramp = new DomainRamp(clock);
 		this.pending = new PendingTasks(tasks, this.knowledge.failures());
 		this.reconciler = new TaskReconciler(settings, workers, permissions, this.commands, this.knowledge,
@@ -250,6 +250,10 @@
 
 	private void claim(List<ShardToken> tokens, RoundConfiguration configuration) {
 		this.ramp.observe(configuration.configuration().domainsOut());
+		if (!this.planner.anyWaiting(configuration.configuration())) {
+			this.waits = Map.of();
+			return;
+		}
 		WorkerRooms rooms = new WorkerRooms();
 		TeamUse use = new TeamUse(configuration.configuration());
 		this.settings.domains()
