--- a/src/main/java/org/crocuspost/cli/ConnectionOptions.java
+++ b/src/main/java/org/crocuspost/cli/ConnectionOptions.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.URI;
+import java.net.URISyntaxException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -57,7 +58,7 @@
 		if (entries.isEmpty()) {
 			for (String server : environment.getOrDefault(SERVER_VARIABLE, "").split(",")) {
 				if (!server.isBlank()) {
-					entries.add(URI.create(server.strip()));
+					entries.add(parse(server.strip()));
 				}
 			}
 		}
@@ -71,6 +72,16 @@
 			.map((token) -> new OperatorSettings(entries, token, Duration.ofSeconds(Math.max(1, this.timeoutSeconds))));
 	}
 
+	// An address that cannot be read has no host and is refused like any other.
+	private static URI parse(String server) {
+		try {
+			return new URI(server);
+		}
+		catch (URISyntaxException ex) {
+			return URI.create("");
+		}
+	}
+
 	private Either<String, Secret> token(Map<String, String> environment) {
 		if (this.tokenFile == null) {
 			String token = environment.get(TOKEN_VARIABLE);
--- a/src/test/java/org/crocuspost/cli/OperatorMainTests.java
+++ b/src/test/java/org/crocuspost/cli/OperatorMainTests.java
@@ -265,6 +265,13 @@
 		assertThat(run(arguments.split(" "))).isEqualTo(ExitCode.USAGE.code());
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "http://", "ftp://127.0.0.1:1", "127.0.0.1:1", "http://a b" })
+	void wrongAddressEndsWithTwo(String address) {
+		this.servers = address;
+		assertThat(run("status")).isEqualTo(ExitCode.USAGE.code());
+	}
+
 	@ParameterizedTest
 	@ValueSource(strings = { "--help", "--version", "generate-completion", "note --help" })
 	void helpNeedsNoEntry(String arguments) {
