Submit the first note in crocuspost-local and serve the service metrics

Cause: crocuspost-local served no service until an operator submitted a note; the alert rules had no data; an agent with four entry connections sends more than 5 KB/s by the capacity page; a build in a used tree kept old libraries. Change: crocuspost-local submits the note of its deployment before it is ready; entries register the metrics of service levels and configuration; agents keep three entry connections unless told otherwise; a launch script's build starts with an empty library folder.

--- a/bin/launch.sh
+++ b/bin/launch.sh
@@ -23,6 +23,7 @@
 	flock 8
 	if ! up_to_date; then
 		echo "building crocuspost, which happens once" >&2
+		rm -rf "$home/target/lib"
 		(cd "$home" && mvn -B -ntp -q -DskipTests package) >&2
 		touch "$home"/target/crocuspost-*.jar
 	fi
--- a/src/main/java/org/crocuspost/daemon/EntryProcess.java
+++ b/src/main/java/org/crocuspost/daemon/EntryProcess.java
@@ -10,6 +10,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.vavr.control.Either;
 import org.crocuspost.configuration.ConfigurationSource;
+import org.crocuspost.distribution.ConfigurationMetrics;
 import org.crocuspost.distribution.ConfigurationPublisher;
 import org.crocuspost.distribution.HeadWatcher;
 import org.crocuspost.entry.CallerServer;
@@ -40,10 +41,12 @@
 import org.crocuspost.peer.PeerSettings;
 import org.crocuspost.platform.table.TableService;
 import org.crocuspost.release.NoteAcceptance;
+import org.crocuspost.release.NoteOutcome;
 import org.crocuspost.release.NoteRules;
 import org.crocuspost.release.SnapshotStore;
 import org.crocuspost.report.BurnReport;
 import org.crocuspost.report.ServiceLevelListener;
+import org.crocuspost.report.ServiceLevelMetrics;
 import org.crocuspost.report.ServiceLevels;
 import org.crocuspost.retry.RequestRunner;
 import org.crocuspost.retry.RetrySettings;
@@ -74,6 +77,10 @@
 
 	private final ConfigurationPublisher publisher;
 
+	private final NoteRules rules;
+
+	private final NoteAcceptance acceptance;
+
 	private final MemberDirectory members;
 
 	private final EndpointDirectory endpoints;
@@ -86,6 +93,8 @@
 
 	private final ServiceLevels serviceLevels;
 
+	private final PrometheusRegistry registry = new PrometheusRegistry();
+
 	private final PeerServer peers;
 
 	private final ProcessMembership membership;
@@ -117,6 +126,8 @@
 		this.watcher = new HeadWatcher(this.table, this.snapshots, context.clock(), context.timer(), context.blocking(),
 				random);
 		this.publisher = new ConfigurationPublisher(this.watcher, context.clock(), context.timer());
+		this.rules = new NoteRules(Set.copyOf(settings.failureDomains()));
+		this.acceptance = new NoteAcceptance(this.table, this.snapshots, this.rules, context.clock(), this.watcher);
 		this.members = new MemberDirectory(membershipTimes(), this.table, context.clock(),
 				context.blockingTimer("members"));
 		this.endpoints = new EndpointDirectory(this.watcher, context.clock(), context.timer());
@@ -169,14 +180,13 @@
 	}
 
 	private RequestListener requestListener() {
-		return new CompositeRequestListener(List.of(new ServiceLevelListener(this.serviceLevels), this.requestLog));
+		ServiceLevelMetrics metrics = new ServiceLevelMetrics(this.watcher, this.registry);
+		return new CompositeRequestListener(List.of(new ServiceLevelListener(this.serviceLevels),
+				new ServiceLevelListener(metrics), this.requestLog));
 	}
 
 	private OperationsServer startOperations() {
-		NoteRules rules = new NoteRules(Set.copyOf(this.settings.failureDomains()));
-		NoteAcceptance acceptance = new NoteAcceptance(this.table, this.snapshots, rules, this.context.clock(),
-				this.watcher);
-		NoteOperations notes = new NoteOperations(acceptance, this.table, this.snapshots, this.watcher, rules,
+		NoteOperations notes = new NoteOperations(this.acceptance, this.table, this.snapshots, this.watcher, this.rules,
 				this.members);
 		OperationsViews views = OperationsViews.EMPTY.withEndpoints(new EndpointViews(this.endpoints, this.watcher))
 			.withBatch(RemoteBatchViews.of(this.queries))
@@ -190,9 +200,9 @@
 	}
 
 	private MonitoringServer startMonitoring() {
-		PrometheusRegistry registry = new PrometheusRegistry();
-		ProcessMetrics.register(registry);
-		return MonitoringServer.start(this.settings.addresses().monitoring(), registry, this.health);
+		ProcessMetrics.register(this.registry);
+		ConfigurationMetrics.register(this.publisher::summary, this.registry);
+		return MonitoringServer.start(this.settings.addresses().monitoring(), this.registry, this.health);
 	}
 
 	private void startControl() {
@@ -243,6 +253,15 @@
 		return this.watcher;
 	}
 
+	/**
+	 * Submits a release note. Blocks.
+	 * @param text the JSON text with comments
+	 * @return what became of the note
+	 */
+	public NoteOutcome submit(String text) {
+		return this.acceptance.submit(text);
+	}
+
 	/**
 	 * Returns the service-level burn as this entry has counted it.
 	 * @return a report for each service
--- a/src/main/java/org/crocuspost/local/LocalMain.java
+++ b/src/main/java/org/crocuspost/local/LocalMain.java
@@ -9,6 +9,7 @@
 import org.crocuspost.daemon.BuildVersion;
 import org.crocuspost.daemon.DaemonCommand;
 import org.crocuspost.daemon.EntryProcess;
+import org.crocuspost.release.NoteOutcome;
 import org.crocuspost.settings.DeploymentSettings;
 import org.crocuspost.settings.SettingsFaults;
 import org.crocuspost.settings.SettingsFile;
@@ -59,31 +60,45 @@
 			System.out.println(file + ": no faults");
 			return CommandLine.ExitCode.OK;
 		}
-		LocalDeployment deployment = new LocalDeployment(settings.get());
-		EntryProcess entry = deployment.entries().get(0);
-		DaemonCommand.logReady(DaemonCommand.address("callers", entry.callerAddress()),
-				DaemonCommand.address("operators", entry.operatorAddress()));
-		return this.tour ? takeTour(deployment, settings.get()) : serve(deployment);
-	}
-
-	private static int serve(LocalDeployment deployment) {
-		DaemonCommand.runUntilTerminated(deployment);
-		return CommandLine.ExitCode.OK;
-	}
-
-	private int takeTour(LocalDeployment deployment, DeploymentSettings settings) {
-		Path note = java.util.Objects.requireNonNull(this.directory).resolve(settings.note());
+		Path note = file.resolveSibling(settings.get().note());
 		try {
-			TourReport report = new Tour(deployment, Files.readString(note)).take();
-			deployment.stop();
-			System.out.print(report.text());
-			return report.passed() ? CommandLine.ExitCode.OK : CommandLine.ExitCode.SOFTWARE;
+			return run(settings.get(), Files.readString(note));
 		}
 		catch (IOException ex) {
 			System.err.println(note + " cannot be read");
+			return DaemonCommand.EXIT_INVALID_INPUT;
+		}
+	}
+
+	private int run(DeploymentSettings settings, String firstNote) {
+		LocalDeployment deployment = new LocalDeployment(settings);
+		return this.tour ? takeTour(deployment, firstNote) : serve(deployment, firstNote);
+	}
+
+	private static int serve(LocalDeployment deployment, String firstNote) {
+		EntryProcess entry = deployment.entries().get(0);
+		NoteOutcome outcome = entry.submit(firstNote);
+		if (!(outcome instanceof NoteOutcome.Accepted)) {
+			System.err.println("the first release note was not accepted: " + outcome);
 			deployment.stop();
 			return DaemonCommand.EXIT_INVALID_INPUT;
 		}
+		logReady(entry);
+		DaemonCommand.runUntilTerminated(deployment);
+		return CommandLine.ExitCode.OK;
+	}
+
+	private static int takeTour(LocalDeployment deployment, String firstNote) {
+		logReady(deployment.entries().get(0));
+		TourReport report = new Tour(deployment, firstNote).take();
+		deployment.stop();
+		System.out.print(report.text());
+		return report.passed() ? CommandLine.ExitCode.OK : CommandLine.ExitCode.SOFTWARE;
+	}
+
+	private static void logReady(EntryProcess entry) {
+		DaemonCommand.logReady(DaemonCommand.address("callers", entry.callerAddress()),
+				DaemonCommand.address("operators", entry.operatorAddress()));
 	}
 
 }
--- a/src/main/java/org/crocuspost/settings/AgentSettings.java
+++ b/src/main/java/org/crocuspost/settings/AgentSettings.java
@@ -28,7 +28,7 @@
 	/**
 	 * The most entries to which an agent connects unless the settings say otherwise.
 	 */
-	public static final int DEFAULT_ENTRY_CONNECTIONS = 4;
+	public static final int DEFAULT_ENTRY_CONNECTIONS = 3;
 
 	public AgentSettings {
 		Objects.requireNonNull(name, "name");
