--- a/src/main/java/org/crocuspost/entry/CallerHandler.java
+++ b/src/main/java/org/crocuspost/entry/CallerHandler.java
@@ -15,6 +15,8 @@
 import org.crocuspost.http.ForwardedHeaders;
 import org.crocuspost.http.HttpCall;
 import org.crocuspost.http.RequestHeaders;
+import org.crocuspost.log.EventLog;
+import org.crocuspost.log.Field;
 import org.crocuspost.retry.RequestOutcome;
 import org.crocuspost.retry.RequestRunner;
 import org.crocuspost.retry.RoutedRequest;
@@ -58,6 +60,7 @@
 	@Override
 	public void handle(Context context) {
 		Arrival arrival = new Arrival(context, this.ids.next(), this.clock.nanoTime());
+		context.getRequest().add(new RequestIdentity(arrival.requestId()));
 		this.inFlight.begin();
 		context.onClose((outcome) -> this.inFlight.end());
 		if (this.inFlight.draining()) {
@@ -136,6 +139,10 @@
 
 	private void finish(Arrival arrival, String service, RequestOutcome outcome) {
 		CallerAnswers.write(arrival.context().getResponse(), arrival.requestId(), outcome);
+		if (outcome instanceof RequestOutcome.MayHaveRun uncertain) {
+			EventLog.warn(EntryEvent.REQUEST_UNCERTAIN, Field.of("requestId", arrival.requestId()),
+					Field.of("service", service), Field.of("code", uncertain.failure().code().code()));
+		}
 		Duration latency = Duration.ofNanos(this.clock.nanoTime() - arrival.nanos());
 		this.listener.requestEnded(arrival.requestId(), service, outcome, latency);
 	}
--- a/src/main/java/org/crocuspost/entry/CallerServer.java
+++ b/src/main/java/org/crocuspost/entry/CallerServer.java
@@ -8,6 +8,7 @@
 import org.crocuspost.retry.RequestRunner;
 import org.crocuspost.time.Clock;
 import org.crocuspost.time.Timer;
+import ratpack.error.ServerErrorHandler;
 import ratpack.server.RatpackServer;
 
 /**
@@ -49,16 +50,16 @@
 		CallerHandler handler = new CallerHandler(settings, configurations, runner, new RequestIds(incarnation),
 				inFlight, listener, clock);
 		try {
-			RatpackServer server = RatpackServer.start(
-					(spec) -> spec
-						.serverConfig((config) -> config.address(settings.address().getAddress())
-							.port(settings.address().getPort())
-							.threads(settings.threads())
-							.maxContentLength(settings.maximumBodyBytes())
-							.idleTimeout(settings.idleTimeout())
-							.registerShutdownHook(false)
-							.development(false))
-						.handlers((chain) -> chain.all(handler)));
+			RatpackServer server = RatpackServer.start((spec) -> spec
+				.serverConfig((config) -> config.address(settings.address().getAddress())
+					.port(settings.address().getPort())
+					.threads(settings.threads())
+					.maxContentLength(settings.maximumBodyBytes())
+					.idleTimeout(settings.idleTimeout())
+					.registerShutdownHook(false)
+					.development(false))
+				.registryOf((registry) -> registry.add(ServerErrorHandler.class, new FaultHandler()))
+				.handlers((chain) -> chain.all(handler)));
 			InetSocketAddress bound = new InetSocketAddress(settings.address().getAddress(), server.getBindPort());
 			return new CallerServer(server, bound, inFlight);
 		}
--- a/src/main/java/org/crocuspost/peer/PeerChannelHandler.java
+++ b/src/main/java/org/crocuspost/peer/PeerChannelHandler.java
@@ -1,10 +1,12 @@
 package org.crocuspost.peer;
 
+import java.io.IOException;
 import java.security.SecureRandom;
 
 import com.google.protobuf.ByteString;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
 import org.crocuspost.time.Cancellable;
@@ -190,7 +192,11 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-		if (!(cause instanceof java.io.IOException)) {
+		if (cause instanceof DecoderException) {
+			reject(context);
+			return;
+		}
+		if (!(cause instanceof IOException)) {
 			EventLog.error(cause, PeerEvent.PEER_LISTENER_FAILED,
 					Field.of("address", context.channel().remoteAddress()));
 		}
--- a/src/main/java/org/crocuspost/peer/PeerEvent.java
+++ b/src/main/java/org/crocuspost/peer/PeerEvent.java
@@ -23,7 +23,8 @@
 	PEER_SILENT,
 
 	/**
-	 * The other end did not prove in time that it knows the secret.
+	 * The other end did not prove in time that it knows the secret, or sent what is no
+	 * frame.
 	 */
 	PEER_REJECTED,
 
