Let the reported load of other entries fade between reports

Cause: an entry with nothing outstanding hears only heartbeats, so a report of full queues made it refuse requests for up to a second although the endpoint had room again. Change: the part of the load that belongs to other entries halves every 200 ms without news. The agent stays the authority on its slots.

--- a/src/main/java/org/crocuspost/routing/RoutedEndpoint.java
+++ b/src/main/java/org/crocuspost/routing/RoutedEndpoint.java
@@ -19,6 +19,8 @@
 
 	private static final Duration HALF_LIFE = Duration.ofSeconds(5);
 
+	private static final Duration OTHERS_HALF_LIFE = Duration.ofMillis(200);
+
 	private static final int LOWEST_PRIORITY = 9;
 
 	private static final double LEAST_SUCCESS = 0.1;
@@ -125,11 +127,15 @@
 	}
 
 	/**
-	 * Returns the estimated number of requests that run or wait at the endpoint.
+	 * Returns the estimated number of requests that run or wait at the endpoint. The part
+	 * of other entries fades between two reports: an entry that has nothing outstanding
+	 * hears nothing but heartbeats, and would otherwise refuse its requests for as long
+	 * although the others' are done.
 	 * @return the number
 	 */
 	public synchronized int load() {
-		return this.outstanding + this.othersLoad;
+		double age = this.clock.nanoTime() - this.observedAt;
+		return this.outstanding + (int) (this.othersLoad * Math.pow(0.5, age / OTHERS_HALF_LIFE.toNanos()));
 	}
 
 	/**
