Test that slots hold when several entries send

Cause: only one entry loaded an endpoint in the tests. Change: two entries that know nothing of each other overload one endpoint.

--- a/src/test/java/org/crocuspost/entry/RequestLoadTests.java
+++ b/src/test/java/org/crocuspost/entry/RequestLoadTests.java
@@ -93,6 +93,24 @@
 		}
 	}
 
+	@Test
+	void theSlotsHoldWhenSeveralEntriesSend() throws Exception {
+		try (RequestPathFixture path = new RequestPathFixture()) {
+			LoopbackEntry one = path.entry("entry-1");
+			LoopbackEntry other = path.entry("entry-2");
+			EndpointStandIn endpoint = path.endpoint();
+			endpoint.setServiceTime(Duration.ofMillis(50));
+			path.agent("agent-1", endpoint, one, other);
+			PostLoad load = new PostLoad(path);
+			load.send(one, 3 * SLOTS, "Crocuspost-Deadline-Milliseconds", "1000");
+			load.send(other, 3 * SLOTS, "Crocuspost-Deadline-Milliseconds", "1000");
+			load.awaitAnswers();
+			load.assertTruth(List.of(endpoint));
+			assertThat(endpoint.mostRunning()).isLessThanOrEqualTo(SLOTS);
+			assertThat(load.verdicts()).containsOnlyKeys("ran", "not-run");
+		}
+	}
+
 	@Test
 	void anEndpointThatFailsFastDoesNotAttractWork() throws Exception {
 		try (Scene scene = new Scene(4)) {
