Read an oversized body on before refusing it

Cause: the test of an oversized body saw "no answer" once on a busy machine. The entry answered and closed while the caller still wrote, which resets the connection, so the caller may never see the refusal. Conclusion: a caller that writes its body to the end gets the refusal.

--- a/src/main/java/org/crocuspost/entry/CallerHandler.java
+++ b/src/main/java/org/crocuspost/entry/CallerHandler.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.CompletionStage;
 
 import com.google.protobuf.ByteString;
-import com.google.protobuf.UnsafeByteOperations;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.vavr.control.Either;
 import org.crocuspost.configuration.ConfigurationSource;
@@ -34,6 +33,8 @@
 
 	private final CallerSettings settings;
 
+	private final BodyReader bodies;
+
 	private final ConfigurationSource configurations;
 
 	private final RequestRunner runner;
@@ -49,6 +50,7 @@
 	CallerHandler(CallerSettings settings, ConfigurationSource configurations, RequestRunner runner, RequestIds ids,
 			InFlightRequests inFlight, RequestListener listener, Clock clock) {
 		this.settings = settings;
+		this.bodies = new BodyReader(settings.maximumBodyBytes());
 		this.configurations = configurations;
 		this.runner = runner;
 		this.ids = ids;
@@ -72,9 +74,9 @@
 			finish(arrival, "", RequestOutcome.of(service.getLeft()));
 			return;
 		}
-		request.getBody(this.settings.maximumBodyBytes(), () -> refuseTooLarge(arrival, service.get()))
-			.map((body) -> UnsafeByteOperations.unsafeWrap(body.getBytes()))
-			.then((body) -> run(arrival, service.get(), body));
+		this.bodies.read(request)
+			.then((body) -> body.ifPresentOrElse((content) -> run(arrival, service.get(), content),
+					() -> refuseTooLarge(arrival, service.get())));
 	}
 
 	private void refuseTooLarge(Arrival arrival, ServiceSpecification service) {
--- a/src/test/java/org/crocuspost/entry/CallerFaultTests.java
+++ b/src/test/java/org/crocuspost/entry/CallerFaultTests.java
@@ -24,6 +24,8 @@
 				new CallerFault("the prefix does not end at a slash", "/topups", "body", none, 404, "service-unknown"),
 				new CallerFault("the body is too large", "/topup", "x".repeat(1024 * 1024 + 1), none, 413,
 						"request-too-large"),
+				new CallerFault("the body is six times too large", "/topup", "x".repeat(6 * 1024 * 1024), none, 413,
+						"request-too-large"),
 				new CallerFault("the deadline is no number", "/topup", "body",
 						new String[] { "Crocuspost-Deadline-Milliseconds", "soon" }, 400, "malformed"),
 				new CallerFault("the deadline is negative", "/topup", "body",
