Release batch work beside an endpoint that takes no requests

The last latencies before the endpoint left, slow because the process was cold, stayed in the window for a minute, and without any request the control fell back to its smallest tolerance. Ruled out: lost commands and stuck evictions; the worker's record showed the tasks running. Change: no requests mean no limit; while the endpoint is withdrawn, leaves or its failure domain is out, the agent releases all attempts and forgets old latencies. The tour names the tasks that are not done. Conclusion: batch work no longer yields to a service that is not there. Cold endpoints that still serve hold batch work back for up to a minute.

--- a/src/main/java/org/crocuspost/daemon/AgentInterference.java
+++ b/src/main/java/org/crocuspost/daemon/AgentInterference.java
@@ -38,6 +38,8 @@
 
 	private volatile @Nullable InterferenceController controller;
 
+	private volatile boolean serving = true;
+
 	private Cancellable repetition = () -> {
 	};
 
@@ -73,11 +75,23 @@
 		this.repetition.cancel();
 	}
 
+	/**
+	 * Notes whether the endpoint takes requests. While it does not, no task is held back.
+	 * @param value whether it does
+	 */
+	void serving(boolean value) {
+		this.serving = value;
+	}
+
 	private void control() {
 		InterferenceController current = this.controller;
 		if (current == null) {
 			return;
 		}
+		if (!this.serving) {
+			current.release();
+			return;
+		}
 		for (ServiceSpecification declared : this.receiver.current().services()) {
 			if (declared.name().equals(this.service)) {
 				current.control(this.service, declared.objective());
--- a/src/main/java/org/crocuspost/daemon/AgentProcess.java
+++ b/src/main/java/org/crocuspost/daemon/AgentProcess.java
@@ -57,6 +57,8 @@
 
 	private final TaskAgent tasks;
 
+	private volatile boolean left;
+
 	private final AgentConnections connections;
 
 	private final Health health;
@@ -148,7 +150,9 @@
 
 	private void configure(AgentConfiguration configuration) {
 		boolean withdrawn = configuration.endpointsWithdrawn().contains(this.settings.endpoint().id());
-		this.gate.configure(configuration.version(), !withdrawn && !configuration.domainOut());
+		boolean accepting = !withdrawn && !configuration.domainOut();
+		this.gate.configure(configuration.version(), accepting);
+		this.interference.serving(accepting && !this.left);
 	}
 
 	/**
@@ -157,6 +161,8 @@
 	 * go on.
 	 */
 	public void leaveEndpoint() {
+		this.left = true;
+		this.interference.serving(false);
 		CompletableFuture<Void> left = this.gate.leave().toCompletableFuture();
 		left.completeOnTimeout(null, this.settings.times().drain().toMillis(), TimeUnit.MILLISECONDS).join();
 	}
--- a/src/main/java/org/crocuspost/interference/InterferenceController.java
+++ b/src/main/java/org/crocuspost/interference/InterferenceController.java
@@ -120,6 +120,19 @@
 		this.observations = observe(service, running);
 	}
 
+	/**
+	 * Releases all attempts. Called in place of {@link #control} while the endpoint takes
+	 * no requests, when there is no latency to protect.
+	 */
+	public void release() {
+		List<ControlledAttempt> running = this.attempts.current();
+		forgetEnded(running);
+		this.window.clear();
+		this.pressure = 0;
+		this.allowance = 1;
+		running.forEach((attempt) -> setThrottle(attempt.key(), 100));
+	}
+
 	/**
 	 * Returns the tail of the service's latency relative to its objective.
 	 * @return 1 if they are equal; 0 if there were no requests
@@ -204,10 +217,11 @@
 	}
 
 	private double limit(List<ThrottlePlanner.Candidate> candidates, List<ControlledAttempt> running) {
-		double tolerated = Math.log(this.settings.toleratedSlowdown());
 		if (this.pressure <= 0) {
-			return tolerated;
+			// Without requests there is no latency to protect.
+			return Double.POSITIVE_INFINITY;
 		}
+		double tolerated = Math.log(this.settings.toleratedSlowdown());
 		double caused = 0;
 		for (int i = 0; i < running.size(); i++) {
 			ThrottlePlanner.Candidate candidate = candidates.get(i);
--- a/src/main/java/org/crocuspost/interference/ServiceLatencyWindow.java
+++ b/src/main/java/org/crocuspost/interference/ServiceLatencyWindow.java
@@ -97,6 +97,14 @@
 		return interval;
 	}
 
+	/**
+	 * Forgets all latencies.
+	 */
+	public synchronized void clear() {
+		this.recorded = 0;
+		nextInterval();
+	}
+
 	private synchronized double[] present() {
 		long now = this.clock.nanoTime();
 		int kept = (int) Math.min(this.recorded, CAPACITY);
--- a/src/main/java/org/crocuspost/tour/Tour.java
+++ b/src/main/java/org/crocuspost/tour/Tour.java
@@ -5,7 +5,9 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
@@ -176,6 +178,20 @@
 		boolean done = this.patience.until(BATCH_LIMIT, () -> awaited.stream().allMatch(this::done));
 		long tasks = awaited.stream().mapToLong(JobSpecification::count).sum();
 		step(tasks + " batch tasks are done", done);
+		awaited.forEach(this::describeUnfinished);
+	}
+
+	private void describeUnfinished(JobSpecification job) {
+		Map<String, RunRecord> newest = new TreeMap<>();
+		runs().stream()
+			.filter((run) -> run.job().equals(job.name()))
+			.forEach((run) -> newest.merge(run.attempt().taskId(), run,
+					(first, second) -> (first.attempt().attempt() > second.attempt().attempt()) ? first : second));
+		newest.values()
+			.stream()
+			.filter((run) -> run.phase() != Phase.SUCCEEDED)
+			.forEach((run) -> step(run.attempt().taskId() + ", " + run.phase() + " on " + run.worker() + ", "
+					+ run.progress().toMillis() + " ms done", false));
 	}
 
 	private boolean done(JobSpecification job) {
--- a/src/test/java/org/crocuspost/interference/InterferenceControllerTests.java
+++ b/src/test/java/org/crocuspost/interference/InterferenceControllerTests.java
@@ -85,6 +85,33 @@
 		assertThat(this.evictions.get(0).effect().significant()).isTrue();
 	}
 
+	@Test
+	void workIsReleasedWhenTheEndpointTakesNoRequests() {
+		this.effects.put("noisy", 4.0);
+		run(30);
+		this.running.add(SMALL_CULPRIT);
+		run(60);
+		assertThat(this.percents.get(SMALL_CULPRIT.key())).isLessThan(50);
+		for (int i = 0; i < 10; i++) {
+			this.controller.release();
+		}
+		assertThat(this.percents.get(SMALL_CULPRIT.key())).isEqualTo(100);
+	}
+
+	@Test
+	void workIsReleasedWhenRequestsCease() {
+		this.effects.put("noisy", 4.0);
+		run(30);
+		this.running.add(SMALL_CULPRIT);
+		run(60);
+		assertThat(this.percents.get(SMALL_CULPRIT.key())).isLessThan(50);
+		for (int i = 0; i < 80; i++) {
+			this.controller.control("lunchwallet", OBJECTIVE);
+			this.time.advance(Duration.ofSeconds(1));
+		}
+		assertThat(this.percents.get(SMALL_CULPRIT.key())).isEqualTo(100);
+	}
+
 	@Test
 	void overloadThatBatchWorkDoesNotCauseEvictsNothing() {
 		run(30);
