Report versions to the head watcher without its lock

The stacks showed a deadlock in an entry: the head watcher called its listeners under its lock, of which the publisher wants its own; the publisher, under its own, reported a confirmed version to the watcher, which wants the watcher's. An entry in this state renews no configuration and never stops. Change: the newest version heard of is an atomic value and takes no lock. Conclusion: the order of locks no longer has a cycle here.

--- a/src/main/java/org/crocuspost/distribution/HeadWatcher.java
+++ b/src/main/java/org/crocuspost/distribution/HeadWatcher.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.random.RandomGenerator;
 
 import io.vavr.control.Either;
@@ -54,7 +55,10 @@
 
 	private volatile Configuration current = Configuration.EMPTY;
 
-	private volatile long newestHeardOf;
+	// Not guarded by the lock of this object: those who report a version hold locks of
+	// their
+	// own, which listeners called under this lock may want.
+	private final AtomicLong newestHeardOf = new AtomicLong();
 
 	private volatile long readAtNanos;
 
@@ -119,7 +123,7 @@
 	 */
 	public void poll() {
 		long startedAt = this.clock.nanoTime();
-		long heardBefore = this.newestHeardOf;
+		long heardBefore = this.newestHeardOf.get();
 		boolean confirm = !this.ready || behind();
 		Either<Failure, Row> row = confirm ? this.heads.readConfirmed() : this.heads.read();
 		row.map(ConfigurationHead::of)
@@ -131,9 +135,9 @@
 
 	// After a confirmed read a newer version that was heard of before it does not exist:
 	// it comes from another deployment or from a table that was set back.
-	private synchronized void refute(boolean confirmed, long heardBefore) {
-		if (confirmed && this.newestHeardOf == heardBefore) {
-			this.newestHeardOf = Math.min(heardBefore, this.current.version());
+	private void refute(boolean confirmed, long heardBefore) {
+		if (confirmed) {
+			this.newestHeardOf.compareAndSet(heardBefore, Math.min(heardBefore, this.current.version()));
 		}
 	}
 
@@ -179,10 +183,8 @@
 	 * Takes note that another process acts on a version.
 	 * @param version the version
 	 */
-	public synchronized void heardOf(long version) {
-		if (version > this.newestHeardOf) {
-			this.newestHeardOf = version;
-		}
+	public void heardOf(long version) {
+		this.newestHeardOf.accumulateAndGet(version, Math::max);
 	}
 
 	@Override
@@ -208,7 +210,7 @@
 	 * @return true until this process has caught up
 	 */
 	public boolean behind() {
-		return this.newestHeardOf > this.current.version();
+		return this.newestHeardOf.get() > this.current.version();
 	}
 
 	/**
