--- /dev/null
+++ b/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
@@ -0,0 +1,81 @@
+package org.crocuspost.dispatch;
+
+import java.util.Collection;
+
+import org.crocuspost.job.StepSpecification;
+import org.crocuspost.job.TaskProgress;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Spreads tasks so that each worker keeps processor for fillers and serving tasks feel
+ * little pressure.
+ *
+ * <p>
+ * Load pattern: lasting services reserve most of the capacity and use half of it, short
+ * jobs come all the time, and fillers, which are worth most, live on what is left. A
+ * filler that shares too little takes longer than its objective allows, and it slows the
+ * services beside it, so it waits for processor unless every worker is short of it.
+ */
+public final class DefaultPlacementPolicy implements PlacementPolicy {
+
+	/**
+	 * Share of its request below which a filler is not worth starting: at half speed it
+	 * misses an objective of twice its run time.
+	 */
+	private static final double FILLER_SHARE = 0.6;
+
+	/**
+	 * Pressure on a serving task, as the ratio of its tail latency to its target, above
+	 * which no filler is added.
+	 */
+	private static final double HIGH_PRESSURE = 0.9;
+
+	/**
+	 * Weight of a worker that holds the data, larger than any difference of room.
+	 */
+	private static final double DATA_BONUS = 10;
+
+	/**
+	 * Weight of a worker that is still slow after its start.
+	 */
+	private static final double COLD_PENALTY = 2;
+
+	@Override
+	public @Nullable HostRoom choose(TaskProgress task, Collection<HostRoom> rooms) {
+		StepSpecification step = task.step();
+		HostRoom best = null;
+		double bestScore = 0;
+		for (HostRoom room : rooms) {
+			if (!PlacementPolicy.allowed(task.key(), step, room) || !worthwhile(step, room)) {
+				continue;
+			}
+			double score = score(step, room);
+			if (best == null || score > bestScore) {
+				best = room;
+				bestScore = score;
+			}
+		}
+		return best;
+	}
+
+	private static boolean worthwhile(StepSpecification step, HostRoom room) {
+		if (!step.filler()) {
+			return true;
+		}
+		return room.fillerMilliCores() >= step.milliCores() * FILLER_SHARE && room.host().pressure() < HIGH_PRESSURE;
+	}
+
+	private static double score(StepSpecification step, HostRoom room) {
+		double capacity = room.capacityMilliCores();
+		double score = step.filler() ? room.fillerMilliCores() / capacity - room.host().pressure()
+				: room.milliCores() / capacity + room.fillerMilliCores() / capacity;
+		if (!step.dataRack().isEmpty() && step.dataRack().equals(room.rack())) {
+			score += DATA_BONUS;
+		}
+		if (room.host().worker().getColdMillis() > 0) {
+			score -= COLD_PENALTY;
+		}
+		return score;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/host/HostEvent.java
@@ -0,0 +1,80 @@
+package org.crocuspost.host;
+
+import org.crocuspost.log.LogEvent;
+
+/**
+ * Events of an agent.
+ */
+public enum HostEvent implements LogEvent {
+
+	/**
+	 * A new life of the worker has announced itself.
+	 */
+	WORKER_SEEN,
+
+	/**
+	 * The worker is about to leave.
+	 */
+	WORKER_DRAINING,
+
+	/**
+	 * The worker has left.
+	 */
+	WORKER_LEFT,
+
+	/**
+	 * An announcement could not be read or is out of date, and is ignored.
+	 */
+	ANNOUNCEMENT_IGNORED,
+
+	/**
+	 * The worker no longer answers.
+	 */
+	WORKER_SILENT,
+
+	/**
+	 * The worker answers again.
+	 */
+	WORKER_REGAINED,
+
+	/**
+	 * The worker knows a higher fencing token; the agent takes a higher one.
+	 */
+	FENCE_RAISED,
+
+	/**
+	 * A leader has connected.
+	 */
+	LEADER_CONNECTED,
+
+	/**
+	 * The connection to the leader is lost.
+	 */
+	LEADER_DISCONNECTED,
+
+	/**
+	 * An order to start a run was carried out, refused or left open.
+	 */
+	START_ANSWERED,
+
+	/**
+	 * A run is stopped.
+	 */
+	STOP_ORDERED,
+
+	/**
+	 * The pace of a filler was changed.
+	 */
+	PACE_CHANGED,
+
+	/**
+	 * The agent is entered in the store.
+	 */
+	HOST_REGISTERED,
+
+	/**
+	 * The agent could not be entered in the store and tries again.
+	 */
+	REGISTRATION_DELAYED
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/job/SubmissionCodec.java
@@ -0,0 +1,89 @@
+package org.crocuspost.job;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.crocuspost.json.JsonTrees;
+
+/**
+ * Form in which accepted jobs are stored.
+ */
+public final class SubmissionCodec {
+
+	private SubmissionCodec() {
+	}
+
+	/**
+	 * Writes an accepted job.
+	 * @param submission the job
+	 * @return a JSON document
+	 */
+	public static String write(JobSubmission submission) {
+		ObjectNode document = JsonTrees.object();
+		JobSpecification specification = submission.specification();
+		document.put("queue", submission.queue()).put("accepted", submission.acceptedMillis());
+		document.put("text", specification.text()).put("occurrences", specification.occurrences());
+		if (specification.scheduled()) {
+			document.put("firstDue", specification.firstDueMillis()).put("interval", specification.intervalMillis());
+		}
+		ArrayNode steps = document.putArray("steps");
+		specification.steps().forEach((step) -> write(steps.addObject(), step));
+		return new String(JsonTrees.bytes(document), StandardCharsets.UTF_8);
+	}
+
+	private static void write(ObjectNode node, StepSpecification step) {
+		node.put("tasks", step.taskCount()).put("milliCores", step.milliCores()).put("memory", step.memoryMegabytes());
+		node.put("accelerators", step.accelerators()).put("estimate", step.estimate().toMillis());
+		ArrayNode predecessors = node.putArray("after");
+		step.predecessors().forEach(predecessors::add);
+		node.put("checkpointing", step.checkpointing()).put("gang", step.gang()).put("sameRack", step.sameRack());
+		node.put("label", step.requiredLabel()).put("rack", step.dataRack()).put("perWorker", step.perWorkerLimit());
+		node.put("speculative", step.speculative()).put("lasting", step.lasting()).put("image", step.image());
+		node.put("tailTarget", step.tailTarget().toMillis()).put("filler", step.filler());
+		node.put("unavailable", step.unavailableLimit());
+	}
+
+	/**
+	 * Reads an accepted job.
+	 * @param id the identity of the job
+	 * @param document the document
+	 * @return the job
+	 * @throws IOException if the document is malformed
+	 */
+	public static JobSubmission read(String id, String document) throws IOException {
+		JsonNode node = JsonTrees.read(document.getBytes(StandardCharsets.UTF_8));
+		List<StepSpecification> steps = new ArrayList<>();
+		for (JsonNode step : node.path("steps")) {
+			steps.add(readStep(step));
+		}
+		boolean scheduled = node.has("firstDue");
+		try {
+			return new JobSubmission(id, node.path("queue").asText(), node.path("accepted").asLong(),
+					new JobSpecification(node.path("text").asText(), steps, node.path("occurrences").asInt(1),
+							scheduled, node.path("firstDue").asLong(), node.path("interval").asLong()));
+		}
+		catch (IllegalArgumentException ex) {
+			throw new IOException("the stored job " + id + " is malformed", ex);
+		}
+	}
+
+	private static StepSpecification readStep(JsonNode node) {
+		List<Integer> predecessors = new ArrayList<>();
+		node.path("after").forEach((number) -> predecessors.add(number.asInt()));
+		return new StepSpecification(node.path("tasks").asInt(), node.path("milliCores").asInt(),
+				node.path("memory").asInt(), node.path("accelerators").asInt(),
+				Duration.ofMillis(node.path("estimate").asLong()), predecessors, node.path("checkpointing").asBoolean(),
+				node.path("gang").asBoolean(), node.path("sameRack").asBoolean(), node.path("label").asText(),
+				node.path("rack").asText(), node.path("perWorker").asInt(), node.path("speculative").asBoolean(),
+				node.path("lasting").asBoolean(), node.path("image").asText(),
+				Duration.ofMillis(node.path("tailTarget").asLong()), node.path("filler").asBoolean(),
+				node.path("unavailable").asInt());
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/lead/DecisionLog.java
@@ -0,0 +1,45 @@
+package org.crocuspost.lead;
+
+import org.crocuspost.dispatch.DispatchListener;
+import org.crocuspost.job.JobProgress;
+import org.crocuspost.job.TaskProgress;
+import org.crocuspost.log.EventLog;
+import org.crocuspost.log.Field;
+
+/**
+ * Logs the leader's decisions.
+ */
+final class DecisionLog implements DispatchListener {
+
+	@Override
+	public void jobSeen(JobProgress job) {
+		EventLog.info(LeadEvent.JOB_SEEN, Field.of("job", job.id()), Field.of("queue", job.submission().queue()),
+				Field.of("steps", job.submission().specification().steps().size()));
+	}
+
+	@Override
+	public void jobEnded(JobProgress job, String reason) {
+		EventLog.info(LeadEvent.JOB_ENDED, Field.of("job", job.id()), Field.of("state", job.state().label()),
+				Field.of("reason", reason));
+	}
+
+	@Override
+	public void placed(TaskProgress task, long waitedMillis) {
+		EventLog.info(LeadEvent.TASK_PLACED, Field.of("job", task.key().job()), Field.of("task", task.key()),
+				Field.of("run", task.run()), Field.of("host", task.host()), Field.of("waitedMillis", waitedMillis));
+	}
+
+	@Override
+	public void runEnded(TaskProgress task, int run, String host, String outcome) {
+		EventLog.info(LeadEvent.RUN_ENDED, Field.of("job", task.key().job()), Field.of("task", task.key()),
+				Field.of("run", run), Field.of("host", host), Field.of("outcome", outcome),
+				Field.of("failures", task.failures()));
+	}
+
+	@Override
+	public void hostChanged(String host, String belief, String detail) {
+		EventLog.info(LeadEvent.HOST_CHANGED, Field.of("host", host), Field.of("belief", belief),
+				Field.of("detail", detail));
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/lead/Tables.java
@@ -0,0 +1,46 @@
+package org.crocuspost.lead;
+
+/**
+ * Tables and keys of crocuspost in the platform's store.
+ */
+public final class Tables {
+
+	/**
+	 * Written by the entries and agents, read by the leader: jobs, cancellations, hosts.
+	 */
+	public static final String INTAKE = "intake";
+
+	/**
+	 * Written by the leader, read by the entries: progress of jobs and the leader itself.
+	 */
+	public static final String LEDGER = "ledger";
+
+	/**
+	 * Key of the row that names the leader.
+	 */
+	public static final String LEADER = "leader";
+
+	/**
+	 * Prefix of the keys of accepted jobs.
+	 */
+	public static final String JOB = "job/";
+
+	/**
+	 * Prefix of the keys of cancellations.
+	 */
+	public static final String CANCELLATION = "cancel/";
+
+	/**
+	 * Prefix of the keys of hosts with an agent.
+	 */
+	public static final String HOST = "host/";
+
+	/**
+	 * Prefix of the keys of the progress of jobs.
+	 */
+	public static final String PROGRESS = "progress/";
+
+	private Tables() {
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/lead/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Leadership: one process decides on all jobs; others take over when it falls silent.
+ */
+@NullMarked
+package org.crocuspost.lead;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/crocuspost/platform/hosted/AgentProgram.java
@@ -0,0 +1,123 @@
+package org.crocuspost.platform.hosted;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import io.netty.channel.EventLoop;
+import org.crocuspost.daemon.DaemonCommand;
+import org.crocuspost.host.HostAgent;
+import org.crocuspost.host.HostAgentSettings;
+import org.crocuspost.host.HostEvent;
+import org.crocuspost.host.WorkerAnnouncement;
+import org.crocuspost.hostlink.LeaderPort;
+import org.crocuspost.lead.Tables;
+import org.crocuspost.log.EventLog;
+import org.crocuspost.log.Field;
+import org.crocuspost.platform.http.HttpCaller;
+import org.crocuspost.rows.RowStore;
+import org.crocuspost.rows.RowTransaction;
+import org.crocuspost.time.Clock;
+import org.crocuspost.time.ExecutorTimer;
+import org.crocuspost.time.Timer;
+import ratpack.handling.Context;
+
+/**
+ * Agent on the host of a worker.
+ */
+final class AgentProgram {
+
+	private static final int OK = 200;
+
+	private static final int BAD_REQUEST = 400;
+
+	private static final String INSTANCES = "/v1/instances/";
+
+	private static final int STORE_CONNECTIONS = 1;
+
+	private static final int WORKER_CONNECTIONS = 3;
+
+	private static final Duration REGISTRATION_RETRY = Duration.ofMillis(500);
+
+	private static final int LARGEST_ANNOUNCEMENT_BYTES = 64 * 1024;
+
+	private final HostSettings settings;
+
+	private final EventLoop loop;
+
+	private final Timer timer;
+
+	private final RowStore store;
+
+	private final HostAgent agent;
+
+	private final LeaderPort[] port = new LeaderPort[1];
+
+	AgentProgram(HostSettings settings, EventLoop loop, Clock clock) {
+		this.settings = settings;
+		this.loop = loop;
+		this.timer = new ExecutorTimer(loop);
+		this.store = new HostedRowStore(new HttpCaller(loop, STORE_CONNECTIONS), settings.storeAddress());
+		this.agent = new HostAgent(new HostAgentSettings(settings.name(), settings.limits().leaseDuration()),
+				new HostedWorkerCalls(new HttpCaller(loop, WORKER_CONNECTIONS), settings.workerAddress().orElseThrow()),
+				(listener) -> {
+					this.port[0] = new LeaderPort(listener);
+					return this.port[0];
+				}, clock, this.timer);
+	}
+
+	void start() {
+		InetSocketAddress internal = new InetSocketAddress(this.settings.ip(), this.settings.internalPort());
+		this.port[0].bind(this.loop, internal);
+		this.loop.execute(() -> {
+			this.agent.start();
+			register();
+		});
+		Ports.listen(this.settings.heartbeatAddress().orElseThrow(), this::handle);
+		DaemonCommand.logReady(Field.of("name", this.settings.name()), DaemonCommand.address("leader", internal));
+	}
+
+	/**
+	 * Enters the host in the store, where the leader finds it.
+	 */
+	private void register() {
+		RowTransaction.Write row = new RowTransaction.Write(Tables.INTAKE, Tables.HOST + this.settings.name(),
+				this.settings.ip() + ":" + this.settings.internalPort());
+		this.store.commit(RowTransaction.of(List.of(), List.of(row)), (answer) -> {
+			if (answer.isRight()) {
+				EventLog.info(HostEvent.HOST_REGISTERED, Field.of("host", this.settings.name()),
+						Field.of("version", answer.get().version()));
+				return;
+			}
+			EventLog.warn(HostEvent.REGISTRATION_DELAYED, Field.of("reason", answer.getLeft().message()));
+			this.timer.schedule(REGISTRATION_RETRY, this::register);
+		});
+	}
+
+	private void handle(Context context) {
+		String path = context.getRequest().getRawUri();
+		if (!path.startsWith(INSTANCES)) {
+			context.getResponse().status(BAD_REQUEST).send("application/json", JsonErrors.body("unknown path"));
+			return;
+		}
+		String id = path.substring(INSTANCES.length());
+		if (context.getRequest().getMethod().isDelete()) {
+			this.loop.execute(() -> this.agent.departed(id));
+			context.getResponse().status(OK).send("application/json", "{}");
+			return;
+		}
+		context.getRequest().getBody(LARGEST_ANNOUNCEMENT_BYTES).then((body) -> {
+			Optional<WorkerAnnouncement> announcement = AnnouncementDecoder.decode(id, body.getBytes());
+			if (announcement.isPresent()) {
+				this.loop.execute(() -> this.agent.announced(announcement.get()));
+			}
+			else {
+				EventLog.warn(HostEvent.ANNOUNCEMENT_IGNORED, Field.of("worker", id),
+						Field.of("reason", "a field is missing or malformed"));
+			}
+			context.getResponse().status(OK).send("application/json", "{}");
+		});
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/platform/hosted/CallerPort.java
@@ -0,0 +1,146 @@
+package org.crocuspost.platform.hosted;
+
+import java.util.concurrent.Executor;
+import java.util.function.Supplier;
+
+import io.vavr.control.Either;
+import org.crocuspost.error.Verdict;
+import org.crocuspost.ingress.JobAnswer;
+import org.crocuspost.ingress.JobDesk;
+import org.crocuspost.ingress.JobRequest;
+import org.crocuspost.job.JobSpecification;
+import ratpack.exec.Promise;
+import ratpack.handling.Context;
+import ratpack.handling.Handler;
+import ratpack.http.HttpMethod;
+import ratpack.http.RequestBodyTooLargeException;
+
+/**
+ * Turns callers' HTTP requests into requests to the desk and its answers into responses.
+ */
+final class CallerPort implements Handler {
+
+	private static final int OK = 200;
+
+	private static final int BAD_REQUEST = 400;
+
+	private static final int NOT_FOUND = 404;
+
+	private static final int GONE = 410;
+
+	private static final int TOO_LARGE = 413;
+
+	private static final int TOO_MANY = 429;
+
+	private static final int UNAVAILABLE = 503;
+
+	private static final int GATEWAY_TIMEOUT = 504;
+
+	private static final int LARGEST_BODY_BYTES = 262_144;
+
+	private static final byte[] NO_BODY = {};
+
+	private final JobDesk desk;
+
+	private final Executor loop;
+
+	private final Requests requests;
+
+	CallerPort(JobDesk desk, Executor loop, Requests requests) {
+		this.desk = desk;
+		this.loop = loop;
+		this.requests = requests;
+	}
+
+	@Override
+	public void handle(Context context) {
+		JobRequest.Method method = method(context.getRequest().getMethod());
+		this.requests.begin();
+		if (method == JobRequest.Method.SUBMIT) {
+			context.getRequest()
+				.getBody(LARGEST_BODY_BYTES)
+				.map((body) -> body.getBytes())
+				.onError(RequestBodyTooLargeException.class, (error) -> respond(context, TOO_LARGE, "{}"))
+				.then((body) -> dispatch(context, method, body));
+		}
+		else {
+			dispatch(context, method, NO_BODY);
+		}
+	}
+
+	private void dispatch(Context context, JobRequest.Method method, byte[] body) {
+		Supplier<Either<String, JobSpecification>> specification = () -> JobDecoder.decode(body);
+		JobRequest request = new JobRequest(method, host(context), path(context), specification);
+		Promise
+			.<JobAnswer>async((downstream) -> this.loop.execute(() -> this.desk.handle(request, downstream::success)))
+			.then((answer) -> respond(context, answer));
+	}
+
+	private static JobRequest.Method method(HttpMethod method) {
+		if (method.isPost()) {
+			return JobRequest.Method.SUBMIT;
+		}
+		if (method.isGet()) {
+			return JobRequest.Method.SHOW;
+		}
+		return method.isDelete() ? JobRequest.Method.CANCEL : JobRequest.Method.OTHER;
+	}
+
+	private static String host(Context context) {
+		String host = context.getRequest().getHeaders().get("Host");
+		if (host == null) {
+			return "";
+		}
+		int colon = host.indexOf(':');
+		return (colon < 0) ? host : host.substring(0, colon);
+	}
+
+	private static String path(Context context) {
+		String uri = context.getRequest().getRawUri();
+		int query = uri.indexOf('?');
+		return (query < 0) ? uri : uri.substring(0, query);
+	}
+
+	private void respond(Context context, JobAnswer answer) {
+		if (answer instanceof JobAnswer.Accepted) {
+			respond(context, OK, "{}");
+		}
+		else if (answer instanceof JobAnswer.State state) {
+			respond(context, OK, "{\"state\":\"" + state.state().label() + "\"}");
+		}
+		else if (answer instanceof JobAnswer.Pending pending) {
+			respond(context, OK, "{\"pending\":" + pending.count() + "}");
+		}
+		else if (answer instanceof JobAnswer.NoQueue) {
+			respond(context, NOT_FOUND, "{\"error\":\"no queue of this host and path\"}");
+		}
+		else if (answer instanceof JobAnswer.NoJob) {
+			respond(context, GONE, "{\"error\":\"no such job\"}");
+		}
+		else if (answer instanceof JobAnswer.Malformed malformed) {
+			respond(context, BAD_REQUEST, JsonErrors.body(malformed.reason()));
+		}
+		else if (answer instanceof JobAnswer.Refused refused) {
+			refuse(context, refused);
+		}
+	}
+
+	private void refuse(Context context, JobAnswer.Refused refused) {
+		refused.retryAfter()
+			.ifPresent((delay) -> context.getResponse()
+				.getHeaders()
+				.set("Retry-After", String.valueOf(Math.max(1, delay.toSeconds()))));
+		int status = refused.overloaded() ? TOO_MANY : UNAVAILABLE;
+		respond(context, (refused.verdict() == Verdict.NOT_RUN) ? status : GATEWAY_TIMEOUT,
+				JsonErrors.body(refused.reason()));
+	}
+
+	private void respond(Context context, int status, String body) {
+		if (this.requests.closing()) {
+			context.getResponse().getHeaders().set("Connection", "close");
+		}
+		this.requests.end();
+		context.getResponse().status(status).send("application/json", body);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/platform/hosted/ConfigurationDecoder.java
@@ -0,0 +1,58 @@
+package org.crocuspost.platform.hosted;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.crocuspost.job.Queue;
+import org.crocuspost.job.QueueConfiguration;
+import org.crocuspost.json.JsonTrees;
+
+/**
+ * Reads the operator's configuration.
+ */
+final class ConfigurationDecoder {
+
+	private static final int DEFAULT_BODY_BYTES = 262_144;
+
+	private ConfigurationDecoder() {
+	}
+
+	static Optional<QueueConfiguration> decode(String text) {
+		try {
+			JsonNode node = JsonTrees.read(text.getBytes(StandardCharsets.UTF_8));
+			if (!node.path("version").isNumber() || !node.path("routes").isArray()) {
+				return Optional.empty();
+			}
+			List<Queue> queues = new ArrayList<>();
+			// The page calls a queue a route, since a request selects it by host and
+			// path.
+			for (JsonNode route : node.path("routes")) {
+				queues.add(queue(route));
+			}
+			List<String> guarded = new ArrayList<>();
+			for (JsonNode service : node.path("services")) {
+				if (service.path("enforces_capacity").asBoolean()) {
+					guarded.add(service.path("name").asText());
+				}
+			}
+			return Optional.of(new QueueConfiguration(node.path("version").asLong(), queues, guarded,
+					node.path("limits").path("max_body_bytes").asInt(DEFAULT_BODY_BYTES)));
+		}
+		catch (IOException | IllegalArgumentException ex) {
+			return Optional.empty();
+		}
+	}
+
+	private static Queue queue(JsonNode route) {
+		return new Queue(route.path("name").asText(), route.path("host").asText(), route.path("path_prefix").asText(),
+				route.path("service").asText(), route.path("priority").asInt(),
+				Math.max(1, route.path("attempts").asInt(1)), route.path("stretch").asDouble(2),
+				Duration.ofMillis(route.path("target_latency_ms").asLong()), route.has("advice"));
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/platform/hosted/HostedEvent.java
@@ -0,0 +1,15 @@
+package org.crocuspost.platform.hosted;
+
+import org.crocuspost.log.LogEvent;
+
+/**
+ * Events in the life of a program.
+ */
+enum HostedEvent implements LogEvent {
+
+	/**
+	 * The program has read its settings and starts.
+	 */
+	PROGRAM_STARTING
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/platform/hosted/HostedMain.java
@@ -0,0 +1,126 @@
+package org.crocuspost.platform.hosted;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import org.crocuspost.daemon.Daemon;
+import org.crocuspost.daemon.DaemonCommand;
+import org.crocuspost.log.EventLog;
+import org.crocuspost.log.Field;
+import org.crocuspost.net.Sockets;
+import org.crocuspost.time.Clock;
+import org.crocuspost.time.SystemClock;
+
+/**
+ * Main class of the programs on the hosting platform.
+ */
+public final class HostedMain {
+
+	private static final String SETTINGS_VARIABLE = "CROCUSPOST_SETTINGS";
+
+	/**
+	 * How long a rehearsal runs: until all classes of the start are loaded.
+	 */
+	private static final Duration REHEARSAL = Duration.ofSeconds(2);
+
+	private HostedMain() {
+	}
+
+	/**
+	 * Starts the entry or the agent and returns when it has stopped.
+	 * @param arguments {@code entry} or {@code agent}
+	 */
+	public static void main(String[] arguments) {
+		Optional<Role> role = (arguments.length == 1) ? Role.named(arguments[0]) : Optional.empty();
+		if (role.isEmpty()) {
+			System.err.println("usage: entry | agent, with the path of the settings in " + SETTINGS_VARIABLE);
+			System.exit(DaemonCommand.EXIT_INVALID_INPUT);
+		}
+		try {
+			String path = System.getenv(SETTINGS_VARIABLE);
+			if (path == null) {
+				throw new SettingsException(java.util.List.of("the variable " + SETTINGS_VARIABLE + " is missing"));
+			}
+			run(role.get(), HostSettings.of(PropertyFile.read(Path.of(path))));
+		}
+		catch (SettingsException ex) {
+			System.err.println(ex.getMessage());
+			System.exit(DaemonCommand.EXIT_INVALID_INPUT);
+		}
+	}
+
+	private static void run(Role role, HostSettings settings) {
+		Clock clock = new SystemClock();
+		EventLoop loop = Sockets.eventLoop("crocuspost").next();
+		EventLog.info(HostedEvent.PROGRAM_STARTING, Field.of("role", role.name), Field.of("host", settings.name()),
+				Field.of("failureDomain", settings.failureDomain()));
+		Daemon daemon = start(role, settings, loop, clock);
+		if (role.rehearsal) {
+			ScheduledExecutorService end = Executors.newSingleThreadScheduledExecutor();
+			end.schedule(() -> System.exit(0), REHEARSAL.toMillis(), TimeUnit.MILLISECONDS);
+		}
+		DaemonCommand.runUntilTerminated(daemon);
+	}
+
+	private static Daemon start(Role role, HostSettings settings, EventLoop loop, Clock clock) {
+		if (role.entry) {
+			EntryProgram entry = new EntryProgram(settings, loop, clock);
+			entry.start();
+			return entry::stop;
+		}
+		new AgentProgram(settings, loop, clock).start();
+		return () -> {
+			// Tasks go on under their leases until the next life of the agent.
+		};
+	}
+
+	/**
+	 * What the process does.
+	 */
+	private enum Role {
+
+		/**
+		 * Takes jobs.
+		 */
+		ENTRY("entry", true, false),
+
+		/**
+		 * Stands beside a worker.
+		 */
+		AGENT("agent", false, false),
+
+		/**
+		 * Starts as an entry and ends soon, so that the build can archive its classes.
+		 */
+		REHEARSE_ENTRY("rehearse-entry", true, true),
+
+		/**
+		 * Starts as an agent and ends soon, so that the build can archive its classes.
+		 */
+		REHEARSE_AGENT("rehearse-agent", false, true);
+
+		private final String name;
+
+		private final boolean entry;
+
+		private final boolean rehearsal;
+
+		Role(String name, boolean entry, boolean rehearsal) {
+			this.name = name;
+			this.entry = entry;
+			this.rehearsal = rehearsal;
+		}
+
+		private static Optional<Role> named(String name) {
+			return Arrays.stream(values()).filter((role) -> role.name.equals(name)).findFirst();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/platform/hosted/HostedRowStore.java
@@ -0,0 +1,214 @@
+package org.crocuspost.platform.hosted;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import org.crocuspost.error.ErrorCode;
+import org.crocuspost.error.Failure;
+import org.crocuspost.json.JsonTrees;
+import org.crocuspost.platform.http.HttpCaller;
+import org.crocuspost.platform.http.HttpOutcome;
+import org.crocuspost.platform.http.HttpOutcome.Answered;
+import org.crocuspost.rows.RowChanges;
+import org.crocuspost.rows.RowCommit;
+import org.crocuspost.rows.RowPage;
+import org.crocuspost.rows.RowStore;
+import org.crocuspost.rows.RowTransaction;
+import org.crocuspost.rows.StoredRow;
+
+/**
+ * Rows in the platform's store. All rows of crocuspost lie in one part, since a
+ * transaction may not cross parts.
+ */
+public final class HostedRowStore implements RowStore {
+
+	private static final int OK = 200;
+
+	private static final int CONDITION_FAILED = 412;
+
+	private static final int GONE = 410;
+
+	/**
+	 * Tables that only the platform and the operator write; they have an empty part.
+	 */
+	private static final String OPERATOR_TABLE = "op";
+
+	private static final String PART = "crocuspost";
+
+	/**
+	 * Bound on a call. The store takes 10 ms; disruptions slow it down sixtyfold.
+	 */
+	private static final Duration CALL_TIMEOUT = Duration.ofMillis(1_500);
+
+	private static final int PAGE_ROWS = 500;
+
+	private final HttpCaller caller;
+
+	private final InetSocketAddress address;
+
+	/**
+	 * Creates the adapter.
+	 * @param caller makes the calls
+	 * @param address the address of the store
+	 */
+	public HostedRowStore(HttpCaller caller, InetSocketAddress address) {
+		this.caller = caller;
+		this.address = address;
+	}
+
+	@Override
+	public void commit(RowTransaction transaction, Consumer<Either<Failure, RowCommit>> answer) {
+		HttpCaller.Request request = new HttpCaller.Request("POST", "/v1/rows-tx", Map.of(), body(transaction));
+		this.caller.call(this.address, request, CALL_TIMEOUT, (outcome) -> answer.accept(committed(outcome)));
+	}
+
+	private static byte[] body(RowTransaction transaction) {
+		ObjectNode body = JsonTrees.object();
+		ArrayNode conditions = body.putArray("precondition");
+		for (RowTransaction.Condition condition : transaction.conditions()) {
+			row(conditions, condition.table(), condition.key()).put("schema_version", condition.version());
+		}
+		ArrayNode writes = body.putArray("writes");
+		for (RowTransaction.Write write : transaction.writes()) {
+			row(writes, write.table(), write.key()).put("value",
+					Base64.getEncoder().encodeToString(write.value().getBytes(StandardCharsets.UTF_8)));
+		}
+		ArrayNode removals = body.putArray("remove");
+		for (RowTransaction.Removal removal : transaction.removals()) {
+			row(removals, removal.table(), removal.key());
+		}
+		return JsonTrees.bytes(body);
+	}
+
+	private static ObjectNode row(ArrayNode rows, String table, String key) {
+		return rows.addObject().put("table", table).put("part", part(table)).put("key", key);
+	}
+
+	private static String part(String table) {
+		return table.equals(OPERATOR_TABLE) ? "" : PART;
+	}
+
+	private static Either<Failure, RowCommit> committed(HttpOutcome outcome) {
+		if (outcome instanceof HttpOutcome.NeverSent neverSent) {
+			return unavailable(neverSent.reason());
+		}
+		if (outcome instanceof HttpOutcome.Unanswered unanswered) {
+			return Either.left(ErrorCode.STORE_UNKNOWN.with(unanswered.reason()));
+		}
+		Answered answered = (Answered) outcome;
+		try {
+			return switch (answered.status()) {
+				case OK -> Either.right(new RowCommit(true, version(JsonTrees.read(answered.body())), List.of()));
+				case CONDITION_FAILED -> Either.right(new RowCommit(false, 0, rows(JsonTrees.read(answered.body()))));
+				// All other answers say that nothing was done.
+				default -> unavailable("status " + answered.status());
+			};
+		}
+		catch (IOException ex) {
+			return Either.left(ErrorCode.STORE_UNKNOWN.with("the answer is malformed"));
+		}
+	}
+
+	@Override
+	public void read(String table, String key, Consumer<Either<Failure, StoredRow>> answer) {
+		String path = "/v1/rows-get?table=" + encode(table) + "&part=" + part(table) + "&from=" + encode(key)
+				+ "&target=" + encode(key + RowStore.AFTER_KEY) + "&limit=1";
+		get(path, CALL_TIMEOUT,
+				(outcome) -> answer.accept(outcome.flatMap((answered) -> parse(answered,
+						(body) -> rows(body).stream()
+							.filter((row) -> row.key().equals(key))
+							.findFirst()
+							.orElse(new StoredRow(key, StoredRow.ABSENT, ""))))));
+	}
+
+	@Override
+	public void scan(String table, String fromKey, Consumer<Either<Failure, RowPage>> answer) {
+		String from = fromKey.isEmpty() ? "" : "&from=" + encode(fromKey);
+		String path = "/v1/rows-get?table=" + encode(table) + "&part=" + part(table) + from + "&limit=" + PAGE_ROWS;
+		get(path, CALL_TIMEOUT, (outcome) -> answer.accept(outcome.flatMap((answered) -> parse(answered,
+				(body) -> new RowPage(rows(body), !body.path("has_more").asBoolean(), version(body))))));
+	}
+
+	@Override
+	public void changes(String table, long afterVersion, Duration patience,
+			Consumer<Either<Failure, RowChanges>> answer) {
+		String path = "/v1/rows-feed?table=" + encode(table) + "&after=" + afterVersion + "&wait_ms="
+				+ patience.toMillis();
+		get(path, CALL_TIMEOUT.plus(patience), (outcome) -> answer.accept(outcome.flatMap((answered) -> {
+			if (answered.status() == GONE) {
+				return Either.right(RowChanges.HISTORY_LOST);
+			}
+			return parse(answered, (body) -> new RowChanges(false, rows(body), version(body)));
+		})));
+	}
+
+	private void get(String path, Duration timeout, Consumer<Either<Failure, Answered>> answer) {
+		HttpCaller.Request request = new HttpCaller.Request("GET", path, Map.of(), new byte[0]);
+		this.caller.call(this.address, request, timeout, (outcome) -> {
+			if (outcome instanceof Answered answered) {
+				answer.accept(Either.right(answered));
+			}
+			else if (outcome instanceof HttpOutcome.NeverSent neverSent) {
+				answer.accept(unavailable(neverSent.reason()));
+			}
+			else {
+				answer.accept(unavailable(((HttpOutcome.Unanswered) outcome).reason()));
+			}
+		});
+	}
+
+	private static <T> Either<Failure, T> parse(Answered answered, BodyParser<T> parser) {
+		if (answered.status() != OK) {
+			return unavailable("status " + answered.status());
+		}
+		try {
+			return Either.right(parser.parse(JsonTrees.read(answered.body())));
+		}
+		catch (IOException | IllegalArgumentException ex) {
+			return unavailable("the answer is malformed");
+		}
+	}
+
+	private static List<StoredRow> rows(JsonNode body) {
+		List<StoredRow> rows = new ArrayList<>();
+		for (JsonNode row : body.path("rows")) {
+			boolean removed = row.path("deleted").asBoolean();
+			String value = removed ? ""
+					: new String(Base64.getDecoder().decode(row.path("value").asText()), StandardCharsets.UTF_8);
+			rows.add(new StoredRow(row.path("key").asText(), removed ? StoredRow.ABSENT : version(row), value));
+		}
+		return rows;
+	}
+
+	private static long version(JsonNode node) {
+		// On a row the version of the row, on an answer that of the whole store.
+		return node.path("schema_version").asLong();
+	}
+
+	private static String encode(String text) {
+		return URLEncoder.encode(text, StandardCharsets.UTF_8);
+	}
+
+	private static <T> Either<Failure, T> unavailable(String reason) {
+		return Either.left(ErrorCode.STORE_UNAVAILABLE.with(reason));
+	}
+
+	private interface BodyParser<T> {
+
+		T parse(JsonNode body);
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/platform/hosted/JsonErrors.java
@@ -0,0 +1,19 @@
+package org.crocuspost.platform.hosted;
+
+import java.nio.charset.StandardCharsets;
+
+import org.crocuspost.json.JsonTrees;
+
+/**
+ * Bodies of answers that report an error.
+ */
+final class JsonErrors {
+
+	private JsonErrors() {
+	}
+
+	static String body(String reason) {
+		return new String(JsonTrees.bytes(JsonTrees.object().put("error", reason)), StandardCharsets.UTF_8);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/platform/http/HttpCaller.java
@@ -0,0 +1,255 @@
+package org.crocuspost.platform.http;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.crocuspost.net.Sockets;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * HTTP client on the event loop of the process, with connections that are kept open. A
+ * call without an answer in time closes its connection, so that no late answer reaches
+ * another call. Used on the event loop only.
+ */
+public final class HttpCaller {
+
+	private static final int MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024;
+
+	/**
+	 * Bound on opening a connection. Hosts of a region are milliseconds apart; a longer
+	 * wait means that the other side is unreachable.
+	 */
+	private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
+	private final EventLoop loop;
+
+	private final int connectionsKept;
+
+	private final Map<InetSocketAddress, Deque<Channel>> idle = new HashMap<>();
+
+	/**
+	 * Creates a client.
+	 * @param loop the event loop of the process
+	 * @param connectionsKept the most idle connections that are kept to one address
+	 */
+	public HttpCaller(EventLoop loop, int connectionsKept) {
+		this.loop = loop;
+		this.connectionsKept = connectionsKept;
+	}
+
+	/**
+	 * Makes a call.
+	 * @param target the address
+	 * @param request the request
+	 * @param timeout how long the call may take in all
+	 * @param answer receives how the call ended, on the event loop
+	 */
+	public void call(InetSocketAddress target, Request request, Duration timeout, Consumer<HttpOutcome> answer) {
+		Call call = new Call(target, request, answer);
+		call.timeout = this.loop.schedule(call::timedOut, timeout.toNanos(), TimeUnit.NANOSECONDS);
+		Channel channel = takeIdle(target);
+		if (channel != null) {
+			call.send(channel);
+		}
+		else {
+			open(call);
+		}
+	}
+
+	private @Nullable Channel takeIdle(InetSocketAddress target) {
+		Deque<Channel> channels = this.idle.get(target);
+		while (channels != null && !channels.isEmpty()) {
+			Channel channel = channels.removeLast();
+			if (channel.isActive()) {
+				return channel;
+			}
+		}
+		return null;
+	}
+
+	private void open(Call call) {
+		Bootstrap bootstrap = new Bootstrap().group(this.loop)
+			.channel(Sockets.clientChannel())
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.handler(new Pipeline());
+		bootstrap.connect(call.target).addListener((ChannelFuture future) -> {
+			if (!future.isSuccess()) {
+				call.end(new HttpOutcome.NeverSent(String.valueOf(future.cause().getMessage())), false);
+			}
+			else if (call.ended) {
+				future.channel().close();
+			}
+			else {
+				call.send(future.channel());
+			}
+		});
+	}
+
+	private void release(InetSocketAddress target, Channel channel) {
+		Deque<Channel> channels = this.idle.computeIfAbsent(target, (address) -> new ArrayDeque<>());
+		if (channel.isActive() && channels.size() < this.connectionsKept) {
+			channels.addLast(channel);
+		}
+		else {
+			channel.close();
+		}
+	}
+
+	/**
+	 * A request.
+	 *
+	 * @param method the method
+	 * @param path the path with its query
+	 * @param headers further headers
+	 * @param body the body; empty for none
+	 */
+	public record Request(String method, String path, Map<String, String> headers, byte[] body) {
+
+		public Request {
+			headers = Map.copyOf(headers);
+		}
+
+	}
+
+	private static final class Pipeline extends ChannelInitializer<SocketChannel> {
+
+		@Override
+		protected void initChannel(SocketChannel channel) {
+			channel.pipeline()
+				.addLast(new HttpClientCodec())
+				.addLast(new HttpObjectAggregator(MAXIMUM_ANSWER_BYTES))
+				.addLast(new AnswerHandler());
+		}
+
+	}
+
+	private static final class AnswerHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+
+		private @Nullable Call current;
+
+		@Override
+		protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+			Call call = this.current;
+			this.current = null;
+			if (call == null) {
+				context.close();
+				return;
+			}
+			byte[] body = ByteBufUtil.getBytes(response.content());
+			call.end(new HttpOutcome.Answered(response.status().code(), body), HttpUtil.isKeepAlive(response));
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext context) {
+			Call call = this.current;
+			this.current = null;
+			if (call != null) {
+				call.end(new HttpOutcome.Unanswered("the connection was closed"), false);
+			}
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			Call call = this.current;
+			this.current = null;
+			if (call != null) {
+				call.end(new HttpOutcome.Unanswered(String.valueOf(cause.getMessage())), false);
+			}
+			context.close();
+		}
+
+	}
+
+	private final class Call {
+
+		private final InetSocketAddress target;
+
+		private final Request request;
+
+		private final Consumer<HttpOutcome> answer;
+
+		private @Nullable Channel channel;
+
+		private @Nullable ScheduledFuture<?> timeout;
+
+		private boolean ended;
+
+		private Call(InetSocketAddress target, Request request, Consumer<HttpOutcome> answer) {
+			this.target = target;
+			this.request = request;
+			this.answer = answer;
+		}
+
+		private void send(Channel opened) {
+			this.channel = opened;
+			opened.pipeline().get(AnswerHandler.class).current = this;
+			DefaultFullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
+					HttpMethod.valueOf(this.request.method()), this.request.path(),
+					Unpooled.wrappedBuffer(this.request.body()));
+			message.headers()
+				.set(HttpHeaderNames.HOST, this.target.getAddress().getHostAddress() + ":" + this.target.getPort())
+				.set(HttpHeaderNames.CONTENT_LENGTH, this.request.body().length);
+			if (this.request.body().length > 0) {
+				message.headers().set(HttpHeaderNames.CONTENT_TYPE, JsonBodies.CONTENT_TYPE);
+			}
+			this.request.headers().forEach(message.headers()::set);
+			opened.writeAndFlush(message);
+		}
+
+		private void timedOut() {
+			boolean sent = this.channel != null;
+			end(sent ? new HttpOutcome.Unanswered("no answer in time")
+					: new HttpOutcome.NeverSent("no connection in time"), false);
+		}
+
+		private void end(HttpOutcome outcome, boolean reusable) {
+			if (this.ended) {
+				return;
+			}
+			this.ended = true;
+			if (this.timeout != null) {
+				this.timeout.cancel(false);
+			}
+			if (this.channel != null && reusable) {
+				release(this.target, this.channel);
+			}
+			else if (this.channel != null) {
+				AnswerHandler handler = this.channel.pipeline().get(AnswerHandler.class);
+				if (handler != null) {
+					handler.current = null;
+				}
+				this.channel.close();
+			}
+			this.answer.accept(outcome);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/rows/RowStore.java
@@ -0,0 +1,58 @@
+package org.crocuspost.rows;
+
+import java.time.Duration;
+import java.util.function.Consumer;
+
+import io.vavr.control.Either;
+import org.crocuspost.error.Failure;
+
+/**
+ * Store of versioned rows. Calls return at once; answers arrive on the event loop of the
+ * process.
+ *
+ * <p>
+ * A failure with {@code STORE_UNAVAILABLE} had no effect. A failure with
+ * {@code STORE_UNKNOWN} comes from {@link #commit} only and may still take effect.
+ */
+public interface RowStore {
+
+	/**
+	 * Appended to a key, gives the start of the range behind it. Keys have no characters
+	 * that sort before it.
+	 */
+	String AFTER_KEY = "!";
+
+	/**
+	 * Applies all writes of a transaction or none.
+	 * @param transaction the transaction
+	 * @param answer receives the outcome
+	 */
+	void commit(RowTransaction transaction, Consumer<Either<Failure, RowCommit>> answer);
+
+	/**
+	 * Reads one row.
+	 * @param table the table
+	 * @param key the key
+	 * @param answer receives the row; its version is {@link StoredRow#ABSENT} if it does
+	 * not exist
+	 */
+	void read(String table, String key, Consumer<Either<Failure, StoredRow>> answer);
+
+	/**
+	 * Reads a page of a table in the order of keys.
+	 * @param table the table
+	 * @param fromKey the first key that may be returned; empty for the start
+	 * @param answer receives the page
+	 */
+	void scan(String table, String fromKey, Consumer<Either<Failure, RowPage>> answer);
+
+	/**
+	 * Reads the changes of a table after a version, and waits for one if there is none.
+	 * @param table the table
+	 * @param afterVersion the version up to which the changes are known
+	 * @param patience how long the store waits for a change
+	 * @param answer receives the changes
+	 */
+	void changes(String table, long afterVersion, Duration patience, Consumer<Either<Failure, RowChanges>> answer);
+
+}
--- /dev/null
+++ b/src/main/java/org/crocuspost/rows/StoredRow.java
@@ -0,0 +1,33 @@
+package org.crocuspost.rows;
+
+import java.util.Objects;
+
+/**
+ * A row of the platform's store.
+ *
+ * @param key the key within its table
+ * @param version rises with each transaction of the store; {@link #ABSENT} if the row
+ * does not exist
+ * @param value the value; empty if the row does not exist
+ */
+public record StoredRow(String key, long version, String value) {
+
+	/**
+	 * Version of a row that does not exist.
+	 */
+	public static final long ABSENT = 0;
+
+	public StoredRow {
+		Objects.requireNonNull(key, "key");
+		Objects.requireNonNull(value, "value");
+	}
+
+	/**
+	 * Says whether the row exists.
+	 * @return true if it does
+	 */
+	public boolean exists() {
+		return this.version != ABSENT;
+	}
+
+}
