Count an answer without changes as a confirmation at the end of its wait

Cause: the view of a quiet table was taken to be as old as the call, up to two seconds; so a candidate always saw a silent store and never took over, and the leader withheld starts for most of each second. Ruled out: the store (its answers arrived) and the start of the processes (ready 0.5 s after power returned). Change: an answer without changes confirms the view at the end of the wait.

--- a/src/main/java/org/crocuspost/platform/hosted/AgentProgram.java
+++ b/src/main/java/org/crocuspost/platform/hosted/AgentProgram.java
@@ -36,7 +36,7 @@
 
 	private static final int STORE_CONNECTIONS = 1;
 
-	private static final int WORKER_CONNECTIONS = 3;
+	private static final int WORKER_CONNECTIONS = 12;
 
 	private static final Duration REGISTRATION_RETRY = Duration.ofMillis(500);
 
--- a/src/main/java/org/crocuspost/rows/RowWatch.java
+++ b/src/main/java/org/crocuspost/rows/RowWatch.java
@@ -143,7 +143,7 @@
 				return;
 			}
 			this.version = Math.max(this.version, changes.storeVersion());
-			succeeded(changes.rows().isEmpty() ? asked : this.clock.nanoTime());
+			succeeded(changes.rows().isEmpty() ? endOfWait(asked) : asked);
 			if (!changes.rows().isEmpty()) {
 				this.listener.rowsChanged(changes.rows());
 			}
@@ -151,6 +151,14 @@
 		});
 	}
 
+	/**
+	 * Returns until when an answer without changes confirms the view: the store looked at
+	 * the end of its wait.
+	 */
+	private long endOfWait(long asked) {
+		return Math.min(this.clock.nanoTime(), asked + this.settings.patience().toNanos());
+	}
+
 	private void succeeded(long atNanos) {
 		this.confirmed = true;
 		this.confirmedNanos = Math.max(this.confirmedNanos, atNanos);
--- /dev/null
+++ b/src/test/java/org/crocuspost/rows/RowWatchTests.java
@@ -0,0 +1,124 @@
+package org.crocuspost.rows;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+import io.vavr.control.Either;
+import org.crocuspost.error.ErrorCode;
+import org.crocuspost.error.Failure;
+import org.crocuspost.time.VirtualTime;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * How a table is followed, and how old the view is said to be.
+ */
+class RowWatchTests {
+
+	private static final Duration PATIENCE = Duration.ofSeconds(1);
+
+	private static final Duration LATENCY = Duration.ofMillis(10);
+
+	private final VirtualTime time = new VirtualTime(Instant.EPOCH);
+
+	private final QuietStore store = new QuietStore();
+
+	private final RecordingListener listener = new RecordingListener();
+
+	private final RowWatch watch = new RowWatch(this.store, "table",
+			new RowWatch.Settings(PATIENCE, Duration.ofMillis(100)), this.listener, this.time, this.time);
+
+	@Test
+	void aQuietTableIsConfirmedAtTheEndOfEachWait() {
+		this.watch.start();
+		this.time.advance(Duration.ofSeconds(10));
+		for (int step = 0; step < 300; step++) {
+			this.time.advance(Duration.ofMillis(10));
+			assertThat(this.watch.age()).isLessThan(PATIENCE.plusMillis(200));
+		}
+	}
+
+	@Test
+	void aViewAgesWhileTheStoreFails() {
+		this.watch.start();
+		this.time.advance(Duration.ofSeconds(5));
+		this.store.failing = true;
+		this.time.advance(Duration.ofSeconds(5));
+		assertThat(this.watch.age()).isGreaterThan(Duration.ofSeconds(3));
+		this.store.failing = false;
+		this.time.advance(Duration.ofSeconds(2));
+		assertThat(this.watch.age()).isLessThan(PATIENCE.plusMillis(200));
+	}
+
+	@Test
+	void aTableIsReadAnewWhenItsHistoryIsLost() {
+		this.watch.start();
+		this.time.advance(Duration.ofSeconds(3));
+		this.store.rows = List.of(new StoredRow("key", 7, "value"));
+		this.store.historyLost = true;
+		this.time.advance(Duration.ofSeconds(3));
+		assertThat(this.listener.tables).hasSizeGreaterThan(1);
+		assertThat(this.listener.tables.get(1)).containsExactly(new StoredRow("key", 7, "value"));
+	}
+
+	private static final class RecordingListener implements RowWatchListener {
+
+		private final List<List<StoredRow>> tables = new ArrayList<>();
+
+		@Override
+		public void tableRead(List<StoredRow> rows) {
+			this.tables.add(List.copyOf(rows));
+		}
+
+		@Override
+		public void rowsChanged(List<StoredRow> rows) {
+		}
+
+	}
+
+	/**
+	 * Store whose table never changes while it is watched.
+	 */
+	private final class QuietStore implements RowStore {
+
+		private List<StoredRow> rows = List.of();
+
+		private boolean failing;
+
+		private boolean historyLost;
+
+		@Override
+		public void commit(RowTransaction transaction, Consumer<Either<Failure, RowCommit>> answer) {
+			throw new UnsupportedOperationException("a watch does not write");
+		}
+
+		@Override
+		public void read(String table, String key, Consumer<Either<Failure, StoredRow>> answer) {
+			throw new UnsupportedOperationException("a watch reads no single rows");
+		}
+
+		@Override
+		public void scan(String table, String fromKey, Consumer<Either<Failure, RowPage>> answer) {
+			later(LATENCY, new RowPage(this.rows, true, 1), answer);
+		}
+
+		@Override
+		public void changes(String table, long afterVersion, Duration patience,
+				Consumer<Either<Failure, RowChanges>> answer) {
+			RowChanges changes = this.historyLost ? RowChanges.HISTORY_LOST : new RowChanges(false, List.of(), 1);
+			this.historyLost = false;
+			later(patience.plus(LATENCY), changes, answer);
+		}
+
+		private <T> void later(Duration delay, T value, Consumer<Either<Failure, T>> answer) {
+			RowWatchTests.this.time.schedule(delay, () -> answer
+				.accept(this.failing ? Either.left(ErrorCode.STORE_UNAVAILABLE.with("test")) : Either.right(value)));
+		}
+
+	}
+
+}
