Pack lasting services and keep fillers away from them

Ruled out: waiting for the leader or the store (half of the jobs start within 54 ms), and failed runs (41 of 1365). Change: lasting tasks go where serving tasks are already, as tightly as they fit; fillers prefer workers that serve nobody. What is left is the pressure of fillers beside services.

--- a/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
+++ b/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
@@ -7,8 +7,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Spreads tasks so that each worker keeps processor for fillers and serving tasks feel
- * little pressure.
+ * Packs lasting services on few workers, so that the others are free for fillers, which
+ * then disturb nobody and run at full speed.
  *
  * <p>
  * Load pattern: lasting services reserve most of the capacity and use half of it, short
@@ -35,6 +35,12 @@
 	 */
 	private static final double DATA_BONUS = 10;
 
+	/**
+	 * Weight of a worker that serves users, as against a worker that is free for fillers;
+	 * larger than any difference of room.
+	 */
+	private static final double SERVING_WEIGHT = 1.5;
+
 	/**
 	 * Weight of a worker that is still slow after its start.
 	 */
@@ -67,8 +73,17 @@
 
 	private static double score(StepSpecification step, HostRoom room) {
 		double capacity = room.capacityMilliCores();
-		double score = step.filler() ? room.fillerMilliCores() / capacity - room.host().pressure()
-				: room.milliCores() / capacity + room.fillerMilliCores() / capacity;
+		boolean serving = room.host().serves();
+		double score;
+		if (step.filler()) {
+			score = room.fillerMilliCores() / capacity - room.host().pressure() - (serving ? SERVING_WEIGHT : 0);
+		}
+		else if (step.lasting()) {
+			score = (serving ? SERVING_WEIGHT : 0) - room.milliCores() / capacity;
+		}
+		else {
+			score = (serving ? SERVING_WEIGHT : 0) + room.milliCores() / capacity;
+		}
 		if (!step.dataRack().isEmpty() && step.dataRack().equals(room.rack())) {
 			score += DATA_BONUS;
 		}
--- a/src/main/java/org/crocuspost/dispatch/HostState.java
+++ b/src/main/java/org/crocuspost/dispatch/HostState.java
@@ -144,6 +144,19 @@
 		return room;
 	}
 
+	/**
+	 * Says whether a task with a latency target is assigned to the worker.
+	 * @return true if fillers would disturb somebody
+	 */
+	boolean serves() {
+		for (Placement placement : this.placements.values()) {
+			if (!placement.task().step().tailTarget().isZero()) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	int tasksOfStep(TaskKey key) {
 		int count = 0;
 		for (TaskKey placed : this.placements.keySet()) {
--- a/src/main/java/org/crocuspost/rows/RowWatch.java
+++ b/src/main/java/org/crocuspost/rows/RowWatch.java
@@ -154,6 +154,8 @@
 	/**
 	 * Returns until when an answer without changes confirms the view: the store looked at
 	 * the end of its wait.
+	 * @param asked when the call was made
+	 * @return monotonic time in nanoseconds
 	 */
 	private long endOfWait(long asked) {
 		return Math.min(this.clock.nanoTime(), asked + this.settings.patience().toNanos());
