Learn how fillers of each image press on services

Change: a linear model of the pressure by image; fillers go beside services only if these bear them, an unknown image is tried alone, and a run that may only crawl is stopped and resumes elsewhere from its checkpoint.

--- a/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
+++ b/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
@@ -1,6 +1,7 @@
 package org.crocuspost.dispatch;
 
 import java.util.Collection;
+import java.util.OptionalDouble;
 
 import org.crocuspost.job.StepSpecification;
 import org.crocuspost.job.TaskProgress;
@@ -25,10 +26,10 @@
 	private static final double FILLER_SHARE = 0.6;
 
 	/**
-	 * Pressure on a serving task, as the ratio of its tail latency to its target, above
-	 * which no filler is added.
+	 * Pressure that a filler may bring a serving task to, as the ratio of its tail
+	 * latency to its target. The load of a service swings by half.
 	 */
-	private static final double HIGH_PRESSURE = 0.9;
+	private static final double TOLERABLE_PRESSURE = 0.7;
 
 	/**
 	 * Weight of a worker that holds the data, larger than any difference of room.
@@ -46,6 +47,16 @@
 	 */
 	private static final double COLD_PENALTY = 2;
 
+	private final ImagePressure imagePressure;
+
+	/**
+	 * Creates a policy.
+	 * @param imagePressure tells how fillers press on services
+	 */
+	public DefaultPlacementPolicy(ImagePressure imagePressure) {
+		this.imagePressure = imagePressure;
+	}
+
 	@Override
 	public @Nullable HostRoom choose(TaskProgress task, Collection<HostRoom> rooms) {
 		StepSpecification step = task.step();
@@ -61,14 +72,32 @@
 				bestScore = score;
 			}
 		}
+		if (best != null && step.filler() && best.host().serves()) {
+			double share = step.milliCores() / (double) best.capacityMilliCores();
+			best.expectRise(this.imagePressure.rise(step.image(), share).orElse(TOLERABLE_PRESSURE));
+		}
 		return best;
 	}
 
-	private static boolean worthwhile(StepSpecification step, HostRoom room) {
+	private boolean worthwhile(StepSpecification step, HostRoom room) {
 		if (!step.filler()) {
 			return true;
 		}
-		return room.fillerMilliCores() >= step.milliCores() * FILLER_SHARE && room.host().pressure() < HIGH_PRESSURE;
+		if (room.fillerMilliCores() < step.milliCores() * FILLER_SHARE) {
+			return false;
+		}
+		return !room.host().serves() || tolerable(step, room);
+	}
+
+	// A filler of an unknown image is tried alone: its effect shows within a second.
+	private boolean tolerable(StepSpecification step, HostRoom room) {
+		double share = step.milliCores() / (double) room.capacityMilliCores();
+		OptionalDouble rise = this.imagePressure.rise(step.image(), share);
+		if (rise.isEmpty()) {
+			return room.fillers() == 0 && room.host().pressure() < TOLERABLE_PRESSURE;
+		}
+		double expected = room.host().pressure() + room.expectedRise() + rise.getAsDouble();
+		return expected <= TOLERABLE_PRESSURE;
 	}
 
 	private static double score(StepSpecification step, HostRoom room) {
--- a/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
@@ -28,6 +28,17 @@
 	 */
 	public static final Duration RETENTION_MARGIN = Duration.ofSeconds(30);
 
+	/**
+	 * Span that a worker's report of load covers, by the platform's pages.
+	 */
+	static final Duration LOAD_REPORT_SPAN = Duration.ofMillis(500);
+
+	/**
+	 * Pace below which a filler that can resume elsewhere is taken off a worker that
+	 * serves users.
+	 */
+	static final int CRAWLING_PACE = 45;
+
 	/**
 	 * A step longer than this is not done soon even without waiting; used when a job
 	 * gives no estimate.
--- a/src/main/java/org/crocuspost/dispatch/HostRoom.java
+++ b/src/main/java/org/crocuspost/dispatch/HostRoom.java
@@ -26,6 +26,10 @@
 
 	private int trialTasks;
 
+	private int fillers;
+
+	private double expectedRise;
+
 	HostRoom(HostState host) {
 		this.host = host;
 		this.labels = host.labels();
@@ -34,6 +38,8 @@
 		this.memoryMegabytes = host.freeMemoryMegabytes();
 		this.accelerators = host.freeAccelerators();
 		this.fillerMilliCores = host.fillerRoom();
+		this.fillers = host.fillers();
+		this.expectedRise = host.unreportedRise();
 	}
 
 	private HostRoom(HostRoom other) {
@@ -44,6 +50,8 @@
 		this.memoryMegabytes = other.memoryMegabytes;
 		this.accelerators = other.accelerators;
 		this.fillerMilliCores = other.fillerMilliCores;
+		this.fillers = other.fillers;
+		this.expectedRise = other.expectedRise;
 	}
 
 	HostRoom copy() {
@@ -56,6 +64,7 @@
 	}
 
 	void take(StepSpecification step) {
+		this.fillers += step.filler() ? 1 : 0;
 		this.milliCores -= step.reservedMilliCores();
 		this.memoryMegabytes -= step.memoryMegabytes();
 		this.accelerators -= step.accelerators();
@@ -73,6 +82,23 @@
 		this.trialTasks++;
 	}
 
+	/**
+	 * Counts in the pressure of a filler that has just been chosen for the worker.
+	 * @param rise the expected rise of the pressure
+	 */
+	void expectRise(double rise) {
+		this.expectedRise += rise;
+		this.host.expectRise(rise);
+	}
+
+	double expectedRise() {
+		return this.expectedRise;
+	}
+
+	int fillers() {
+		return this.fillers;
+	}
+
 	int trialTasks() {
 		return this.trialTasks;
 	}
--- a/src/main/java/org/crocuspost/dispatch/HostState.java
+++ b/src/main/java/org/crocuspost/dispatch/HostState.java
@@ -45,6 +45,10 @@
 
 	private double pressure;
 
+	private double unreportedRise;
+
+	private long riseNanos;
+
 	HostState(String name) {
 		this.name = name;
 	}
@@ -264,6 +268,36 @@
 		this.life = value;
 	}
 
+	int fillers() {
+		int count = 0;
+		for (Placement placement : this.placements.values()) {
+			count += placement.task().step().filler() ? 1 : 0;
+		}
+		return count;
+	}
+
+	/**
+	 * Counts in the pressure of a new filler until the reports show it.
+	 * @param rise the expected rise
+	 */
+	void expectRise(double rise) {
+		this.unreportedRise += rise;
+	}
+
+	double unreportedRise() {
+		return this.unreportedRise;
+	}
+
+	/**
+	 * Forgets expected rises by and by; a report shows the load of the last half second.
+	 * @param nowNanos the present time
+	 */
+	void fadeExpectedRise(long nowNanos) {
+		double elapsed = (nowNanos - this.riseNanos) / (double) DispatchSettings.LOAD_REPORT_SPAN.toNanos();
+		this.unreportedRise *= Math.exp(-elapsed);
+		this.riseNanos = nowNanos;
+	}
+
 	double pressure() {
 		return this.pressure;
 	}
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -49,12 +49,16 @@
 
 	private final Dispatcher dispatcher;
 
+	private final ImagePressure imagePressure;
+
 	/**
 	 * Creates the processor.
 	 * @param dispatcher holds the working copy
+	 * @param imagePressure learns how fillers press on services
 	 */
-	public ReportProcessor(Dispatcher dispatcher) {
+	public ReportProcessor(Dispatcher dispatcher, ImagePressure imagePressure) {
 		this.dispatcher = dispatcher;
+		this.imagePressure = imagePressure;
 	}
 
 	/**
@@ -241,6 +245,7 @@
 		Set<TaskKey> listed = new HashSet<>();
 		host.strangers().clear();
 		double pressure = 0;
+		Map<String, Double> shares = new HashMap<>();
 		List<RunningTask> present = new ArrayList<>(report.getRunningList());
 		present.addAll(report.getPendingList());
 		for (RunningTask running : present) {
@@ -250,7 +255,12 @@
 				listed.add(key);
 				placement.task().save(running.getCheckpoint());
 				placement.reported(running, now);
-				pressure = Math.max(pressure, pressure(placement.task().step(), running));
+				StepSpecification step = placement.task().step();
+				pressure = Math.max(pressure, pressure(step, running));
+				if (step.filler()) {
+					shares.merge(step.image(), running.getLoad() / (double) Math.max(1, host.worker().getMilliCores()),
+							Double::sum);
+				}
 			}
 			else {
 				this.dispatcher.job(key.job())
@@ -259,6 +269,10 @@
 			}
 		}
 		host.pressure(pressure);
+		host.fadeExpectedRise(now);
+		if (pressure > 0) {
+			this.imagePressure.observe(host.name(), pressure, shares);
+		}
 		settleMissing(host, report, listed);
 	}
 
@@ -300,13 +314,21 @@
 			Placement placement = host.placements().get(key);
 			boolean wanted = placement != null && placement.run() == running.getRun() && placement.current()
 					&& this.dispatcher.job(key.job()).filter((job) -> !job.state().terminal()).isPresent();
-			if (!wanted || stalled(host, placement, now)) {
+			if (!wanted || stalled(host, placement, now) || crawling(host, placement)) {
 				stops.add(StopOrder.newBuilder().setTask(running.getTask()).setRun(running.getRun()).build());
 			}
 		}
 		return stops;
 	}
 
+	// Such a run should resume elsewhere: the services beside it bear it only at a crawl,
+	// and its progress is kept.
+	private boolean crawling(HostState host, Placement placement) {
+		RunningTask report = placement.report();
+		return report != null && placement.task().step().filler() && placement.task().step().checkpointing()
+				&& host.serves() && report.getPace() < DispatchSettings.CRAWLING_PACE;
+	}
+
 	/**
 	 * Returns the reported runs of a host that belong to ended jobs.
 	 * @param name the name of the host
