--- a/src/main/java/org/crocuspost/dispatch/HostState.java
+++ b/src/main/java/org/crocuspost/dispatch/HostState.java
@@ -23,6 +23,8 @@
 
 	private boolean answers;
 
+	private boolean grantedOnce;
+
 	private long grantNanos;
 
 	private long newestOrder;
@@ -228,11 +230,16 @@
 		this.answers = value;
 	}
 
+	boolean grantedOnce() {
+		return this.grantedOnce;
+	}
+
 	long grantNanos() {
 		return this.grantNanos;
 	}
 
 	void granted(long nowNanos) {
+		this.grantedOnce = true;
 		this.grantNanos = nowNanos;
 	}
 
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -138,7 +138,7 @@
 			if (host.placements().isEmpty() && host.strangers().isEmpty()) {
 				continue;
 			}
-			boolean heard = host.grantNanos() != 0;
+			boolean heard = host.grantedOnce();
 			long lapsed = heard ? host.grantNanos() + this.dispatcher.settings().lapse().toNanos()
 					: takeoverNanos + unreachable.toNanos();
 			if (now > lapsed) {
--- /dev/null
+++ b/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
@@ -0,0 +1,308 @@
+package org.crocuspost.dispatch;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.crocuspost.job.JobProgress;
+import org.crocuspost.job.JobSpecification;
+import org.crocuspost.job.JobSubmission;
+import org.crocuspost.job.Queue;
+import org.crocuspost.job.QueueConfiguration;
+import org.crocuspost.job.StepSpecification;
+import org.crocuspost.job.TaskKey;
+import org.crocuspost.job.TaskProgress;
+import org.crocuspost.time.VirtualTime;
+import org.crocuspost.wire.EndedTask;
+import org.crocuspost.wire.HostReport;
+import org.crocuspost.wire.RunningTask;
+import org.crocuspost.wire.StartOrder;
+import org.crocuspost.wire.StopOrder;
+import org.crocuspost.wire.WorkerDescription;
+
+/**
+ * A leader's decisions with workers that obey at once, on virtual time.
+ */
+final class DispatchFixture {
+
+	static final String SERVICE = "service";
+
+	static final String QUEUE = "queue";
+
+	static final DispatchSettings SETTINGS = new DispatchSettings(Duration.ofSeconds(6), Duration.ofMinutes(3), 1.5);
+
+	final VirtualTime time = new VirtualTime(Instant.parse("2026-12-01T00:00:00Z"));
+
+	final ImagePressure imagePressure = new ImagePressure();
+
+	final Map<String, String> stored = new LinkedHashMap<>();
+
+	final Map<String, JobSubmission> submissions = new LinkedHashMap<>();
+
+	final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
+
+	Dispatcher dispatcher = newDispatcher();
+
+	ReportProcessor reports = new ReportProcessor(this.dispatcher, this.imagePressure);
+
+	private Dispatcher newDispatcher() {
+		Dispatcher created = new Dispatcher(SETTINGS, new DefaultPlacementPolicy(this.imagePressure), this.time,
+				new SilentListener());
+		created.configure(new QueueConfiguration(1,
+				List.of(new Queue(QUEUE, "host", "/queue/", SERVICE, 0, 2, 2, Duration.ofSeconds(1), false)), List.of(),
+				1_000));
+		return created;
+	}
+
+	SimulatedWorker worker(String host, int milliCores) {
+		SimulatedWorker worker = new SimulatedWorker(host, milliCores);
+		this.workers.put(host, worker);
+		report(worker);
+		return worker;
+	}
+
+	void submit(String id, StepSpecification... steps) {
+		JobSubmission submission = new JobSubmission(id, QUEUE, 0,
+				new JobSpecification("text", List.of(steps), 1, false, 0, 0));
+		this.submissions.put(id, submission);
+		this.dispatcher.submitted(submission, Optional.empty());
+	}
+
+	/**
+	 * Assigns, records and orders.
+	 */
+	void round() {
+		this.dispatcher.schedule();
+		while (this.dispatcher.hasChanges()) {
+			DispatchBatch batch = this.dispatcher.takeBatch(100);
+			this.stored.putAll(batch.jobs());
+			this.dispatcher.recorded(batch, true).forEach((host, orders) -> this.workers.get(host).obey(orders));
+		}
+	}
+
+	void reportAll() {
+		this.workers.values().forEach(this::report);
+	}
+
+	ReportProcessor.Reaction report(SimulatedWorker worker) {
+		ReportProcessor.Reaction reaction = this.reports.reported(worker.report(), true);
+		reaction.stops().forEach(worker::stop);
+		return reaction;
+	}
+
+	/**
+	 * Replaces the leader by one that knows only what is stored.
+	 */
+	void takeOver() {
+		this.dispatcher = newDispatcher();
+		this.reports = new ReportProcessor(this.dispatcher, this.imagePressure);
+		this.workers.values().forEach((worker) -> worker.handledOrder = 0);
+		this.submissions.forEach(
+				(id, submission) -> this.dispatcher.submitted(submission, Optional.ofNullable(this.stored.get(id))));
+	}
+
+	JobProgress job(String id) {
+		return this.dispatcher.job(id).orElseThrow();
+	}
+
+	TaskProgress task(String id, int step, int index) {
+		return job(id).tasks(0, step).get(index);
+	}
+
+	static StepSpecification step(int tasks, int milliCores) {
+		return new StepBuilder().tasks(tasks).milliCores(milliCores).build();
+	}
+
+	/**
+	 * Builds steps for tests.
+	 */
+	static final class StepBuilder {
+
+		private int tasks = 1;
+
+		private int milliCores = 1_000;
+
+		private List<Integer> predecessors = List.of();
+
+		private boolean gang;
+
+		private String label = "";
+
+		private int perWorker;
+
+		private boolean lasting;
+
+		private String image = "";
+
+		private Duration tailTarget = Duration.ZERO;
+
+		private boolean filler;
+
+		StepBuilder tasks(int count) {
+			this.tasks = count;
+			return this;
+		}
+
+		StepBuilder milliCores(int value) {
+			this.milliCores = value;
+			return this;
+		}
+
+		StepBuilder after(Integer... steps) {
+			this.predecessors = List.of(steps);
+			return this;
+		}
+
+		StepBuilder gang() {
+			this.gang = true;
+			return this;
+		}
+
+		StepBuilder label(String value) {
+			this.label = value;
+			return this;
+		}
+
+		StepBuilder perWorker(int value) {
+			this.perWorker = value;
+			return this;
+		}
+
+		StepBuilder serving() {
+			this.lasting = true;
+			this.tailTarget = Duration.ofMillis(100);
+			return this;
+		}
+
+		StepBuilder filler(String imageName) {
+			this.filler = true;
+			this.image = imageName;
+			return this;
+		}
+
+		StepSpecification build() {
+			return new StepSpecification(this.tasks, this.milliCores, 100, 0, Duration.ofSeconds(1), this.predecessors,
+					this.filler, this.gang, false, this.label, "", this.perWorker, false, this.lasting, this.image,
+					this.tailTarget, this.filler, -1);
+		}
+
+	}
+
+	/**
+	 * Worker and agent that obey at once and remember what ran.
+	 */
+	final class SimulatedWorker {
+
+		final Map<TaskKey, RunningTask> running = new LinkedHashMap<>();
+
+		final List<EndedTask> ended = new ArrayList<>();
+
+		final List<StartOrder> obeyed = new ArrayList<>();
+
+		WorkerDescription description;
+
+		boolean deaf;
+
+		long handledOrder;
+
+		private long ends;
+
+		SimulatedWorker(String host, int milliCores) {
+			this.description = WorkerDescription.newBuilder()
+				.setId("worker-" + host)
+				.setBorn(1)
+				.setService(SERVICE)
+				.setFailureDomain("domain-" + host)
+				.setMilliCores(milliCores)
+				.setMemoryMegabytes(64_000)
+				.addLabels("kind")
+				.build();
+			this.host = host;
+		}
+
+		final String host;
+
+		void obey(List<StartOrder> orders) {
+			if (this.deaf) {
+				return;
+			}
+			this.handledOrder += orders.size();
+			for (StartOrder order : orders) {
+				this.obeyed.add(order);
+				this.running.put(TaskNames.key(order.getTask()),
+						RunningTask.newBuilder().setTask(order.getTask()).setRun(order.getRun()).setPace(100).build());
+			}
+		}
+
+		void stop(StopOrder order) {
+			RunningTask run = this.running.get(TaskNames.key(order.getTask()));
+			if (run != null && run.getRun() == order.getRun()) {
+				end(TaskNames.key(order.getTask()), "stopped");
+			}
+		}
+
+		void end(TaskKey key, String kind) {
+			RunningTask run = this.running.remove(key);
+			this.ended.add(EndedTask.newBuilder()
+				.setNumber(++this.ends)
+				.setTask(run.getTask())
+				.setRun(run.getRun())
+				.setKind(kind)
+				.build());
+		}
+
+		void endAll(String kind) {
+			List.copyOf(this.running.keySet()).forEach((key) -> end(key, kind));
+		}
+
+		void restart() {
+			this.running.clear();
+			this.ended.clear();
+			this.ends = 0;
+			this.description = this.description.toBuilder().setBorn(this.description.getBorn() + 1).build();
+		}
+
+		HostReport report() {
+			return HostReport.newBuilder()
+				.setHost(this.host)
+				.setLife("life")
+				.setLeaseStamp(1)
+				.setWorker(this.description)
+				.setWorkerAnswers(true)
+				.setHandledOrder(this.handledOrder)
+				.addAllRunning(this.running.values())
+				.addAllEnded(this.ended)
+				.build();
+		}
+
+	}
+
+	private static final class SilentListener implements DispatchListener {
+
+		@Override
+		public void jobSeen(JobProgress job) {
+		}
+
+		@Override
+		public void jobEnded(JobProgress job, String reason) {
+		}
+
+		@Override
+		public void placed(TaskProgress task, long waitedMillis) {
+		}
+
+		@Override
+		public void runEnded(TaskProgress task, int run, String host, String outcome) {
+		}
+
+		@Override
+		public void hostChanged(String host, String belief, String detail) {
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/crocuspost/host/HostAgentTests.java
@@ -0,0 +1,176 @@
+package org.crocuspost.host;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+import io.vavr.control.Either;
+import org.crocuspost.dispatch.TaskNames;
+import org.crocuspost.hostlink.LeaderPort;
+import org.crocuspost.job.TaskKey;
+import org.crocuspost.time.VirtualTime;
+import org.crocuspost.wire.LeaderMessage;
+import org.crocuspost.wire.RunningTask;
+import org.crocuspost.wire.StartOrder;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Orders to a worker that answers late, not at all or as another life.
+ */
+class HostAgentTests {
+
+	private static final TaskKey TASK = new TaskKey("0123456789abcdef", 0, 0, 0);
+
+	private final VirtualTime time = new VirtualTime(Instant.parse("2026-12-01T00:00:00Z"));
+
+	private final ScriptedWorker worker = new ScriptedWorker();
+
+	private final HostAgent agent = new HostAgent(new HostAgentSettings("host", Duration.ofSeconds(6)), this.worker,
+			LeaderPort::new, this.time, this.time);
+
+	private void begin() {
+		this.agent.start();
+		this.agent.announced(announcement("worker", 1, 1));
+		this.time.advance(Duration.ofSeconds(1));
+	}
+
+	private static WorkerAnnouncement announcement(String id, long born, long sequence) {
+		return new WorkerAnnouncement(id, born, "service", "domain", false, 0, 0, 4_000, 4_000, 0, List.of(), sequence);
+	}
+
+	private LeaderMessage grantAndStart(String workerId, long born) {
+		return LeaderMessage.newBuilder()
+			.setLeaseStamp(this.worker.clockMillis())
+			.setOrder(1)
+			.addStarts(StartOrder.newBuilder()
+				.setTask(TaskNames.name(TASK))
+				.setRun(1)
+				.setSpecification("text")
+				.setWorker(workerId)
+				.setWorkerBorn(born))
+			.build();
+	}
+
+	@Test
+	void aStartWithoutAnAnswerIsStoppedUntilTheWorkerConfirms() {
+		begin();
+		this.worker.startOutcome = OrderOutcome.Kind.UNKNOWN;
+		this.worker.stopOutcome = OrderOutcome.Kind.UNKNOWN;
+		this.agent.ordered(grantAndStart("worker", 1));
+		this.time.advance(Duration.ofSeconds(3));
+		assertThat(this.worker.stops).hasSizeGreaterThan(2);
+		this.worker.stopOutcome = OrderOutcome.Kind.OBEYED;
+		this.time.advance(Duration.ofSeconds(2));
+		int confirmed = this.worker.stops.size();
+		this.time.advance(Duration.ofSeconds(3));
+		assertThat(this.worker.stops).hasSize(confirmed);
+	}
+
+	@Test
+	void theLeaseCountsFromTheWorkersClockBeforeTheReport() {
+		begin();
+		long stamp = this.worker.clockMillis();
+		this.agent.ordered(LeaderMessage.newBuilder().setLeaseStamp(stamp).build());
+		this.time.advance(Duration.ofSeconds(5));
+		assertThat(this.worker.leases).last().isEqualTo(stamp + 6_000);
+	}
+
+	@Test
+	void nothingStartsWithoutALease() {
+		begin();
+		this.agent.ordered(grantAndStart("worker", 1).toBuilder().setLeaseStamp(0).build());
+		assertThat(this.worker.starts).isEmpty();
+	}
+
+	@Test
+	void anOrderForAnEarlierLifeOfTheWorkerIsNotCarriedOut() {
+		begin();
+		this.agent.announced(announcement("worker", 2, 1));
+		this.time.advance(Duration.ofSeconds(1));
+		this.agent.ordered(grantAndStart("worker", 1));
+		assertThat(this.worker.starts).isEmpty();
+		this.agent.ordered(grantAndStart("worker", 2));
+		assertThat(this.worker.starts).hasSize(1);
+	}
+
+	@Test
+	void aDelayedAnnouncementOfAnEarlierLifeIsIgnored() {
+		begin();
+		this.agent.announced(announcement("other", 2, 1));
+		this.agent.announced(announcement("worker", 1, 9));
+		this.time.advance(Duration.ofSeconds(1));
+		this.agent.ordered(grantAndStart("other", 2));
+		assertThat(this.worker.starts).hasSize(1);
+	}
+
+	@Test
+	void aHigherFencingTokenIsTakenWhenTheWorkerKnowsOne() {
+		begin();
+		long before = this.worker.fences.get(this.worker.fences.size() - 1);
+		this.worker.fenced = true;
+		this.time.advance(Duration.ofSeconds(1));
+		this.worker.fenced = false;
+		this.time.advance(Duration.ofSeconds(1));
+		assertThat(this.worker.fences.get(this.worker.fences.size() - 1)).isGreaterThan(before);
+	}
+
+	/**
+	 * Worker that answers as a test prescribes.
+	 */
+	private final class ScriptedWorker implements WorkerCalls {
+
+		private final List<TaskKey> starts = new ArrayList<>();
+
+		private final List<TaskKey> stops = new ArrayList<>();
+
+		private final List<Long> leases = new ArrayList<>();
+
+		private final List<Long> fences = new ArrayList<>();
+
+		private OrderOutcome.Kind startOutcome = OrderOutcome.Kind.OBEYED;
+
+		private OrderOutcome.Kind stopOutcome = OrderOutcome.Kind.OBEYED;
+
+		private boolean fenced;
+
+		private long clockMillis() {
+			return HostAgentTests.this.time.nanoTime() / 1_000_000 + 1;
+		}
+
+		@Override
+		public void hold(WorkerAnnouncement life, long fence, long acknowledgedEnds, long leaseUntilMillis,
+				Duration patience, Consumer<Either<OrderOutcome, WorkerState>> answer) {
+			this.leases.add(leaseUntilMillis);
+			this.fences.add(fence);
+			boolean refused = this.fenced;
+			HostAgentTests.this.time.schedule(patience, () -> answer.accept(refused
+					? Either.left(new OrderOutcome(OrderOutcome.Kind.FENCED, "fence"))
+					: Either.right(new WorkerState(clockMillis(), life.born(), List.<RunningTask>of(), List.of()))));
+		}
+
+		@Override
+		public void start(WorkerAnnouncement life, long fence, RunStart run, long leaseUntilMillis,
+				Consumer<OrderOutcome> answer) {
+			this.starts.add(run.task());
+			answer.accept(new OrderOutcome(this.startOutcome, "scripted"));
+		}
+
+		@Override
+		public void stop(WorkerAnnouncement life, long fence, TaskKey task, int run, Consumer<OrderOutcome> answer) {
+			this.stops.add(task);
+			answer.accept(new OrderOutcome(this.stopOutcome, "scripted"));
+		}
+
+		@Override
+		public void pace(WorkerAnnouncement life, long fence, TaskKey task, int run, int percent,
+				Consumer<OrderOutcome> answer) {
+			answer.accept(new OrderOutcome(OrderOutcome.Kind.OBEYED, ""));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/crocuspost/platform/hosted/DecoderTests.java
@@ -0,0 +1,85 @@
+package org.crocuspost.platform.hosted;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+import org.crocuspost.host.WorkerAnnouncement;
+import org.crocuspost.job.JobSpecification;
+import org.crocuspost.job.JobSubmission;
+import org.crocuspost.job.SubmissionCodec;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+/**
+ * Messages of the platform become types of crocuspost, or nothing at all.
+ */
+class DecoderTests {
+
+	private static final String JOB = """
+			{"spec":"text","repeat_count":3,"start_at_ms":1000,"interval_ms":500,"steps":[
+			{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,"affinity":"r1-3","image":"a","target_ms":25,
+			"long_running":true,"may_miss":1},
+			{"count":20,"cpu":2000,"mem_mb":1024,"gpus":1,"after":[0],"checkpointing":true,"gang":true,
+			"same_rack":true,"constraints":"b","anti_affinity":2,"speculative":true,"fills":true}]}
+			""";
+
+	@Test
+	void aJobSurvivesDecodingAndStoring() throws Exception {
+		JobSpecification job = JobDecoder.decode(JOB.getBytes(StandardCharsets.UTF_8)).get();
+		assertThat(job.occurrences()).isEqualTo(3);
+		assertThat(job.dueMillis(2)).isEqualTo(2_000);
+		assertThat(job.steps().get(0).unavailableLimit()).isEqualTo(1);
+		assertThat(job.steps().get(1).unavailableLimit()).isNegative();
+		assertThat(job.steps().get(1).reservedMilliCores()).isZero();
+		JobSubmission submission = new JobSubmission("0123456789abcdef", "queue", 7, job);
+		assertThat(SubmissionCodec.read(submission.id(), SubmissionCodec.write(submission))).isEqualTo(submission);
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "", "nonsense", "{}", "{\"steps\":[]}", "{\"steps\":[{\"count\":0}]}",
+			"{\"steps\":[{\"count\":1,\"after\":[0]}]}", "{\"steps\":[{\"count\":1,\"cpu\":-1}]}",
+			"{\"steps\":[{\"count\":100000}]}" })
+	void aMalformedJobIsRefusedWithAReason(String body) {
+		assertThat(JobDecoder.decode(body.getBytes(StandardCharsets.UTF_8)).getLeft()).isNotBlank();
+	}
+
+	@Test
+	void aHeartbeatNamesAWorker() {
+		Optional<WorkerAnnouncement> worker = AnnouncementDecoder.decode("i-1", """
+				{"service":"s","address":"10.0.0.1:80","zone":"z","version":"v","slots":8,"state":"draining",
+				"cold_remaining_ms":5,"remaining_ms":900,"capacity":{"cpu":16000,"mem_mb":32768,"gpus":0},
+				"labels":["a","r1-3"],"clock_ms":482113,"sequence":4,"born":77}
+				""".getBytes(StandardCharsets.UTF_8));
+		assertThat(worker).map(WorkerAnnouncement::draining).contains(true);
+		assertThat(worker).map(WorkerAnnouncement::born).contains(77L);
+		assertThat(worker).map(WorkerAnnouncement::failureDomain).contains("z");
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "", "[]", "{\"service\":1}", "{\"service\":\"s\",\"zone\":\"z\",\"state\":\"odd\"}",
+			"{\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\",\"capacity\":{},\"sequence\":1}" })
+	void aHeartbeatOfAnotherWriterNamesNoWorker(String body) {
+		assertThat(AnnouncementDecoder.decode("i-1", body.getBytes(StandardCharsets.UTF_8))).isEmpty();
+	}
+
+	@Test
+	void aBrokenConfigurationIsNotTaken() {
+		assertThat(ConfigurationDecoder.decode("{\"version\":\"x\"}")).isEmpty();
+		assertThat(ConfigurationDecoder.decode("\u0000")).isEmpty();
+		assertThat(ConfigurationDecoder.decode("{\"version\":3,\"routes\":[],\"unknown\":1}")).isPresent();
+	}
+
+	@Test
+	void everyFaultOfTheSettingsIsReported() {
+		assertThatThrownBy(() -> HostSettings.of(new PropertyFile("node_name=one\nport_range=x,y\nheartbeat_ms=-1")))
+			.isInstanceOf(SettingsException.class)
+			.hasMessageContaining("ip is missing")
+			.hasMessageContaining("port_range must be a number")
+			.hasMessageContaining("heartbeat_ms must not be negative");
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/crocuspost/rows/MemoryRowStore.java
@@ -0,0 +1,126 @@
+package org.crocuspost.rows;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+import io.vavr.control.Either;
+import org.crocuspost.error.ErrorCode;
+import org.crocuspost.error.Failure;
+
+/**
+ * Store of rows in memory whose answers can be lost. It answers at once.
+ */
+public final class MemoryRowStore implements RowStore {
+
+	private final Map<String, TreeMap<String, StoredRow>> tables = new TreeMap<>();
+
+	private final List<RowTransaction> held = new ArrayList<>();
+
+	private long version;
+
+	private Fault fault = Fault.NONE;
+
+	/**
+	 * How commits fail.
+	 */
+	public enum Fault {
+
+		/**
+		 * They do not.
+		 */
+		NONE,
+
+		/**
+		 * Nothing is done, and the store says so.
+		 */
+		REFUSED,
+
+		/**
+		 * It is done, but the answer is lost.
+		 */
+		ANSWER_LOST,
+
+		/**
+		 * There is no answer, and it is done only when {@link #applyHeld()} is called.
+		 */
+		LATE
+
+	}
+
+	public void fault(Fault next) {
+		this.fault = next;
+	}
+
+	/**
+	 * Applies the held transactions whose conditions still hold.
+	 */
+	public void applyHeld() {
+		List.copyOf(this.held).forEach(this::apply);
+		this.held.clear();
+	}
+
+	public StoredRow row(String table, String key) {
+		return this.tables.getOrDefault(table, new TreeMap<>())
+			.getOrDefault(key, new StoredRow(key, StoredRow.ABSENT, ""));
+	}
+
+	@Override
+	public void commit(RowTransaction transaction, Consumer<Either<Failure, RowCommit>> answer) {
+		switch (this.fault) {
+			case REFUSED -> answer.accept(Either.left(ErrorCode.STORE_UNAVAILABLE.with("refused")));
+			case ANSWER_LOST -> {
+				apply(transaction);
+				answer.accept(Either.left(ErrorCode.STORE_UNKNOWN.with("lost")));
+			}
+			case LATE -> {
+				this.held.add(transaction);
+				answer.accept(Either.left(ErrorCode.STORE_UNKNOWN.with("late")));
+			}
+			default -> answer.accept(Either.right(apply(transaction)));
+		}
+	}
+
+	private RowCommit apply(RowTransaction transaction) {
+		List<StoredRow> current = new ArrayList<>();
+		boolean holds = true;
+		for (RowTransaction.Condition condition : transaction.conditions()) {
+			StoredRow row = row(condition.table(), condition.key());
+			current.add(row);
+			holds &= row.version() == condition.version();
+		}
+		if (!holds) {
+			return new RowCommit(false, 0, current);
+		}
+		this.version++;
+		for (RowTransaction.Write write : transaction.writes()) {
+			this.tables.computeIfAbsent(write.table(), (name) -> new TreeMap<>())
+				.put(write.key(), new StoredRow(write.key(), this.version, write.value()));
+		}
+		for (RowTransaction.Removal removal : transaction.removals()) {
+			this.tables.getOrDefault(removal.table(), new TreeMap<>()).remove(removal.key());
+		}
+		return new RowCommit(true, this.version, List.of());
+	}
+
+	@Override
+	public void read(String table, String key, Consumer<Either<Failure, StoredRow>> answer) {
+		answer.accept(Either.right(row(table, key)));
+	}
+
+	@Override
+	public void scan(String table, String fromKey, Consumer<Either<Failure, RowPage>> answer) {
+		List<StoredRow> rows = List.copyOf(this.tables.getOrDefault(table, new TreeMap<>()).tailMap(fromKey).values());
+		answer.accept(Either.right(new RowPage(rows, true, this.version)));
+	}
+
+	@Override
+	public void changes(String table, long afterVersion, Duration patience,
+			Consumer<Either<Failure, RowChanges>> answer) {
+		throw new UnsupportedOperationException("tests pass changes on themselves");
+	}
+
+}
