Write logs without blocking and serve metrics of the programs

Cause: a reader of standard output that does not read would have stopped the event loop; the programs had no metrics. Change: log lines go through a bounded queue, dropped ones are counted in a line; counters and histograms for requests, store calls, decisions, starts and leases at port 9100.

--- a/src/main/java/org/crocuspost/daemon/DaemonCommand.java
+++ b/src/main/java/org/crocuspost/daemon/DaemonCommand.java
@@ -86,6 +86,7 @@
 			EventLog.info(DaemonEvent.STOPPING);
 			daemon.stop();
 			EventLog.info(DaemonEvent.STOPPED);
+			EventLog.flush();
 			terminated.countDown();
 		}, "graceful-stop");
 		Runtime.getRuntime().addShutdownHook(hook);
--- a/src/main/java/org/crocuspost/host/HostAgent.java
+++ b/src/main/java/org/crocuspost/host/HostAgent.java
@@ -43,6 +43,8 @@
 
 	private final HostAgentSettings settings;
 
+	private final HostMetrics metrics;
+
 	private final WorkerCalls worker;
 
 	private final LeaderPort leader;
@@ -94,14 +96,16 @@
 	/**
 	 * Creates an agent. It works from {@link #start()}.
 	 * @param settings the settings
+	 * @param metrics metrics of the agent
 	 * @param worker calls the worker
 	 * @param leaderPort creates the port for the leader
 	 * @param clock the clock of the process
 	 * @param timer the timer of the event loop
 	 */
-	public HostAgent(HostAgentSettings settings, WorkerCalls worker,
+	public HostAgent(HostAgentSettings settings, HostMetrics metrics, WorkerCalls worker,
 			java.util.function.Function<LeaderPortListener, LeaderPort> leaderPort, Clock clock, Timer timer) {
 		this.settings = settings;
+		this.metrics = metrics;
 		this.worker = worker;
 		this.clock = clock;
 		this.timer = timer;
@@ -207,6 +211,7 @@
 	}
 
 	private void held(WorkerAnnouncement life, Either<OrderOutcome, WorkerState> answer, long askedNanos) {
+		this.metrics.held(answer.isRight(), this.clock.nanoTime() - askedNanos);
 		if (answer.isLeft()) {
 			if (answer.getLeft().kind() == OrderOutcome.Kind.FENCED) {
 				raiseFence();
@@ -396,6 +401,7 @@
 	}
 
 	private void startAnswered(WorkerAnnouncement life, RunKey key, PendingStart start, OrderOutcome outcome) {
+		this.metrics.startAnswered(outcome.kind());
 		EventLog.info(HostEvent.START_ANSWERED, Field.of("job", key.task().job()), Field.of("task", key.task()),
 				Field.of("run", key.run()), Field.of("outcome", outcome.kind()), Field.of("reason", outcome.reason()));
 		if (this.pending.get(key) != start) {
--- /dev/null
+++ b/src/main/java/org/crocuspost/ingress/IngressMetrics.java
@@ -0,0 +1,50 @@
+package org.crocuspost.ingress;
+
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/**
+ * Metrics of callers' requests.
+ */
+public final class IngressMetrics {
+
+	private final Counter requests;
+
+	private final Histogram seconds;
+
+	/**
+	 * Registers the metrics.
+	 * @param registry the registry of the process
+	 */
+	public IngressMetrics(PrometheusRegistry registry) {
+		this.requests = Counter.builder()
+			.name("crocuspost_job_requests_total")
+			.help("Requests of callers, by method and answer.")
+			.labelNames("method", "answer")
+			.register(registry);
+		this.seconds = Histogram.builder()
+			.name("crocuspost_job_request_seconds")
+			.help("Time until a request of a caller was answered, in seconds.")
+			.classicOnly()
+			.classicUpperBounds(0.005, 0.01, 0.03, 0.1, 0.3, 1, 3)
+			.labelNames("method")
+			.register(registry);
+	}
+
+	/**
+	 * Counts an answered request.
+	 * @param method what the caller wanted
+	 * @param answer the answer
+	 * @param nanos how long it took, in nanoseconds
+	 */
+	public void answered(JobRequest.Method method, JobAnswer answer, long nanos) {
+		String name = method.name().toLowerCase(Locale.ROOT);
+		this.requests.labelValues(name, answer.getClass().getSimpleName().toLowerCase(Locale.ROOT)).inc();
+		this.seconds.labelValues(name).observe(nanos / (double) TimeUnit.SECONDS.toNanos(1));
+	}
+
+}
--- a/src/main/java/org/crocuspost/ingress/JobDesk.java
+++ b/src/main/java/org/crocuspost/ingress/JobDesk.java
@@ -52,6 +52,8 @@
 
 	private final JobDirectory directory;
 
+	private final IngressMetrics metrics;
+
 	private final Clock clock;
 
 	/**
@@ -59,12 +61,14 @@
 	 * @param store the store
 	 * @param operator what the operator wants
 	 * @param directory states of jobs
+	 * @param metrics metrics of the requests
 	 * @param clock the clock of the process
 	 */
-	public JobDesk(RowStore store, OperatorView operator, JobDirectory directory, Clock clock) {
+	public JobDesk(RowStore store, OperatorView operator, JobDirectory directory, IngressMetrics metrics, Clock clock) {
 		this.store = store;
 		this.operator = operator;
 		this.directory = directory;
+		this.metrics = metrics;
 		this.clock = clock;
 	}
 
@@ -74,6 +78,14 @@
 	 * @param answer receives the answer
 	 */
 	public void handle(JobRequest request, Consumer<JobAnswer> answer) {
+		long started = this.clock.nanoTime();
+		decide(request, (result) -> {
+			this.metrics.answered(request.method(), result, this.clock.nanoTime() - started);
+			answer.accept(result);
+		});
+	}
+
+	private void decide(JobRequest request, Consumer<JobAnswer> answer) {
 		Optional<QueueConfiguration> configuration = this.operator.configuration();
 		if (configuration.isEmpty()) {
 			answer.accept(unavailable("no configuration is known yet"));
--- a/src/main/java/org/crocuspost/lead/DecisionLog.java
+++ b/src/main/java/org/crocuspost/lead/DecisionLog.java
@@ -7,10 +7,16 @@
 import org.crocuspost.log.Field;
 
 /**
- * Logs the leader's decisions.
+ * Logs and counts the leader's decisions.
  */
 final class DecisionLog implements DispatchListener {
 
+	private final LeadMetrics metrics;
+
+	DecisionLog(LeadMetrics metrics) {
+		this.metrics = metrics;
+	}
+
 	@Override
 	public void jobSeen(JobProgress job) {
 		EventLog.info(LeadEvent.JOB_SEEN, Field.of("job", job.id()), Field.of("queue", job.submission().queue()),
@@ -19,18 +25,21 @@
 
 	@Override
 	public void jobEnded(JobProgress job, String reason) {
+		this.metrics.jobEnded(job.state().label());
 		EventLog.info(LeadEvent.JOB_ENDED, Field.of("job", job.id()), Field.of("state", job.state().label()),
 				Field.of("reason", reason));
 	}
 
 	@Override
 	public void placed(TaskProgress task, long waitedMillis) {
+		this.metrics.placed(waitedMillis);
 		EventLog.info(LeadEvent.TASK_PLACED, Field.of("job", task.key().job()), Field.of("task", task.key()),
 				Field.of("run", task.run()), Field.of("host", task.host()), Field.of("waitedMillis", waitedMillis));
 	}
 
 	@Override
 	public void runEnded(TaskProgress task, int run, String host, String outcome) {
+		this.metrics.runEnded(outcome);
 		EventLog.info(LeadEvent.RUN_ENDED, Field.of("job", task.key().job()), Field.of("task", task.key()),
 				Field.of("run", run), Field.of("host", host), Field.of("outcome", outcome),
 				Field.of("failures", task.failures()));
@@ -38,6 +47,7 @@
 
 	@Override
 	public void hostChanged(String host, String belief, String detail) {
+		this.metrics.hostChanged(belief);
 		EventLog.info(LeadEvent.HOST_CHANGED, Field.of("host", host), Field.of("belief", belief),
 				Field.of("detail", detail));
 	}
--- /dev/null
+++ b/src/main/java/org/crocuspost/lead/LeadMetrics.java
@@ -0,0 +1,77 @@
+package org.crocuspost.lead;
+
+import java.util.concurrent.TimeUnit;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/**
+ * Metrics of the leader's decisions.
+ */
+public final class LeadMetrics {
+
+	private final Counter jobsEnded;
+
+	private final Counter runsEnded;
+
+	private final Counter hostChanges;
+
+	private final Histogram placementSeconds;
+
+	private final Gauge leader;
+
+	/**
+	 * Registers the metrics.
+	 * @param registry the registry of the process
+	 */
+	public LeadMetrics(PrometheusRegistry registry) {
+		this.jobsEnded = Counter.builder()
+			.name("crocuspost_jobs_ended_total")
+			.help("Jobs that ended, by state.")
+			.labelNames("state")
+			.register(registry);
+		this.runsEnded = Counter.builder()
+			.name("crocuspost_runs_ended_total")
+			.help("Runs of tasks that ended, were refused or were lost, by outcome.")
+			.labelNames("outcome")
+			.register(registry);
+		this.hostChanges = Counter.builder()
+			.name("crocuspost_host_changes_total")
+			.help("Changes of what the leader believes of hosts, by belief.")
+			.labelNames("belief")
+			.register(registry);
+		this.placementSeconds = Histogram.builder()
+			.name("crocuspost_placement_wait_seconds")
+			.help("Time from the leader's first sight of a job to the assignment of a task of it, in seconds.")
+			.classicOnly()
+			.classicUpperBounds(0.02, 0.05, 0.1, 0.3, 1, 3, 10, 30)
+			.register(registry);
+		this.leader = Gauge.builder()
+			.name("crocuspost_leader")
+			.help("1 while this process leads, otherwise 0.")
+			.register(registry);
+	}
+
+	void jobEnded(String state) {
+		this.jobsEnded.labelValues(state).inc();
+	}
+
+	void runEnded(String outcome) {
+		this.runsEnded.labelValues(outcome).inc();
+	}
+
+	void hostChanged(String belief) {
+		this.hostChanges.labelValues(belief).inc();
+	}
+
+	void placed(long waitedMillis) {
+		this.placementSeconds.observe(waitedMillis / (double) TimeUnit.SECONDS.toMillis(1));
+	}
+
+	void leads(boolean value) {
+		this.leader.set(value ? 1 : 0);
+	}
+
+}
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -83,7 +83,7 @@
 	private boolean resigning;
 
 	Leader(RowStore store, LeaderRecord record, long version, OperatorView operator, DispatchSettings settings,
-			EventLoop loop, Clock clock, Timer timer, Runnable deposed) {
+			LeadMetrics metrics, EventLoop loop, Clock clock, Timer timer, Runnable deposed) {
 		this.store = store;
 		this.record = record;
 		this.operator = operator;
@@ -93,7 +93,8 @@
 		this.timer = timer;
 		this.recorder = new Recorder(store, record, version, clock, timer, deposed);
 		ImagePressure imagePressure = new ImagePressure();
-		this.dispatcher = new Dispatcher(settings, new DefaultPlacementPolicy(imagePressure), clock, new DecisionLog());
+		this.dispatcher = new Dispatcher(settings, new DefaultPlacementPolicy(imagePressure), clock,
+				new DecisionLog(metrics));
 		this.reports = new ReportProcessor(this.dispatcher, imagePressure);
 		this.intake = new RowWatch(store, Tables.INTAKE, LeadershipSettings.INTAKE_WATCH, this, clock, timer);
 		this.takeoverNanos = clock.nanoTime();
--- a/src/main/java/org/crocuspost/lead/Leadership.java
+++ b/src/main/java/org/crocuspost/lead/Leadership.java
@@ -31,6 +31,8 @@
 
 	private final DispatchSettings settings;
 
+	private final LeadMetrics metrics;
+
 	private final EventLoop loop;
 
 	private final Clock clock;
@@ -55,17 +57,19 @@
 	 * {@link #rowSeen(StoredRow)}
 	 * @param operator what the operator wants
 	 * @param settings times of the decisions
+	 * @param metrics metrics of the decisions
 	 * @param loop the event loop of the process
 	 * @param clock the clock of the process
 	 * @param timer the timer of the event loop
 	 */
 	public Leadership(String name, RowStore store, RowWatch ledger, OperatorView operator, DispatchSettings settings,
-			EventLoop loop, Clock clock, Timer timer) {
+			LeadMetrics metrics, EventLoop loop, Clock clock, Timer timer) {
 		this.name = name;
 		this.store = store;
 		this.ledger = ledger;
 		this.operator = operator;
 		this.settings = settings;
+		this.metrics = metrics;
 		this.loop = loop;
 		this.clock = clock;
 		this.timer = timer;
@@ -143,12 +147,14 @@
 	}
 
 	private void won(LeaderRecord record, long version) {
+		this.metrics.leads(true);
 		EventLog.info(LeadEvent.LEADERSHIP_WON, Field.of("epoch", record.epoch()), Field.of("version", version));
-		this.leader = new Leader(this.store, record, version, this.operator, this.settings, this.loop, this.clock,
-				this.timer, () -> lost(record));
+		this.leader = new Leader(this.store, record, version, this.operator, this.settings, this.metrics, this.loop,
+				this.clock, this.timer, () -> lost(record));
 	}
 
 	private void lost(LeaderRecord record) {
+		this.metrics.leads(false);
 		EventLog.warn(LeadEvent.LEADERSHIP_LOST, Field.of("epoch", record.epoch()));
 		if (this.leader != null) {
 			this.leader.close();
--- a/src/main/java/org/crocuspost/log/EventLog.java
+++ b/src/main/java/org/crocuspost/log/EventLog.java
@@ -2,6 +2,7 @@
 
 import org.tinylog.Logger;
 import org.tinylog.ThreadContext;
+import org.tinylog.provider.ProviderRegistry;
 
 /**
  * Writes events to the log. Each event becomes one JSON line with its name, its fields,
@@ -45,6 +46,18 @@
 		withFields(event, fields, () -> Logger.error(cause, event.eventName()));
 	}
 
+	/**
+	 * Writes what is still buffered, within a bounded time. For the end of a process.
+	 */
+	public static void flush() {
+		try {
+			ProviderRegistry.getLoggingProvider().shutdown();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	private static void withFields(LogEvent event, Field[] fields, Runnable write) {
 		ThreadContext.put(EVENT_FIELD, event.eventName());
 		for (Field field : fields) {
--- a/src/main/java/org/crocuspost/log/JsonLinesWriter.java
+++ b/src/main/java/org/crocuspost/log/JsonLinesWriter.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.Consumer;
 
 import org.crocuspost.json.Json;
 import org.tinylog.core.LogEntry;
@@ -18,18 +19,35 @@
  */
 public final class JsonLinesWriter implements Writer {
 
-	private final PrintStream output;
+	/**
+	 * Longest wait for the last lines at the end of a process.
+	 */
+	private static final long FLUSH_NANOS = 300_000_000;
+
+	private static final int START_OF_TEXT = 0;
+
+	private final Consumer<String> output;
+
+	private final Runnable flush;
 
 	/**
 	 * Creates the writer as tinylog requires.
 	 * @param properties the properties from the logging configuration; unused
 	 */
 	public JsonLinesWriter(Map<String, String> properties) {
-		this(System.out);
+		LineQueue queue = new LineQueue(JsonLinesWriter::writeToStandardOutput, LineQueue.CAPACITY);
+		this.output = queue::add;
+		this.flush = () -> queue.flush(FLUSH_NANOS);
 	}
 
 	JsonLinesWriter(PrintStream output) {
-		this.output = output;
+		this.output = output::println;
+		this.flush = output::flush;
+	}
+
+	private static void writeToStandardOutput(byte[] text) {
+		System.out.write(text, START_OF_TEXT, text.length);
+		System.out.flush();
 	}
 
 	@Override
@@ -53,7 +71,7 @@
 			line.put("exception", stackTrace(exception));
 		}
 		RecentEvents.add(line);
-		this.output.println(Json.write(line));
+		this.output.accept(Json.write(line));
 	}
 
 	private static String stackTrace(Throwable exception) {
@@ -64,7 +82,7 @@
 
 	@Override
 	public void flush() {
-		this.output.flush();
+		this.flush.run();
 	}
 
 	@Override
--- a/src/main/java/org/crocuspost/platform/hosted/AgentProgram.java
+++ b/src/main/java/org/crocuspost/platform/hosted/AgentProgram.java
@@ -6,16 +6,19 @@
 import java.util.Optional;
 
 import io.netty.channel.EventLoop;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.crocuspost.daemon.DaemonCommand;
 import org.crocuspost.host.HostAgent;
 import org.crocuspost.host.HostAgentSettings;
 import org.crocuspost.host.HostEvent;
+import org.crocuspost.host.HostMetrics;
 import org.crocuspost.host.WorkerAnnouncement;
 import org.crocuspost.hostlink.LeaderPort;
 import org.crocuspost.lead.Tables;
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
 import org.crocuspost.platform.http.HttpCaller;
+import org.crocuspost.rows.MeasuredRowStore;
 import org.crocuspost.rows.RowStore;
 import org.crocuspost.rows.RowTransaction;
 import org.crocuspost.time.Clock;
@@ -52,14 +55,19 @@
 
 	private final HostAgent agent;
 
+	private final PrometheusRegistry registry = new PrometheusRegistry();
+
 	private final LeaderPort[] port = new LeaderPort[1];
 
 	AgentProgram(HostSettings settings, EventLoop loop, Clock clock) {
 		this.settings = settings;
 		this.loop = loop;
 		this.timer = new ExecutorTimer(loop);
-		this.store = new HostedRowStore(new HttpCaller(loop, STORE_CONNECTIONS), settings.storeAddress());
+		this.store = new MeasuredRowStore(
+				new HostedRowStore(new HttpCaller(loop, STORE_CONNECTIONS), settings.storeAddress()), clock,
+				this.registry);
 		this.agent = new HostAgent(new HostAgentSettings(settings.name(), settings.limits().leaseDuration()),
+				new HostMetrics(this.registry),
 				new HostedWorkerCalls(new HttpCaller(loop, WORKER_CONNECTIONS), settings.workerAddress().orElseThrow()),
 				(listener) -> {
 					this.port[0] = new LeaderPort(listener);
@@ -75,6 +83,7 @@
 			register();
 		});
 		Ports.listen(this.settings.heartbeatAddress().orElseThrow(), this::handle);
+		Monitoring.startLater(this.loop, this.settings, this.registry, () -> true);
 		DaemonCommand.logReady(Field.of("name", this.settings.name()), DaemonCommand.address("leader", internal));
 	}
 
--- a/src/main/java/org/crocuspost/platform/hosted/EntryProgram.java
+++ b/src/main/java/org/crocuspost/platform/hosted/EntryProgram.java
@@ -6,17 +6,22 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 import io.netty.channel.EventLoop;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.crocuspost.daemon.DaemonCommand;
 import org.crocuspost.dispatch.DispatchSettings;
 import org.crocuspost.ingress.IngressEvent;
+import org.crocuspost.ingress.IngressMetrics;
 import org.crocuspost.ingress.JobDesk;
 import org.crocuspost.ingress.JobDirectory;
+import org.crocuspost.lead.LeadMetrics;
 import org.crocuspost.lead.Leadership;
 import org.crocuspost.lead.LeadershipSettings;
 import org.crocuspost.lead.Tables;
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
 import org.crocuspost.platform.http.HttpCaller;
+import org.crocuspost.rows.MeasuredRowStore;
+import org.crocuspost.rows.RowStore;
 import org.crocuspost.rows.RowWatch;
 import org.crocuspost.time.Clock;
 import org.crocuspost.time.ExecutorTimer;
@@ -65,6 +70,8 @@
 
 	private final Requests requests = new Requests();
 
+	private final PrometheusRegistry registry = new PrometheusRegistry();
+
 	private volatile boolean ready;
 
 	private volatile boolean stopping;
@@ -73,7 +80,9 @@
 		this.settings = settings;
 		this.loop = loop;
 		Timer timer = new ExecutorTimer(loop);
-		HostedRowStore store = new HostedRowStore(new HttpCaller(loop, STORE_CONNECTIONS), settings.storeAddress());
+		RowStore store = new MeasuredRowStore(
+				new HostedRowStore(new HttpCaller(loop, STORE_CONNECTIONS), settings.storeAddress()), clock,
+				this.registry);
 		this.operator = new OperatorTable(store, clock, timer);
 		AtomicReference<Leadership> candidate = new AtomicReference<>();
 		JobDirectory directory = new JobDirectory((row) -> candidate.get().rowSeen(row));
@@ -82,9 +91,9 @@
 				new DispatchSettings(settings.limits().leaseDuration(),
 						settings.limits().statusRetention().plus(DispatchSettings.RETENTION_MARGIN),
 						settings.limits().remotePenalty()),
-				loop, clock, timer);
+				new LeadMetrics(this.registry), loop, clock, timer);
 		candidate.set(this.leadership);
-		this.desk = new JobDesk(store, this.operator, directory, clock);
+		this.desk = new JobDesk(store, this.operator, directory, new IngressMetrics(this.registry), clock);
 		timer.repeat(Duration.ofMillis(100), this::updateReadiness);
 	}
 
@@ -96,6 +105,7 @@
 		});
 		Ports.listen(this.settings.callerAddress().orElseThrow(), new CallerPort(this.desk, this.loop, this.requests));
 		this.settings.readinessAddress().ifPresent((address) -> Ports.listen(address, this::readiness));
+		Monitoring.startLater(this.loop, this.settings, this.registry, () -> this.ready);
 		DaemonCommand.logReady(Field.of("name", this.settings.name()),
 				DaemonCommand.address("callers", this.settings.callerAddress().orElseThrow()));
 	}
--- a/src/main/java/org/crocuspost/platform/hosted/HostedEvent.java
+++ b/src/main/java/org/crocuspost/platform/hosted/HostedEvent.java
@@ -10,6 +10,11 @@
 	/**
 	 * The program has read its settings and starts.
 	 */
-	PROGRAM_STARTING
+	PROGRAM_STARTING,
+
+	/**
+	 * The port for metrics cannot be opened; the program goes on without.
+	 */
+	METRICS_UNAVAILABLE
 
 }
--- /dev/null
+++ b/src/main/java/org/crocuspost/platform/hosted/Monitoring.java
@@ -0,0 +1,51 @@
+package org.crocuspost.platform.hosted;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+import io.netty.channel.EventLoop;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.crocuspost.log.EventLog;
+import org.crocuspost.log.Field;
+import org.crocuspost.metrics.Health;
+import org.crocuspost.metrics.HealthCheck;
+import org.crocuspost.metrics.MonitoringServer;
+
+/**
+ * Serves the metrics of a program at the port that the deploy file names.
+ */
+final class Monitoring {
+
+	/**
+	 * Port in the deploy file.
+	 */
+	private static final int PORT = 9_100;
+
+	/**
+	 * The server starts once the program serves, since the first seconds after a restart
+	 * are short of processor time.
+	 */
+	private static final int DELAY_SECONDS = 4;
+
+	private Monitoring() {
+	}
+
+	static void startLater(EventLoop loop, HostSettings settings, PrometheusRegistry registry, BooleanSupplier ready) {
+		loop.schedule(() -> new Thread(() -> start(settings, registry, ready), "monitoring-start").start(),
+				DELAY_SECONDS, TimeUnit.SECONDS);
+	}
+
+	private static void start(HostSettings settings, PrometheusRegistry registry, BooleanSupplier ready) {
+		try {
+			MonitoringServer.start(new InetSocketAddress(settings.ip(), PORT), registry,
+					new Health(List.of(), List.of(new HealthCheck("store-view", ready))));
+		}
+		catch (IllegalStateException ex) {
+			EventLog.warn(HostedEvent.METRICS_UNAVAILABLE, Field.of("port", PORT),
+					Field.of("reason", String.valueOf(ex.getMessage())));
+		}
+	}
+
+}
--- a/src/test/java/org/crocuspost/host/HostAgentTests.java
+++ b/src/test/java/org/crocuspost/host/HostAgentTests.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.vavr.control.Either;
 import org.crocuspost.dispatch.TaskNames;
 import org.crocuspost.hostlink.LeaderPort;
@@ -29,8 +30,8 @@
 
 	private final ScriptedWorker worker = new ScriptedWorker();
 
-	private final HostAgent agent = new HostAgent(new HostAgentSettings("host", Duration.ofSeconds(6)), this.worker,
-			LeaderPort::new, this.time, this.time);
+	private final HostAgent agent = new HostAgent(new HostAgentSettings("host", Duration.ofSeconds(6)),
+			new HostMetrics(new PrometheusRegistry()), this.worker, LeaderPort::new, this.time, this.time);
 
 	private void begin() {
 		this.agent.start();
--- a/src/test/java/org/crocuspost/ingress/JobDeskTests.java
+++ b/src/test/java/org/crocuspost/ingress/JobDeskTests.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.vavr.control.Either;
 import org.crocuspost.error.Verdict;
 import org.crocuspost.job.JobSpecification;
@@ -38,7 +39,8 @@
 	private final JobDirectory directory = new JobDirectory((row) -> {
 	});
 
-	private final JobDesk desk = new JobDesk(this.store, this.operator, this.directory, new VirtualTime(Instant.EPOCH));
+	private final JobDesk desk = new JobDesk(this.store, this.operator, this.directory,
+			new IngressMetrics(new PrometheusRegistry()), new VirtualTime(Instant.EPOCH));
 
 	private JobAnswer ask(JobRequest.Method method, String path) {
 		List<JobAnswer> answers = new ArrayList<>();
