Keep the free workers for fillers that press hard; drop what cannot be in time

Cause: all fillers preferred the workers without services, so those whose image presses little took them from the others; jobs counted as in time until their objective had passed, although their remaining chain could not end by then.

--- a/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
+++ b/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
@@ -31,6 +31,11 @@
 	 */
 	private static final double TOLERABLE_PRESSURE = 0.7;
 
+	/**
+	 * Rise of the pressure by one filler that services hardly notice.
+	 */
+	private static final double LIGHT_RISE = 0.06;
+
 	/**
 	 * Weight of a worker that holds the data, larger than any difference of room.
 	 */
@@ -73,8 +78,11 @@
 			}
 		}
 		if (best != null && step.filler() && best.host().serves()) {
-			double share = step.milliCores() / (double) best.capacityMilliCores();
-			best.expectRise(this.imagePressure.rise(step.image(), share).orElse(TOLERABLE_PRESSURE));
+			OptionalDouble rise = rise(step, best);
+			if (rise.isEmpty()) {
+				this.imagePressure.tried(step.image());
+			}
+			best.expectRise(rise.orElse(TOLERABLE_PRESSURE));
 		}
 		return best;
 	}
@@ -91,8 +99,7 @@
 
 	// A filler of an unknown image is tried alone: its effect shows within a second.
 	private boolean tolerable(StepSpecification step, HostRoom room) {
-		double share = step.milliCores() / (double) room.capacityMilliCores();
-		OptionalDouble rise = this.imagePressure.rise(step.image(), share);
+		OptionalDouble rise = rise(step, room);
 		if (rise.isEmpty()) {
 			return room.fillers() == 0 && room.host().pressure() < TOLERABLE_PRESSURE;
 		}
@@ -100,12 +107,29 @@
 		return expected <= TOLERABLE_PRESSURE;
 	}
 
-	private static double score(StepSpecification step, HostRoom room) {
+	private OptionalDouble rise(StepSpecification step, HostRoom room) {
+		return this.imagePressure.rise(step.image(), step.milliCores() / (double) room.capacityMilliCores());
+	}
+
+	/**
+	 * Says whether a filler should rather run beside services, so that the other workers
+	 * stay free for the images that press hard.
+	 * @param step the step of the filler
+	 * @param room what is left of the worker
+	 * @return true for images that press little, and for a trial of an unknown one
+	 */
+	private boolean belongsBesideServices(StepSpecification step, HostRoom room) {
+		OptionalDouble rise = rise(step, room);
+		return rise.isEmpty() ? this.imagePressure.worthTrying(step.image()) : rise.getAsDouble() < LIGHT_RISE;
+	}
+
+	private double score(StepSpecification step, HostRoom room) {
 		double capacity = room.capacityMilliCores();
 		boolean serving = room.host().serves();
 		double score;
 		if (step.filler()) {
-			score = room.fillerMilliCores() / capacity - room.host().pressure() - (serving ? SERVING_WEIGHT : 0);
+			boolean fitting = serving == belongsBesideServices(step, room);
+			score = room.fillerMilliCores() / capacity - room.host().pressure() + (fitting ? SERVING_WEIGHT : 0);
 		}
 		else if (step.lasting()) {
 			score = (serving ? SERVING_WEIGHT : 0) - room.milliCores() / capacity;
--- a/src/main/java/org/crocuspost/dispatch/WaitingOrder.java
+++ b/src/main/java/org/crocuspost/dispatch/WaitingOrder.java
@@ -14,13 +14,19 @@
  * <p>
  * Load pattern: for seconds more work comes than fits. Lasting services go first, since
  * their users wait without them. Then come the jobs that can still meet their objective,
- * by priority and the time that is left. Jobs that are already late go last: a worker
- * given to them makes another job late too.
+ * by priority and the time that is left. Jobs that cannot be in time any more go last,
+ * the smallest first: a worker given to them makes another job late too.
  */
 final class WaitingOrder {
 
 	private static final double NANOS_PER_MILLI = 1_000_000;
 
+	/**
+	 * Share of the remaining run time below which a job cannot be in time any more. Tasks
+	 * that have begun count whole, and estimates are off by a fifth.
+	 */
+	private static final double NEEDED_SHARE = 0.5;
+
 	private WaitingOrder() {
 	}
 
@@ -64,6 +70,27 @@
 		return (first.compareTo(second) >= 0) ? first : second;
 	}
 
+	/**
+	 * Returns the run time of the longest chain of steps that are not done yet.
+	 * @param job the job
+	 * @return the time; steps that have begun count whole
+	 */
+	static Duration remainingChain(JobProgress job) {
+		List<StepSpecification> steps = job.submission().specification().steps();
+		Duration[] finished = new Duration[steps.size()];
+		Duration longest = Duration.ZERO;
+		for (int number = 0; number < steps.size(); number++) {
+			Duration start = Duration.ZERO;
+			for (int predecessor : steps.get(number).predecessors()) {
+				start = longer(start, finished[predecessor]);
+			}
+			boolean done = job.stepDone(0, number);
+			finished[number] = done ? start : start.plus(estimate(steps.get(number)));
+			longest = longer(longest, finished[number]);
+		}
+		return longest;
+	}
+
 	/**
 	 * Returns the rank of a job; the smallest goes first.
 	 * @param job the job
@@ -78,8 +105,10 @@
 			return new Rank(0, queue.priority(), seenNanos / NANOS_PER_MILLI);
 		}
 		long objectiveNanos = objective(queue, specification).toNanos();
-		boolean late = nowNanos - seenNanos > objectiveNanos;
-		return new Rank(late ? 2 : 1, queue.priority(), (seenNanos + objectiveNanos) / NANOS_PER_MILLI);
+		long leftNanos = seenNanos + objectiveNanos - nowNanos;
+		boolean late = leftNanos < remainingChain(job).toNanos() * NEEDED_SHARE;
+		return late ? new Rank(2, queue.priority(), job.tasksLeft())
+				: new Rank(1, queue.priority(), (seenNanos + objectiveNanos) / NANOS_PER_MILLI);
 	}
 
 	/**
@@ -87,9 +116,10 @@
 	 *
 	 * @param group 0 for lasting services, 1 for jobs in time, 2 for late jobs
 	 * @param priority priority of the queue; 0 goes first
-	 * @param deadlineMillis time by which the job should be done, in milliseconds
+	 * @param order within the group and priority: the time by which the job should be
+	 * done or, for late jobs, the number of tasks that are left; the smallest goes first
 	 */
-	record Rank(int group, int priority, double deadlineMillis) implements Comparable<Rank> {
+	record Rank(int group, int priority, double order) implements Comparable<Rank> {
 
 		@Override
 		public int compareTo(Rank other) {
@@ -99,7 +129,7 @@
 			if (this.priority != other.priority) {
 				return Integer.compare(this.priority, other.priority);
 			}
-			return Double.compare(this.deadlineMillis, other.deadlineMillis);
+			return Double.compare(this.order, other.order);
 		}
 
 	}
--- a/src/main/java/org/crocuspost/job/JobProgress.java
+++ b/src/main/java/org/crocuspost/job/JobProgress.java
@@ -84,6 +84,16 @@
 		return true;
 	}
 
+	/**
+	 * Says whether all tasks of a step are done.
+	 * @param occurrence the occurrence
+	 * @param step the step
+	 * @return true if the step is done
+	 */
+	public boolean stepDone(int occurrence, int step) {
+		return allDone(tasks(occurrence, step));
+	}
+
 	private static boolean allDone(List<TaskProgress> tasks) {
 		for (TaskProgress task : tasks) {
 			if (task.status() != TaskStatus.DONE) {
@@ -108,6 +118,22 @@
 		return true;
 	}
 
+	/**
+	 * Returns the number of tasks that are not done.
+	 * @return the number
+	 */
+	public int tasksLeft() {
+		int left = 0;
+		for (List<List<TaskProgress>> steps : this.occurrences) {
+			for (List<TaskProgress> tasks : steps) {
+				for (TaskProgress task : tasks) {
+					left += (task.status() == TaskStatus.DONE) ? 0 : 1;
+				}
+			}
+		}
+		return left;
+	}
+
 	/**
 	 * Returns every task.
 	 * @return the tasks in order
--- a/src/test/java/org/crocuspost/dispatch/FillerPlacementTests.java
+++ b/src/test/java/org/crocuspost/dispatch/FillerPlacementTests.java
@@ -24,8 +24,16 @@
 		}
 	}
 
+	private void teach() {
+		for (int report = 0; report < 20; report++) {
+			this.fixture.imagePressure.observe("elsewhere", 7, Map.of("heavy", 0.2));
+			this.fixture.imagePressure.observe("elsewhere", 0.35, Map.of("light", 0.2));
+		}
+	}
+
 	@Test
-	void servicesLeaveWholeWorkersToFillers() {
+	void servicesLeaveWholeWorkersToFillersThatPressHard() {
+		teach();
 		workers();
 		this.fixture.submit("service", new StepBuilder().tasks(20).milliCores(6_400).serving().build());
 		this.fixture.round();
@@ -54,10 +62,7 @@
 
 	@Test
 	void imagesThatPressHardStayAwayAndOthersDoNot() {
-		for (int report = 0; report < 20; report++) {
-			this.fixture.imagePressure.observe("elsewhere", 7, Map.of("heavy", 0.2));
-			this.fixture.imagePressure.observe("elsewhere", 0.35, Map.of("light", 0.2));
-		}
+		teach();
 		SimulatedWorker worker = this.fixture.worker("host", 32_000);
 		this.fixture.submit("service", new StepBuilder().tasks(2).milliCores(6_400).serving().build());
 		this.fixture.submit("heavy", new StepBuilder().tasks(4).milliCores(3_500).filler("heavy").build());
@@ -67,6 +72,18 @@
 		assertThat(worker.obeyed).filteredOn((order) -> order.getTraits().getImage().equals("light")).hasSize(4);
 	}
 
+	@Test
+	void imagesThatPressLittleLeaveTheFreeWorkersToOthers() {
+		teach();
+		workers();
+		this.fixture.submit("service", new StepBuilder().tasks(20).milliCores(6_400).serving().build());
+		this.fixture.round();
+		this.fixture.submit("light", new StepBuilder().tasks(8).milliCores(3_500).filler("light").build());
+		this.fixture.round();
+		long free = this.fixture.workers.values().stream().filter((worker) -> worker.running.isEmpty()).count();
+		assertThat(free).isEqualTo(2);
+	}
+
 	@Test
 	void theImageThatUsesMoreIsCorrectedMore() {
 		ImagePressure pressure = new ImagePressure();
