Start a job that no worker suits, and move a crawling filler only to a better place

Change: a job with nothing running for 1.2 s takes any worker with room; a crawling run is stopped only if a worker without services has room for it. Conclusion: the placement never leaves a job without any run while there is room.

--- a/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
+++ b/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
@@ -19,23 +19,12 @@
  */
 public final class DefaultPlacementPolicy implements PlacementPolicy {
 
-	/**
-	 * Share of its request below which a filler is not worth starting: at half speed it
-	 * misses an objective of twice its run time.
-	 */
-	private static final double FILLER_SHARE = 0.6;
-
 	/**
 	 * Pressure that a filler may bring a serving task to, as the ratio of its tail
 	 * latency to its target. The load of a service swings by half.
 	 */
 	private static final double TOLERABLE_PRESSURE = 0.7;
 
-	/**
-	 * Rise of the pressure by one filler that services hardly notice.
-	 */
-	private static final double LIGHT_RISE = 0.06;
-
 	/**
 	 * Weight of a worker that holds the data, larger than any difference of room.
 	 */
@@ -78,20 +67,32 @@
 			}
 		}
 		if (best != null && step.filler() && best.host().serves()) {
-			OptionalDouble rise = rise(step, best);
-			if (rise.isEmpty()) {
-				this.imagePressure.tried(step.image());
+			best.expectRise(rise(step, best).orElse(TOLERABLE_PRESSURE));
+		}
+		return best;
+	}
+
+	@Override
+	public @Nullable HostRoom chooseForStarving(TaskProgress task, Collection<HostRoom> rooms) {
+		HostRoom best = null;
+		for (HostRoom room : rooms) {
+			if (PlacementPolicy.allowed(task.key(), task.step(), room)
+					&& (best == null || burden(room) < burden(best))) {
+				best = room;
 			}
-			best.expectRise(rise.orElse(TOLERABLE_PRESSURE));
 		}
 		return best;
 	}
 
+	private static double burden(HostRoom room) {
+		return room.fillers() + room.host().pressure();
+	}
+
 	private boolean worthwhile(StepSpecification step, HostRoom room) {
 		if (!step.filler()) {
 			return true;
 		}
-		if (room.fillerMilliCores() < step.milliCores() * FILLER_SHARE) {
+		if (room.fillerMilliCores() < step.milliCores() * DispatchSettings.FILLER_SHARE) {
 			return false;
 		}
 		return !room.host().serves() || tolerable(step, room);
@@ -111,25 +112,12 @@
 		return this.imagePressure.rise(step.image(), step.milliCores() / (double) room.capacityMilliCores());
 	}
 
-	/**
-	 * Says whether a filler should rather run beside services, so that the other workers
-	 * stay free for the images that press hard.
-	 * @param step the step of the filler
-	 * @param room what is left of the worker
-	 * @return true for images that press little, and for a trial of an unknown one
-	 */
-	private boolean belongsBesideServices(StepSpecification step, HostRoom room) {
-		OptionalDouble rise = rise(step, room);
-		return rise.isEmpty() ? this.imagePressure.worthTrying(step.image()) : rise.getAsDouble() < LIGHT_RISE;
-	}
-
-	private double score(StepSpecification step, HostRoom room) {
+	private static double score(StepSpecification step, HostRoom room) {
 		double capacity = room.capacityMilliCores();
 		boolean serving = room.host().serves();
 		double score;
 		if (step.filler()) {
-			boolean fitting = serving == belongsBesideServices(step, room);
-			score = room.fillerMilliCores() / capacity - room.host().pressure() + (fitting ? SERVING_WEIGHT : 0);
+			score = room.fillerMilliCores() / capacity - room.host().pressure() - (serving ? SERVING_WEIGHT : 0);
 		}
 		else if (step.lasting()) {
 			score = (serving ? SERVING_WEIGHT : 0) - room.milliCores() / capacity;
--- a/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
@@ -39,6 +39,17 @@
 	 */
 	static final int CRAWLING_PACE = 45;
 
+	/**
+	 * Time without any running task after which a job takes any worker with room.
+	 */
+	static final Duration STARVATION = Duration.ofMillis(1_200);
+
+	/**
+	 * Share of its request below which a filler is not worth starting: at half speed it
+	 * misses an objective of twice its run time.
+	 */
+	static final double FILLER_SHARE = 0.6;
+
 	/**
 	 * A step longer than this is not done soon even without waiting; used when a job
 	 * gives no estimate.
--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -154,7 +154,7 @@
 		Map<String, List<HostRoom>> rooms = new HashMap<>();
 		long now = this.clock.nanoTime();
 		for (HostState host : this.hosts.values()) {
-			if (host.open() && !host.quarantined(now) && !this.evacuated.contains(host.worker().getFailureDomain())) {
+			if (takesTasks(host)) {
 				rooms.computeIfAbsent(host.worker().getService(), (service) -> new ArrayList<>())
 					.add(new HostRoom(host));
 			}
@@ -168,6 +168,11 @@
 		}
 	}
 
+	boolean takesTasks(HostState host) {
+		return host.open() && !host.quarantined(this.clock.nanoTime())
+				&& !this.evacuated.contains(host.worker().getFailureDomain());
+	}
+
 	private List<TrackedJob> waitingJobs(long now) {
 		List<TrackedJob> waiting = new ArrayList<>();
 		for (TrackedJob tracked : this.jobs.values()) {
@@ -186,6 +191,9 @@
 
 	private void assign(TrackedJob tracked, List<HostRoom> rooms) {
 		JobProgress job = tracked.job();
+		if (job.running()) {
+			tracked.running(this.clock.nanoTime());
+		}
 		List<StepSpecification> steps = job.submission().specification().steps();
 		for (int occurrence = 0; occurrence < job.occurrences(); occurrence++) {
 			if (job.submission().specification().dueMillis(occurrence) > this.clock.millis()) {
@@ -210,6 +218,9 @@
 				continue;
 			}
 			HostRoom room = this.policy.choose(task, rooms);
+			if (room == null && tracked.starving(this.clock.nanoTime())) {
+				room = this.policy.chooseForStarving(task, rooms);
+			}
 			if (room == null) {
 				return;
 			}
@@ -224,6 +235,7 @@
 		task.place(run, host.name(), host.worker().getId(), host.worker().getBorn());
 		host.placements().put(task.key(), new Placement(task, Placement.Phase.RECORDING, now));
 		tracked.job().activate();
+		tracked.running(now);
 		this.changedJobs.add(task.key().job());
 		this.newStarts.add(new DispatchBatch.Start(task.key(), run, host.name()));
 		this.listener.placed(task, (now - tracked.seenNanos()) / 1_000_000);
@@ -395,11 +407,14 @@
 
 		private final long seenNanos;
 
+		private long runningNanos;
+
 		private WaitingOrder.Rank rank = new WaitingOrder.Rank(0, 0, 0);
 
 		private TrackedJob(JobProgress job, long seenNanos) {
 			this.job = job;
 			this.seenNanos = seenNanos;
+			this.runningNanos = seenNanos;
 		}
 
 		private JobProgress job() {
@@ -410,6 +425,14 @@
 			return this.seenNanos;
 		}
 
+		private void running(long nowNanos) {
+			this.runningNanos = nowNanos;
+		}
+
+		private boolean starving(long nowNanos) {
+			return nowNanos - this.runningNanos > DispatchSettings.STARVATION.toNanos();
+		}
+
 		private WaitingOrder.Rank rank() {
 			return this.rank;
 		}
--- a/src/main/java/org/crocuspost/dispatch/ImagePressure.java
+++ b/src/main/java/org/crocuspost/dispatch/ImagePressure.java
@@ -51,19 +51,12 @@
 	 */
 	private static final int LEAST_SAMPLES = 2;
 
-	/**
-	 * Trials of an unknown image; some end before they show anything.
-	 */
-	private static final int MOST_TRIALS = 3;
-
 	private final Map<String, Double> weights = new HashMap<>();
 
 	private final Map<String, Integer> samples = new HashMap<>();
 
 	private final Map<String, Double> bases = new HashMap<>();
 
-	private final Map<String, Integer> trials = new HashMap<>();
-
 	/**
 	 * Learns from one report.
 	 * @param host the host
@@ -95,24 +88,6 @@
 		}
 	}
 
-	/**
-	 * Notes that a filler of an unknown image is tried beside a service.
-	 * @param image the image
-	 */
-	public void tried(String image) {
-		this.trials.merge(image, 1, Integer::sum);
-	}
-
-	/**
-	 * Says whether a filler of the image should be tried beside a service, although other
-	 * workers are free, to learn whether its kind needs to be kept away from services.
-	 * @param image the image
-	 * @return true if the image is unknown and was hardly tried
-	 */
-	public boolean worthTrying(String image) {
-		return this.samples.getOrDefault(image, 0) < LEAST_SAMPLES && this.trials.getOrDefault(image, 0) < MOST_TRIALS;
-	}
-
 	/**
 	 * Returns by how much a filler would raise the pressure.
 	 * @param image the image
--- a/src/main/java/org/crocuspost/dispatch/PlacementPolicy.java
+++ b/src/main/java/org/crocuspost/dispatch/PlacementPolicy.java
@@ -10,7 +10,6 @@
 /**
  * Chooses the worker for a task.
  */
-@FunctionalInterface
 public interface PlacementPolicy {
 
 	/**
@@ -21,6 +20,15 @@
 	 */
 	@Nullable HostRoom choose(TaskProgress task, Collection<HostRoom> rooms);
 
+	/**
+	 * Chooses a worker for a task of a job that has had nothing running for a while: any
+	 * worker with room is better than none.
+	 * @param task the task
+	 * @param rooms what is left of the workers that have room
+	 * @return the least unsuitable, or null if there is no room
+	 */
+	@Nullable HostRoom chooseForStarving(TaskProgress task, Collection<HostRoom> rooms);
+
 	/**
 	 * Says whether a worker satisfies the constraints of a step and has room for a task
 	 * of it.
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -321,12 +321,25 @@
 		return stops;
 	}
 
+	private boolean hasFreeWorker(HostState host, StepSpecification step) {
+		for (HostState other : this.dispatcher.hosts()) {
+			if (other != host && this.dispatcher.takesTasks(other) && !other.serves()
+					&& other.worker().getService().equals(host.worker().getService())
+					&& other.fillerRoom() >= step.milliCores() * DispatchSettings.FILLER_SHARE
+					&& other.freeMemoryMegabytes() >= step.memoryMegabytes()) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	// Such a run should resume elsewhere: the services beside it bear it only at a crawl,
 	// and its progress is kept.
 	private boolean crawling(HostState host, Placement placement) {
 		RunningTask report = placement.report();
 		return report != null && placement.task().step().filler() && placement.task().step().checkpointing()
-				&& host.serves() && report.getPace() < DispatchSettings.CRAWLING_PACE;
+				&& host.serves() && report.getPace() < DispatchSettings.CRAWLING_PACE
+				&& hasFreeWorker(host, placement.task().step());
 	}
 
 	/**
--- a/src/main/java/org/crocuspost/job/JobProgress.java
+++ b/src/main/java/org/crocuspost/job/JobProgress.java
@@ -118,6 +118,23 @@
 		return true;
 	}
 
+	/**
+	 * Says whether a task is assigned to a worker.
+	 * @return true if something runs or is about to
+	 */
+	public boolean running() {
+		for (List<List<TaskProgress>> steps : this.occurrences) {
+			for (List<TaskProgress> tasks : steps) {
+				for (TaskProgress task : tasks) {
+					if (task.status() == TaskStatus.PLACED) {
+						return true;
+					}
+				}
+			}
+		}
+		return false;
+	}
+
 	/**
 	 * Returns the number of tasks that are not done.
 	 * @return the number
--- a/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
@@ -255,6 +255,10 @@
 				.build());
 		}
 
+		void pace(TaskKey key, int percent) {
+			this.running.computeIfPresent(key, (name, run) -> run.toBuilder().setPace(percent).build());
+		}
+
 		void endAll(String kind) {
 			List.copyOf(this.running.keySet()).forEach((key) -> end(key, kind));
 		}
