Squeeze jobs in only while much of the service is free

Change: a job takes any worker, and a crawling run stays, only while less than 0.6 of the reserved processor is in use.

--- a/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
@@ -44,6 +44,12 @@
 	 */
 	static final Duration STARVATION = Duration.ofMillis(1_200);
 
+	/**
+	 * Share of the reserved processor of a service's workers below which a job must not
+	 * wait without any run; the platform allows a half.
+	 */
+	static final double ROOMY_SHARE = 0.6;
+
 	/**
 	 * Share of its request below which a filler is not worth starting: at half speed it
 	 * misses an objective of twice its run time.
--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -173,6 +173,23 @@
 				&& !this.evacuated.contains(host.worker().getFailureDomain());
 	}
 
+	/**
+	 * Says whether much of the reserved processor of a service is free.
+	 * @param service the service
+	 * @return true if a job should rather run badly than wait
+	 */
+	boolean roomy(String service) {
+		long capacity = 0;
+		long free = 0;
+		for (HostState host : this.hosts.values()) {
+			if (host.open() && host.worker().getService().equals(service)) {
+				capacity += host.worker().getMilliCores();
+				free += host.freeMilliCores();
+			}
+		}
+		return capacity - free < capacity * DispatchSettings.ROOMY_SHARE;
+	}
+
 	private List<TrackedJob> waitingJobs(long now) {
 		List<TrackedJob> waiting = new ArrayList<>();
 		for (TrackedJob tracked : this.jobs.values()) {
@@ -218,7 +235,8 @@
 				continue;
 			}
 			HostRoom room = this.policy.choose(task, rooms);
-			if (room == null && tracked.starving(this.clock.nanoTime())) {
+			if (room == null && tracked.starving(this.clock.nanoTime()) && !rooms.isEmpty()
+					&& roomy(rooms.get(0).host().worker().getService())) {
 				room = this.policy.chooseForStarving(task, rooms);
 			}
 			if (room == null) {
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -339,7 +339,7 @@
 		RunningTask report = placement.report();
 		return report != null && placement.task().step().filler() && placement.task().step().checkpointing()
 				&& host.serves() && report.getPace() < DispatchSettings.CRAWLING_PACE
-				&& hasFreeWorker(host, placement.task().step());
+				&& (hasFreeWorker(host, placement.task().step()) || !this.dispatcher.roomy(host.worker().getService()));
 	}
 
 	/**
--- a/src/test/java/org/crocuspost/dispatch/FillerPlacementTests.java
+++ b/src/test/java/org/crocuspost/dispatch/FillerPlacementTests.java
@@ -91,6 +91,19 @@
 		assertThat(worker.running).hasSize(2);
 	}
 
+	@Test
+	void aFillerThatPressesHardWaitsWhileServicesNeedTheWorkers() {
+		teach();
+		SimulatedWorker worker = this.fixture.worker("host", 32_000);
+		this.fixture.submit("service", new StepBuilder().tasks(4).milliCores(6_400).serving().build());
+		this.fixture.submit("heavy", new StepBuilder().tasks(1).milliCores(3_500).filler("heavy").build());
+		this.fixture.round();
+		this.fixture.time.advance(Duration.ofSeconds(2));
+		this.fixture.reportAll();
+		this.fixture.round();
+		assertThat(worker.running).hasSize(4);
+	}
+
 	@Test
 	void aCrawlingFillerIsMovedOnlyWhereItIsBetterOff() {
 		SimulatedWorker serving = this.fixture.worker("serving", 32_000);
