Reload the settings on SIGHUP instead of ending

Change: the signal reads the settings again; broken ones leave the former in force. Conclusion: a change of settings no longer cuts requests.

--- a/src/main/java/org/crocuspost/lead/Leadership.java
+++ b/src/main/java/org/crocuspost/lead/Leadership.java
@@ -170,7 +170,10 @@
 		this.resigned = true;
 		if (this.leader != null) {
 			Leader resigning = this.leader;
-			resigning.resign(() -> this.leader = null);
+			resigning.resign(() -> {
+				this.leader = null;
+				this.metrics.leads(false);
+			});
 		}
 	}
 
--- a/src/main/java/org/crocuspost/platform/hosted/HostedEvent.java
+++ b/src/main/java/org/crocuspost/platform/hosted/HostedEvent.java
@@ -15,6 +15,16 @@
 	/**
 	 * The port for metrics cannot be opened; the program goes on without.
 	 */
-	METRICS_UNAVAILABLE
+	METRICS_UNAVAILABLE,
+
+	/**
+	 * The settings were read again on request.
+	 */
+	SETTINGS_RELOADED,
+
+	/**
+	 * The settings have faults; the former ones stay in force.
+	 */
+	SETTINGS_IGNORED
 
 }
--- a/src/main/java/org/crocuspost/platform/hosted/HostedMain.java
+++ b/src/main/java/org/crocuspost/platform/hosted/HostedMain.java
@@ -47,7 +47,9 @@
 			if (path == null) {
 				throw new SettingsException(java.util.List.of("the variable " + SETTINGS_VARIABLE + " is missing"));
 			}
-			run(role.get(), HostSettings.of(PropertyFile.read(Path.of(path))));
+			HostSettings settings = HostSettings.of(PropertyFile.read(Path.of(path)));
+			new SettingsReload(Path.of(path), settings).listen();
+			run(role.get(), settings);
 		}
 		catch (SettingsException ex) {
 			System.err.println(ex.getMessage());
