Tie lease stamps and acknowledged ends to one life of the worker

A stale lease stamp could have outlived its grant too. Change: the leader's messages say which life they belong to; the agent ignores both values for another.

--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -367,6 +367,15 @@
 		return this.dispatcher.host(name).newestOrder();
 	}
 
+	/**
+	 * Returns the start of the present life of a host's worker.
+	 * @param name the name of the host
+	 * @return the Unix time in milliseconds; 0 if no worker is known
+	 */
+	public long workerBorn(String name) {
+		return this.dispatcher.host(name).worker().getBorn();
+	}
+
 	/**
 	 * Returns up to which number the ends of a host are recorded.
 	 * @param name the name of the host
--- a/src/main/java/org/crocuspost/host/HostAgent.java
+++ b/src/main/java/org/crocuspost/host/HostAgent.java
@@ -353,12 +353,9 @@
 	@Override
 	public void ordered(LeaderMessage message) {
 		this.handledOrder = Math.max(this.handledOrder, message.getOrder());
-		if (message.getLeaseStamp() > 0) {
-			long until = message.getLeaseStamp() + this.settings.leaseDuration().toMillis();
-			this.leaseUntilMillis = Math.max(this.leaseUntilMillis, until);
+		if (this.announcement != null && this.announcement.born() == message.getWorkerBorn()) {
+			learnLease(message);
 		}
-		this.recordedEnds = Math.max(this.recordedEnds, message.getRecordedEnds());
-		this.ended.headMap(this.recordedEnds, true).clear();
 		for (TraitsOfRun known : message.getTraitsList()) {
 			this.traits.put(new RunKey(TaskNames.key(known.getTask()), known.getRun()), known.getTraits());
 		}
@@ -370,6 +367,20 @@
 		}
 	}
 
+	/**
+	 * Takes over what the leader says of leases and ends. Both belong to one life of the
+	 * worker: in the next, its clock and the numbers of its ends start anew.
+	 * @param message the message
+	 */
+	private void learnLease(LeaderMessage message) {
+		if (message.getLeaseStamp() > 0) {
+			long until = message.getLeaseStamp() + this.settings.leaseDuration().toMillis();
+			this.leaseUntilMillis = Math.max(this.leaseUntilMillis, until);
+		}
+		this.recordedEnds = Math.max(this.recordedEnds, message.getRecordedEnds());
+		this.ended.headMap(this.recordedEnds, true).clear();
+	}
+
 	private void startOrdered(StartOrder order) {
 		RunKey key = new RunKey(TaskNames.key(order.getTask()), order.getRun());
 		WorkerAnnouncement life = this.announcement;
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -231,7 +231,9 @@
 	private void send(String host, LeaderMessage.Builder message) {
 		HostLink link = this.links.get(host);
 		if (link != null) {
-			link.send(message.setOrder(this.reports.newestOrder(host)).build());
+			link.send(message.setOrder(this.reports.newestOrder(host))
+				.setWorkerBorn(this.reports.workerBorn(host))
+				.build());
 		}
 	}
 
