--- a/src/test/java/org/crocuspost/dispatch/DispatcherTests.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatcherTests.java
@@ -211,6 +211,21 @@
 		assertThat(worker.obeyed).hasSize(1);
 	}
 
+	@Test
+	void aRunIsNotOrderedIfItsJobEndsOrItsHostIsLostWhileItIsRecorded() {
+		this.fixture.worker("one", 4_000);
+		this.fixture.submit("cancelled", DispatchFixture.step(1, 1_000));
+		this.fixture.dispatcher.schedule();
+		DispatchBatch first = this.fixture.dispatcher.takeBatch(10);
+		this.fixture.dispatcher.cancelled("cancelled");
+		assertThat(this.fixture.dispatcher.recorded(first, true)).isEmpty();
+		this.fixture.submit("waiting", DispatchFixture.step(1, 1_000));
+		this.fixture.dispatcher.schedule();
+		DispatchBatch second = this.fixture.dispatcher.takeBatch(10);
+		this.fixture.reports.connected("one", false);
+		assertThat(this.fixture.dispatcher.recorded(second, true)).isEmpty();
+	}
+
 	@Test
 	void stepsWaitForTheirPredecessors() {
 		SimulatedWorker worker = this.fixture.worker("one", 8_000);
