Log what a lost run rests on

Cause: the leader logged a run that it gave up like one whose end the worker had listed, without the report that decided it. The summary of crocuspost explain counts both kinds of ends. Test: DispatcherTests.aRunIsGivenUpWithTheEvidenceThatDecidedIt; no decision changes.

--- a/src/main/java/org/crocuspost/dispatch/DispatchListener.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchListener.java
@@ -29,7 +29,7 @@
 	void placed(TaskProgress task, long waitedMillis);
 
 	/**
-	 * A run has ended, was refused or was lost.
+	 * A run has ended as its worker says, or was never ordered.
 	 * @param task the task, already settled
 	 * @param run the number of the run
 	 * @param host the host
@@ -37,6 +37,16 @@
 	 */
 	void runEnded(TaskProgress task, int run, String host, String outcome);
 
+	/**
+	 * A run was given up without an end from its worker.
+	 * @param task the task, which waits for another run
+	 * @param run the number of the run
+	 * @param host the host
+	 * @param reason why it was given up
+	 * @param evidence what that rests on
+	 */
+	void runLost(TaskProgress task, int run, String host, String reason, Evidence evidence);
+
 	/**
 	 * What is believed of a host has changed.
 	 * @param host the host
--- /dev/null
+++ b/src/main/java/org/crocuspost/dispatch/Evidence.java
@@ -0,0 +1,29 @@
+package org.crocuspost.dispatch;
+
+import java.time.Duration;
+import java.util.Objects;
+
+import org.crocuspost.wire.HostReport;
+
+/**
+ * What the leader's conclusion that a run is lost rests on.
+ *
+ * @param agent the life of the agent whose report decided it; empty if silence did
+ * @param age how old the worker's lists in the report were, or how long the silence was
+ */
+public record Evidence(String agent, Duration age) {
+
+	public Evidence {
+		Objects.requireNonNull(agent, "agent");
+		Objects.requireNonNull(age, "age");
+	}
+
+	static Evidence of(HostReport report) {
+		return new Evidence(report.getLife(), Duration.ofMillis(report.getListsAgeMillis()));
+	}
+
+	static Evidence ofSilence(Duration silence) {
+		return new Evidence("", silence);
+	}
+
+}
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -112,7 +112,7 @@
 				// From an earlier life of the worker, overtaken by the new one.
 				return false;
 			}
-			loseAll(host, "worker restarted", next, listed(report));
+			loseAll(host, "worker restarted", next, listed(report), Evidence.of(report));
 			host.newWorker();
 			this.dispatcher.listener()
 				.hostChanged(host.name(), "worker seen",
@@ -123,7 +123,7 @@
 		}
 		host.worker(next);
 		if (next.getLeft()) {
-			loseAll(host, LEFT, WorkerDescription.getDefaultInstance(), Set.of());
+			loseAll(host, LEFT, WorkerDescription.getDefaultInstance(), Set.of(), Evidence.of(report));
 		}
 		return true;
 	}
@@ -141,10 +141,10 @@
 				continue;
 			}
 			boolean heard = host.grantedOnce();
-			long lapsed = heard ? host.grantNanos() + this.dispatcher.settings().lapse().toNanos()
-					: takeoverNanos + unreachable.toNanos();
-			if (now > lapsed) {
-				loseAll(host, LAPSED, host.worker(), Set.of());
+			long lastGrant = heard ? host.grantNanos() : takeoverNanos;
+			Duration silence = Duration.ofNanos(now - lastGrant);
+			if (silence.compareTo(heard ? this.dispatcher.settings().lapse() : unreachable) > 0) {
+				loseAll(host, LAPSED, host.worker(), Set.of(), Evidence.ofSilence(silence));
 				host.strangers().clear();
 			}
 		}
@@ -164,7 +164,8 @@
 		return listed;
 	}
 
-	private void loseAll(HostState host, String reason, WorkerDescription survivor, Set<ListedRun> listed) {
+	private void loseAll(HostState host, String reason, WorkerDescription survivor, Set<ListedRun> listed,
+			Evidence evidence) {
 		for (Placement placement : List.copyOf(host.placements().values())) {
 			if (listed.contains(new ListedRun(placement.task().key(), placement.run()))) {
 				continue;
@@ -175,12 +176,17 @@
 			if (recording || (onSurvivor && !reason.equals(LAPSED))) {
 				continue;
 			}
-			host.placements().remove(placement.task().key());
-			if (placement.current()) {
-				placement.task().lose();
-				this.dispatcher.changed(placement.task().key().job());
-				this.dispatcher.listener().runEnded(placement.task(), placement.run(), host.name(), reason);
-			}
+			lose(host, placement, reason, evidence);
+		}
+	}
+
+	private void lose(HostState host, Placement placement, String reason, Evidence evidence) {
+		TaskProgress task = placement.task();
+		host.placements().remove(task.key());
+		if (placement.current()) {
+			task.lose();
+			this.dispatcher.changed(task.key().job());
+			this.dispatcher.listener().runLost(task, placement.run(), host.name(), reason, evidence);
 		}
 	}
 
@@ -314,13 +320,7 @@
 			if (!gone || listed.contains(key)) {
 				continue;
 			}
-			host.placements().remove(key);
-			if (placement.current()) {
-				String reason = refusals.getOrDefault(key, "not running");
-				placement.task().lose();
-				this.dispatcher.changed(key.job());
-				this.dispatcher.listener().runEnded(placement.task(), placement.run(), host.name(), reason);
-			}
+			lose(host, placement, refusals.getOrDefault(key, "not running"), Evidence.of(report));
 		}
 	}
 
--- a/src/main/java/org/crocuspost/host/HostAgent.java
+++ b/src/main/java/org/crocuspost/host/HostAgent.java
@@ -247,6 +247,10 @@
 			}
 			return;
 		}
+		if (!this.answered) {
+			EventLog.info(HostEvent.WORKER_LISTED, Field.of("worker", life.id()), Field.of("fence", this.fence),
+					Field.of("running", state.running().size()), Field.of("ended", state.ended().size()));
+		}
 		this.answered = true;
 		this.answeredNanos = this.clock.nanoTime();
 		this.workerClockMillis = Math.max(this.workerClockMillis, state.clockMillis());
@@ -335,7 +339,8 @@
 			.setLife(this.life)
 			.setLeaseStamp(this.workerClockMillis)
 			.setWorkerAnswers(workerAnswers())
-			.setHandledOrder(this.handledOrder);
+			.setHandledOrder(this.handledOrder)
+			.setListsAgeMillis(this.answered ? (this.clock.nanoTime() - this.answeredNanos) / 1_000_000 : 0);
 		// Empty lists would say that nothing runs there, so the report names no worker
 		// until its lists are read.
 		if (this.announcement != null && (this.answered || this.left)) {
--- a/src/main/java/org/crocuspost/host/HostEvent.java
+++ b/src/main/java/org/crocuspost/host/HostEvent.java
@@ -18,6 +18,12 @@
 	 */
 	WORKER_RESTARTED,
 
+	/**
+	 * The lists of this life of the worker were read for the first time; from now on the
+	 * reports name the worker.
+	 */
+	WORKER_LISTED,
+
 	/**
 	 * The worker is about to leave.
 	 */
--- a/src/main/java/org/crocuspost/lead/DecisionLog.java
+++ b/src/main/java/org/crocuspost/lead/DecisionLog.java
@@ -1,6 +1,7 @@
 package org.crocuspost.lead;
 
 import org.crocuspost.dispatch.DispatchListener;
+import org.crocuspost.dispatch.Evidence;
 import org.crocuspost.job.JobProgress;
 import org.crocuspost.job.TaskProgress;
 import org.crocuspost.log.EventLog;
@@ -45,6 +46,14 @@
 				Field.of("failures", task.failures()));
 	}
 
+	@Override
+	public void runLost(TaskProgress task, int run, String host, String reason, Evidence evidence) {
+		this.metrics.runEnded(reason);
+		EventLog.warn(LeadEvent.RUN_LOST, Field.of("job", task.key().job()), Field.of("task", task.key()),
+				Field.of("run", run), Field.of("host", host), Field.of("outcome", reason),
+				Field.of("agent", evidence.agent()), Field.of("evidenceAgeMillis", evidence.age().toMillis()));
+	}
+
 	@Override
 	public void hostChanged(String host, String belief, String detail) {
 		this.metrics.hostChanged(belief);
--- a/src/main/java/org/crocuspost/lead/LeadEvent.java
+++ b/src/main/java/org/crocuspost/lead/LeadEvent.java
@@ -58,10 +58,15 @@
 	TASK_PLACED,
 
 	/**
-	 * A run has ended.
+	 * A run has ended as its worker says, or was never ordered.
 	 */
 	RUN_ENDED,
 
+	/**
+	 * A run was given up without an end from its worker; its task starts again.
+	 */
+	RUN_LOST,
+
 	/**
 	 * What the leader believes of a host has changed.
 	 */
--- a/src/main/java/org/crocuspost/story/JobStory.java
+++ b/src/main/java/org/crocuspost/story/JobStory.java
@@ -93,7 +93,7 @@
 		sentences.add(fate(own));
 		Map<String, Integer> outcomes = new TreeMap<>();
 		own.stream()
-			.filter((line) -> line.event().equals("run-ended"))
+			.filter((line) -> line.event().equals("run-ended") || line.event().equals("run-lost"))
 			.forEach((line) -> outcomes.merge(line.field("outcome"), 1, Integer::sum));
 		if (!outcomes.isEmpty()) {
 			sentences.add("Ends of its runs: " + outcomes + ".");
--- a/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
@@ -45,13 +45,15 @@
 
 	final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
 
+	final List<LostRun> lost = new ArrayList<>();
+
 	Dispatcher dispatcher = newDispatcher();
 
 	ReportProcessor reports = new ReportProcessor(this.dispatcher, this.imagePressure);
 
 	private Dispatcher newDispatcher() {
 		Dispatcher created = new Dispatcher(SETTINGS, new DefaultPlacementPolicy(this.imagePressure), this.time,
-				new SilentListener());
+				new RecordingListener());
 		created.configure(new QueueConfiguration(1,
 				List.of(new Queue(QUEUE, "host", "/queue/", SERVICE, 0, 2, 2, Duration.ofSeconds(1), false)), List.of(),
 				1_000));
@@ -117,6 +119,15 @@
 		return new StepBuilder().tasks(tasks).milliCores(milliCores).build();
 	}
 
+	/**
+	 * A run that the leader gave up.
+	 *
+	 * @param reason why
+	 * @param evidence what that rests on
+	 */
+	record LostRun(String reason, Evidence evidence) {
+	}
+
 	/**
 	 * Builds steps for tests.
 	 */
@@ -285,7 +296,7 @@
 
 	}
 
-	private static final class SilentListener implements DispatchListener {
+	private final class RecordingListener implements DispatchListener {
 
 		@Override
 		public void jobSeen(JobProgress job) {
@@ -303,6 +314,11 @@
 		public void runEnded(TaskProgress task, int run, String host, String outcome) {
 		}
 
+		@Override
+		public void runLost(TaskProgress task, int run, String host, String reason, Evidence evidence) {
+			DispatchFixture.this.lost.add(new LostRun(reason, evidence));
+		}
+
 		@Override
 		public void hostChanged(String host, String belief, String detail) {
 		}
--- a/src/test/java/org/crocuspost/dispatch/DispatcherTests.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatcherTests.java
@@ -139,6 +139,21 @@
 		assertThat(second.obeyed).extracting(StartOrder::getRun).containsExactly(2);
 	}
 
+	@Test
+	void aRunIsGivenUpWithTheEvidenceThatDecidedIt() {
+		SimulatedWorker worker = this.fixture.worker("host", 4_000);
+		this.fixture.submit("0123456789abcdef", DispatchFixture.step(1, 1_000));
+		this.fixture.round();
+		worker.running.clear();
+		this.fixture.reports.reported(worker.report().toBuilder().setLife("next").setListsAgeMillis(40).build(), true);
+		this.fixture.round();
+		this.fixture.time.advance(Duration.ofSeconds(7));
+		this.fixture.reports.expire(Duration.ofSeconds(18), 0);
+		assertThat(this.fixture.lost).containsExactly(
+				new DispatchFixture.LostRun("not running", new Evidence("next", Duration.ofMillis(40))),
+				new DispatchFixture.LostRun("lease lapsed", new Evidence("", Duration.ofSeconds(7))));
+	}
+
 	/**
 	 * An agent that was replaced is connected before its worker has announced itself;
 	 * found by the fault soak with seed 1.
--- a/src/test/java/org/crocuspost/story/JobStoryTests.java
+++ b/src/test/java/org/crocuspost/story/JobStoryTests.java
@@ -34,6 +34,7 @@
 			line("18.9", "host-changed", ",\"host\":\"side-4\",\"belief\":\"suspected\""),
 			line("19.0", "job-accepted", ",\"job\":\"ffffffffffffffff\""),
 			line("19.2", "pace-changed", ",\"task\":\"" + JOB + ".0.0.1\",\"pace\":\"50\""),
+			line("19.5", "run-lost", own(",\"outcome\":\"lease lapsed\"")),
 			line("20.0", "run-ended", own(",\"outcome\":\"done\"")),
 			line("20.1", "job-ended", own(",\"state\":\"completed\",\"reason\":\"all tasks are done\"")),
 			line("25.0", "leadership-won", ",\"epoch\":\"5\""));
@@ -43,7 +44,7 @@
 		JobStory story = JobStory.of(JOB, LATE).orElseThrow();
 		assertThat(story.lines()).extracting(LogLine::event)
 			.containsExactly("job-accepted", "leadership-won", "job-seen", "task-placed", "host-changed",
-					"pace-changed", "run-ended", "job-ended");
+					"pace-changed", "run-lost", "run-ended", "job-ended");
 		assertThat(story.lines().get(4).field("host")).isEqualTo("side-3");
 	}
 
@@ -51,7 +52,7 @@
 	void theSummaryNamesTheFateAndTheLongestWait() {
 		JobStory story = JobStory.of(JOB, LATE).orElseThrow();
 		assertThat(story.summary()).containsExactly("Shown as completed after 10.100 s: all tasks are done.",
-				"Ends of its runs: {done=1}.",
+				"Ends of its runs: {done=1, lease lapsed=1}.",
 				"Longest time without a line of its own: 8.500 s between job-accepted and job-seen.");
 	}
 
