Add failing tests for the class of fault behind the double run

Its class is that something of an earlier life, or the silence before the first report, is taken for news of the present life. Five more places draw such a conclusion; each test fails on this code: - the fencing token stays the same over a restart of the worker, so an order that is carried out late acts in the next life (two runs of one task); - a farewell that arrives late makes the leader give up the runs of the next life; - a worker whose clock was set back before its restart is ignored for good; - a task is started on another worker while a host lists a run of it; - a job whose removal is under way is taken for a new one when its table is read again.

--- a/src/test/java/org/crocuspost/dispatch/DispatcherTests.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatcherTests.java
@@ -7,8 +7,10 @@
 import org.crocuspost.dispatch.DispatchFixture.SimulatedWorker;
 import org.crocuspost.dispatch.DispatchFixture.StepBuilder;
 import org.crocuspost.job.JobState;
+import org.crocuspost.job.TaskKey;
 import org.crocuspost.job.TaskStatus;
 import org.crocuspost.wire.HostReport;
+import org.crocuspost.wire.RunningTask;
 import org.crocuspost.wire.StartOrder;
 import org.junit.jupiter.api.Test;
 
@@ -139,6 +141,48 @@
 		assertThat(second.obeyed).extracting(StartOrder::getRun).containsExactly(2);
 	}
 
+	/**
+	 * A start that was taken for lost is carried out late, while its task waits.
+	 */
+	@Test
+	void aTaskIsNotStartedBesideARunOfItThatShowsUpLate() {
+		SimulatedWorker first = this.fixture.worker("first", 1_000);
+		this.fixture.submit("0123456789abcdef", DispatchFixture.step(1, 1_000));
+		this.fixture.round();
+		TaskKey task = this.fixture.task("0123456789abcdef", 0, 0).key();
+		RunningTask late = first.running.remove(task);
+		this.fixture.report(first);
+		first.running.put(task, late);
+		assertThat(this.fixture.reports.reported(first.report(), true).stops()).hasSize(1);
+		SimulatedWorker second = this.fixture.worker("second", 1_000);
+		this.fixture.round();
+		assertThat(second.obeyed).isEmpty();
+		first.end(task, "stopped");
+		this.fixture.reportAll();
+		this.fixture.round();
+		assertThat(this.fixture.task("0123456789abcdef", 0, 0).run()).isEqualTo(2);
+	}
+
+	/**
+	 * A table that is read again may still show a job whose removal is under way.
+	 */
+	@Test
+	void aJobWhoseRemovalIsUnderWayIsNotRunAgain() {
+		SimulatedWorker worker = this.fixture.worker("one", 1_000);
+		this.fixture.submit("0123456789abcdef", DispatchFixture.step(1, 1_000));
+		this.fixture.round();
+		worker.endAll("done");
+		this.fixture.report(worker);
+		this.fixture.round();
+		this.fixture.time.advance(DispatchFixture.SETTINGS.retention().plusSeconds(1));
+		DispatchBatch removal = this.fixture.dispatcher.takeBatch(10);
+		assertThat(removal.removals()).containsExactly("0123456789abcdef");
+		this.fixture.submit("0123456789abcdef", DispatchFixture.step(1, 1_000));
+		this.fixture.dispatcher.recorded(removal, true);
+		this.fixture.round();
+		assertThat(worker.obeyed).hasSize(1);
+	}
+
 	@Test
 	void aRunIsGivenUpWithTheEvidenceThatDecidedIt() {
 		SimulatedWorker worker = this.fixture.worker("host", 4_000);
--- a/src/test/java/org/crocuspost/host/HostAgentTests.java
+++ b/src/test/java/org/crocuspost/host/HostAgentTests.java
@@ -186,6 +186,64 @@
 		assertThat(this.worker.starts).isEmpty();
 	}
 
+	/**
+	 * A call that is carried out late would act in the next life of the same identity.
+	 */
+	@Test
+	void aLateOrderOfAnEarlierLifeOfTheWorkerIsFencedOffInTheNext() {
+		begin();
+		long former = this.worker.fences.get(this.worker.fences.size() - 1);
+		this.worker.born = 2;
+		this.time.advance(Duration.ofSeconds(1));
+		assertThat(this.worker.fences).last().satisfies((fence) -> assertThat(fence).isGreaterThan(former));
+		long noticed = this.worker.fences.get(this.worker.fences.size() - 1);
+		this.worker.born = 3;
+		this.agent.announced(announcement("worker", 3, 1));
+		this.time.advance(Duration.ofSeconds(1));
+		assertThat(this.worker.fences).last().satisfies((fence) -> assertThat(fence).isGreaterThan(noticed));
+	}
+
+	/**
+	 * The worker's farewell may arrive after its next life has announced itself.
+	 */
+	@Test
+	void aDelayedDepartureOfAnEarlierLifeGivesNoRunsUp() {
+		begin();
+		this.worker.born = 2;
+		this.agent.announced(announcement("worker", 2, 1));
+		this.time.advance(Duration.ofSeconds(1));
+		this.agent.departed("worker");
+		this.time.advance(Duration.ofSeconds(3));
+		assertThat(this.agent.composeReport().getWorker().getLeft()).isFalse();
+		this.agent.ordered(grantAndStart("worker", 2));
+		assertThat(this.worker.starts).hasSize(1);
+	}
+
+	@Test
+	void aWorkerThatDepartsAndNoLongerAnswersHasLeft() {
+		begin();
+		this.agent.departed("worker");
+		this.worker.gone = true;
+		this.time.advance(Duration.ofSeconds(2));
+		assertThat(this.agent.composeReport().getWorker().getLeft()).isTrue();
+	}
+
+	/**
+	 * Births are compared by the wall clock of the worker's host, which may jump.
+	 */
+	@Test
+	void aNewLifeOfAWorkerWhoseClockWasSetBackIsSeen() {
+		begin();
+		this.worker.born = 7;
+		this.agent.announced(announcement("worker", 7, 1));
+		this.time.advance(Duration.ofSeconds(1));
+		this.worker.born = 5;
+		this.time.advance(Duration.ofSeconds(1));
+		this.agent.announced(announcement("worker", 5, 1));
+		this.time.advance(Duration.ofSeconds(1));
+		assertThat(this.agent.composeReport().getWorker().getBorn()).isEqualTo(5);
+	}
+
 	@Test
 	void nothingIsAcknowledgedAfterACallThatFailed() {
 		begin();
@@ -230,6 +288,8 @@
 
 		private boolean fenced;
 
+		private boolean gone;
+
 		private long born = 1;
 
 		private long clockMillis() {
@@ -242,6 +302,10 @@
 			this.leases.add(leaseUntilMillis);
 			this.acknowledged.add(acknowledgedEnds);
 			this.fences.add(fence);
+			if (this.gone) {
+				answer.accept(Either.left(new OrderOutcome(OrderOutcome.Kind.NEVER_SENT, "connection refused")));
+				return;
+			}
 			boolean refused = this.fenced;
 			HostAgentTests.this.time.schedule(patience, () -> answer
 				.accept(refused ? Either.left(new OrderOutcome(OrderOutcome.Kind.FENCED, "fence"))
