Fence off late orders of an earlier life of the worker

Cause: a worker that starts again under its identity has seen no fencing token, and the agent went on with the one it had. An order of the life before that is carried out seconds late, a start or an acknowledgement of ends, was then obeyed by the next life. Ruled out: the identity that each call names (it stays the same), and the stops for starts without an answer (a start that was stopped in the life before is forgotten). Change: each new life gets a higher token; the first look at its lists carries it. An answer "fenced" raises the token only if the call had the present one, so orders that cross the change do not raise it again. Before: HostAgentTests.aLateOrderOfAnEarlierLifeOfTheWorkerIsFencedOffInTheNext failed. After: it passes. An order that arrives between the restart and the first look still acts; what it starts is listed in that look, and the leader keeps or stops it.

--- a/src/main/java/org/crocuspost/host/HostAgent.java
+++ b/src/main/java/org/crocuspost/host/HostAgent.java
@@ -172,6 +172,9 @@
 	 * nothing is started, and reports do not name the worker.
 	 */
 	private void forgetLife() {
+		// An order of the forgotten life that is carried out late must not act in the
+		// next.
+		this.fence++;
 		this.left = false;
 		this.workerClockMillis = 0;
 		this.leaseUntilMillis = 0;
@@ -220,8 +223,12 @@
 		Duration patience = certain ? HostAgentSettings.HOLD_PATIENCE : Duration.ZERO;
 		long acknowledged = certain ? this.recordedEnds : 0;
 		long lease = certain ? this.leaseUntilMillis : 0;
-		this.worker.hold(life, this.fence, acknowledged, lease, patience, (answer) -> {
+		long usedFence = this.fence;
+		this.worker.hold(life, usedFence, acknowledged, lease, patience, (answer) -> {
 			if (number == this.holdNumber) {
+				if (answer.isLeft()) {
+					learnFence(answer.getLeft(), usedFence);
+				}
 				held(life, answer, askedNanos);
 				Duration pause = answer.isRight() ? HostAgentSettings.HOLD_PAUSE : HostAgentSettings.HOLD_RETRY_PAUSE;
 				this.timer.schedule(pause, () -> hold(number));
@@ -233,9 +240,6 @@
 		this.metrics.held(answer.isRight(), this.clock.nanoTime() - askedNanos);
 		this.holdFailed = answer.isLeft();
 		if (answer.isLeft()) {
-			if (answer.getLeft().kind() == OrderOutcome.Kind.FENCED) {
-				raiseFence();
-			}
 			return;
 		}
 		WorkerState state = answer.get();
@@ -279,9 +283,16 @@
 		this.pending.values().removeIf((start) -> start.settledNanos != 0 && start.settledNanos < askedNanos);
 	}
 
-	private void raiseFence() {
-		this.fence += HostAgentSettings.FENCE_STEP;
-		EventLog.warn(HostEvent.FENCE_RAISED, Field.of("fence", this.fence));
+	/**
+	 * Takes a higher fencing token if the worker knows a higher one than the present one.
+	 * @param outcome what the worker answered
+	 * @param usedFence the token of that call
+	 */
+	private void learnFence(OrderOutcome outcome, long usedFence) {
+		if (outcome.kind() == OrderOutcome.Kind.FENCED && usedFence == this.fence) {
+			this.fence += HostAgentSettings.FENCE_STEP;
+			EventLog.warn(HostEvent.FENCE_RAISED, Field.of("fence", this.fence), Field.of("former", usedFence));
+		}
 	}
 
 	private void adaptPace(WorkerAnnouncement life) {
@@ -428,10 +439,12 @@
 		PendingStart start = new PendingStart(
 				RunningTask.newBuilder().setTask(order.getTask()).setRun(order.getRun()).setPace(FULL_PACE).build());
 		this.pending.put(key, start);
-		this.worker.start(life, this.fence,
-				new WorkerCalls.RunStart(key.task(), key.run(), order.getSpecification(), order.getCheckpoint(),
-						order.getTicket()),
-				this.leaseUntilMillis, (outcome) -> startAnswered(life, key, start, outcome));
+		long usedFence = this.fence;
+		this.worker.start(life, usedFence, new WorkerCalls.RunStart(key.task(), key.run(), order.getSpecification(),
+				order.getCheckpoint(), order.getTicket()), this.leaseUntilMillis, (outcome) -> {
+					learnFence(outcome, usedFence);
+					startAnswered(life, key, start, outcome);
+				});
 	}
 
 	private String obstacle(StartOrder order, @Nullable WorkerAnnouncement life) {
@@ -460,9 +473,6 @@
 				start.unresolved = true;
 			}
 			default -> {
-				if (outcome.kind() == OrderOutcome.Kind.FENCED) {
-					raiseFence();
-				}
 				this.pending.remove(key);
 				refuse(key, outcome.reason());
 				report();
@@ -507,15 +517,14 @@
 		this.stopsSentNanos.put(key, now);
 		EventLog.info(HostEvent.STOP_ORDERED, Field.of("job", key.task().job()), Field.of("task", key.task()),
 				Field.of("run", key.run()));
-		this.worker.stop(life, this.fence, key.task(), key.run(), (outcome) -> {
+		long usedFence = this.fence;
+		this.worker.stop(life, usedFence, key.task(), key.run(), (outcome) -> {
+			learnFence(outcome, usedFence);
 			PendingStart start = this.pending.get(key);
 			if (start != null && outcome.kind() == OrderOutcome.Kind.OBEYED) {
 				start.unresolved = false;
 				start.settledNanos = this.clock.nanoTime();
 			}
-			else if (outcome.kind() == OrderOutcome.Kind.FENCED) {
-				raiseFence();
-			}
 		});
 	}
 
