Take a worker's farewell as final only once it no longer answers

Cause: 0.4 s after a worker's farewell its agent told the leader that nothing runs there. The message names an identity and no life: one that arrives late, when the next life of the same identity has announced itself, gave up runs that went on. Ruled out: the check of the life after the margin, which compares the life known when the message arrived, not the one that sent it. Change: after the margin the agent looks whether the worker still answers, and reports it as left after 0.6 s of silence; a worker that answers for 5 s after its farewell did not mean its present life. Before: HostAgentTests.aDelayedDepartureOfAnEarlierLifeGivesNoRunsUp failed. After: it passes; aWorkerThatDepartsAndNoLongerAnswersHasLeft passed before and after.

--- a/src/main/java/org/crocuspost/host/HostAgent.java
+++ b/src/main/java/org/crocuspost/host/HostAgent.java
@@ -190,7 +190,8 @@
 	}
 
 	/**
-	 * Learns that the worker has left. It ends a little after it has said so.
+	 * Learns that the worker leaves. The message may be late and mean an earlier life of
+	 * the same identity, so the worker counts as gone only once it no longer answers.
 	 * @param id the identity of the worker
 	 */
 	public void departed(String id) {
@@ -198,18 +199,41 @@
 		if (known == null || !known.id().equals(id)) {
 			return;
 		}
-		EventLog.info(HostEvent.WORKER_LEFT, Field.of("worker", id));
+		EventLog.info(HostEvent.WORKER_DEPARTING, Field.of("worker", id), Field.of("born", known.born()));
+		awaitDeparture(known, this.clock.nanoTime());
+	}
+
+	private void awaitDeparture(WorkerAnnouncement departing, long saidNanos) {
 		this.timer.schedule(HostAgentSettings.DEPARTURE_MARGIN, () -> {
 			WorkerAnnouncement current = this.announcement;
-			if (current != null && current.sameLife(known)) {
-				this.left = true;
-				this.running = List.of();
-				this.pending.clear();
-				report();
+			if (current == null || !current.sameLife(departing) || this.left) {
+				return;
+			}
+			long now = this.clock.nanoTime();
+			boolean answersStill = this.answered
+					&& now - this.answeredNanos < HostAgentSettings.DEPARTURE_SILENCE.toNanos();
+			if (!answersStill) {
+				leave(departing);
+			}
+			else if (now - saidNanos < HostAgentSettings.DEPARTURE_VALIDITY.toNanos()) {
+				awaitDeparture(departing, saidNanos);
+			}
+			else {
+				EventLog.info(HostEvent.ANNOUNCEMENT_IGNORED, Field.of("worker", departing.id()),
+						Field.of("reason", "it said that it leaves and still answers"));
 			}
 		});
 	}
 
+	private void leave(WorkerAnnouncement departing) {
+		EventLog.info(HostEvent.WORKER_LEFT, Field.of("worker", departing.id()), Field.of("born", departing.born()),
+				Field.of("running", this.running.size()));
+		this.left = true;
+		this.running = List.of();
+		this.pending.clear();
+		report();
+	}
+
 	private void hold(long number) {
 		WorkerAnnouncement life = this.announcement;
 		if (life == null || number != this.holdNumber || this.left) {
--- a/src/main/java/org/crocuspost/host/HostAgentSettings.java
+++ b/src/main/java/org/crocuspost/host/HostAgentSettings.java
@@ -48,10 +48,23 @@
 	static final Duration STOP_REPETITION = Duration.ofMillis(600);
 
 	/**
-	 * A worker runs on for a moment after it has said that it leaves.
+	 * A worker runs on for a moment after it has said that it leaves; also the time
+	 * between two looks whether it still answers.
 	 */
 	static final Duration DEPARTURE_MARGIN = Duration.ofMillis(400);
 
+	/**
+	 * Silence after which a worker that said that it leaves has left. While it lives, its
+	 * answers are {@link #HOLD_PATIENCE} and a little more apart.
+	 */
+	static final Duration DEPARTURE_SILENCE = Duration.ofMillis(600);
+
+	/**
+	 * Time after which a worker that still answers did not mean its present life when it
+	 * said that it leaves.
+	 */
+	static final Duration DEPARTURE_VALIDITY = Duration.ofSeconds(5);
+
 	/**
 	 * Step by which the fencing token rises; the wall clock of a host jumps by less.
 	 */
--- a/src/main/java/org/crocuspost/host/HostEvent.java
+++ b/src/main/java/org/crocuspost/host/HostEvent.java
@@ -30,7 +30,12 @@
 	WORKER_DRAINING,
 
 	/**
-	 * The worker has left.
+	 * The worker says that it ends now.
+	 */
+	WORKER_DEPARTING,
+
+	/**
+	 * The worker has said that it ends and no longer answers.
 	 */
 	WORKER_LEFT,
 
