See a worker again whose clock was set back before its restart

Cause: lives of a worker are ordered by the wall clock of its host. If that was set back, the agent took each announcement of the new life, and the leader each report of it, for a delayed one of an earlier life. Ruled out: dropping the order at the agent, which does keep delayed announcements away. Change: an answer from another life, or from another worker at the address, disproves the announced life, and the next announcement counts. The leader takes the births as they come: its reports come in order on one connection, and name a worker only after that worker has answered in that life.

--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -86,9 +86,7 @@
 			host.answers(false);
 			return Reaction.NONE;
 		}
-		if (!describe(host, report)) {
-			return Reaction.NONE;
-		}
+		describe(host, report);
 		boolean newLife = !report.getLife().equals(host.life());
 		host.life(report.getLife());
 		host.answers(report.getWorkerAnswers());
@@ -104,14 +102,10 @@
 				newLife ? traits(host, report) : List.of());
 	}
 
-	private boolean describe(HostState host, HostReport report) {
+	private void describe(HostState host, HostReport report) {
 		WorkerDescription next = report.getWorker();
 		WorkerDescription known = host.worker();
 		if (!host.sameWorker(next)) {
-			if (next.getBorn() < known.getBorn()) {
-				// From an earlier life of the worker, overtaken by the new one.
-				return false;
-			}
 			loseAll(host, "worker restarted", next, listed(report), Evidence.of(report));
 			host.newWorker();
 			this.dispatcher.listener()
@@ -125,7 +119,6 @@
 		if (next.getLeft()) {
 			loseAll(host, LEFT, WorkerDescription.getDefaultInstance(), Set.of(), Evidence.of(report));
 		}
-		return true;
 	}
 
 	/**
--- a/src/main/java/org/crocuspost/host/HostAgent.java
+++ b/src/main/java/org/crocuspost/host/HostAgent.java
@@ -61,6 +61,12 @@
 
 	private boolean left;
 
+	/**
+	 * Whether another life than the announced one has answered. The wall clock may have
+	 * been set back between the two, so the next announcement counts whatever its birth.
+	 */
+	private boolean disproved;
+
 	private long workerClockMillis;
 
 	private long answeredNanos;
@@ -135,13 +141,14 @@
 		if (known != null && known.sameLife(next) && next.sequence() < known.sequence()) {
 			return;
 		}
-		if (known != null && !known.sameLife(next) && next.born() < known.born()) {
+		if (known != null && !this.disproved && !known.sameLife(next) && next.born() < known.born()) {
 			EventLog.info(HostEvent.ANNOUNCEMENT_IGNORED, Field.of("worker", next.id()), Field.of("born", next.born()),
 					Field.of("reason", "a later life is known"));
 			return;
 		}
 		boolean newLife = known == null || !known.sameLife(next);
 		if (newLife) {
+			this.disproved = false;
 			beginLife(next);
 		}
 		if (next.draining() && (newLife || !known.draining())) {
@@ -264,10 +271,12 @@
 		this.metrics.held(answer.isRight(), this.clock.nanoTime() - askedNanos);
 		this.holdFailed = answer.isLeft();
 		if (answer.isLeft()) {
+			this.disproved |= answer.getLeft().kind() == OrderOutcome.Kind.OTHER_LIFE;
 			return;
 		}
 		WorkerState state = answer.get();
 		if (state.born() != 0 && state.born() != life.born()) {
+			this.disproved = true;
 			if (this.answered) {
 				EventLog.info(HostEvent.WORKER_RESTARTED, Field.of("worker", life.id()),
 						Field.of("former", life.born()), Field.of("born", state.born()));
--- a/src/test/java/org/crocuspost/dispatch/DispatcherTests.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatcherTests.java
@@ -245,6 +245,22 @@
 		assertThat(worker.obeyed).extracting(StartOrder::getWorkerBorn).containsExactly(1L, 2L);
 	}
 
+	/**
+	 * Births are compared by the wall clock of the worker's host, which may jump.
+	 */
+	@Test
+	void aWorkerWhoseClockWasSetBackGetsTasksAgain() {
+		SimulatedWorker worker = this.fixture.worker("one", 1_000);
+		worker.restart();
+		this.fixture.report(worker);
+		worker.restart();
+		worker.description = worker.description.toBuilder().setBorn(1).build();
+		this.fixture.submit("job", DispatchFixture.step(1, 1_000));
+		this.fixture.report(worker);
+		this.fixture.round();
+		assertThat(worker.obeyed).extracting(StartOrder::getWorkerBorn).containsExactly(1L);
+	}
+
 	@Test
 	void aJobFailsAfterTheAllowedAttempts() {
 		SimulatedWorker worker = this.fixture.worker("one", 1_000);
