Do not start a task while a host lists a run of it

Cause: a run that the leader had given up and that shows up on a host after all, since its start was carried out late, was ordered to stop, but its task could be placed on another worker at once, up to a stop's time before that run had ended. Ruled out: taking the run over again; it would have to be recorded before its host is lost, for little work saved. Change: a task of which any host lists an unassigned run waits until the run has ended or the host's lease has lapsed. A gang waits as a whole. Before: DispatcherTests.aTaskIsNotStartedBesideARunOfItThatShowsUpLate failed. After: it passes, and the task starts once the stop has ended the run.

--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -16,6 +17,7 @@
 import org.crocuspost.job.Queue;
 import org.crocuspost.job.QueueConfiguration;
 import org.crocuspost.job.StepSpecification;
+import org.crocuspost.job.TaskKey;
 import org.crocuspost.job.TaskProgress;
 import org.crocuspost.job.TaskStatus;
 import org.crocuspost.time.Clock;
@@ -162,12 +164,23 @@
 		if (rooms.isEmpty()) {
 			return;
 		}
+		Set<TaskKey> unassigned = unassignedRuns();
 		for (TrackedJob tracked : waitingJobs(now)) {
 			Queue queue = this.configuration.named(tracked.job().submission().queue()).orElseThrow();
-			assign(tracked, rooms.getOrDefault(queue.service(), List.of()));
+			assign(tracked, rooms.getOrDefault(queue.service(), List.of()), unassigned);
 		}
 	}
 
+	/**
+	 * Returns the tasks of which a host lists a run that is not assigned to it, such as a
+	 * start that was carried out late. They wait until that run has ended.
+	 */
+	private Set<TaskKey> unassignedRuns() {
+		Set<TaskKey> unassigned = new HashSet<>();
+		this.hosts.values().forEach((host) -> unassigned.addAll(host.strangers().keySet()));
+		return unassigned;
+	}
+
 	boolean takesTasks(HostState host) {
 		return host.open() && !host.quarantined(this.clock.nanoTime())
 				&& !this.evacuated.contains(host.worker().getFailureDomain());
@@ -206,7 +219,7 @@
 		return waiting;
 	}
 
-	private void assign(TrackedJob tracked, List<HostRoom> rooms) {
+	private void assign(TrackedJob tracked, List<HostRoom> rooms, Set<TaskKey> unassigned) {
 		JobProgress job = tracked.job();
 		if (job.running()) {
 			tracked.running(this.clock.nanoTime());
@@ -218,20 +231,24 @@
 			}
 			for (int step = 0; step < steps.size(); step++) {
 				if (job.predecessorsDone(occurrence, step)) {
-					assignStep(tracked, job.tasks(occurrence, step), rooms);
+					assignStep(tracked, job.tasks(occurrence, step), rooms, unassigned);
 				}
 			}
 		}
 	}
 
-	private void assignStep(TrackedJob tracked, List<TaskProgress> tasks, List<HostRoom> rooms) {
+	private void assignStep(TrackedJob tracked, List<TaskProgress> tasks, List<HostRoom> rooms,
+			Set<TaskKey> unassigned) {
 		if (tasks.get(0).step().gang()) {
+			if (tasks.stream().anyMatch((task) -> unassigned.contains(task.key()))) {
+				return;
+			}
 			new GangAssignment(this.policy, rooms).choose(tasks)
 				.ifPresent((choice) -> choice.forEach((task, room) -> place(tracked, task, room, choice.run())));
 			return;
 		}
 		for (TaskProgress task : tasks) {
-			if (!task.status().waiting()) {
+			if (!task.status().waiting() || unassigned.contains(task.key())) {
 				continue;
 			}
 			HostRoom room = this.policy.choose(task, rooms);
