Keep a job until its removal is recorded

Cause: the leader forgot a job as it sent the removal of its rows. A table that is read again at that moment, after lost history, still shows the job, which then counted as new. Ruled out: the feed of changes, whose answers come in order of versions. Change: the job is forgotten once the removal is recorded, and the version of that removal is kept, so that rows from before it are ignored. Before: DispatcherTests.aJobWhoseRemovalIsUnderWayIsNotRunAgain failed. After: it passes; RemovedJobsTests holds the second half.

--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -313,7 +313,6 @@
 				expired.add(tracked.job().id());
 			}
 		}
-		expired.forEach(this.jobs::remove);
 		return expired;
 	}
 
@@ -333,6 +332,7 @@
 	 * @return the orders to send by host
 	 */
 	public Map<String, List<StartOrder>> recorded(DispatchBatch batch, boolean mayStart) {
+		batch.removals().forEach(this.jobs::remove);
 		batch.ends().forEach((name, ends) -> {
 			HostState host = host(name);
 			if (host.worker().getId().equals(ends.worker()) && host.worker().getBorn() == ends.born()) {
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -70,6 +70,8 @@
 
 	private final Map<String, String> storedProgress = new HashMap<>();
 
+	private final RemovedJobs removedJobs = new RemovedJobs();
+
 	private final long takeoverNanos;
 
 	private final Cancellable ticks;
@@ -162,6 +164,11 @@
 
 	private void learnJob(StoredRow row) {
 		String id = row.key().substring(Tables.JOB.length());
+		if (this.removedJobs.removedAfter(id, row.version())) {
+			EventLog.info(LeadEvent.ROW_IGNORED, Field.of("key", row.key()), Field.of("version", row.version()),
+					Field.of("reason", "the job has been removed since"));
+			return;
+		}
 		try {
 			JobSubmission submission = SubmissionCodec.read(id, row.value());
 			this.dispatcher.submitted(submission, Optional.ofNullable(this.storedProgress.get(id)));
@@ -299,7 +306,10 @@
 			removals.add(new RowTransaction.Removal(Tables.INTAKE, Tables.JOB + id));
 			removals.add(new RowTransaction.Removal(Tables.INTAKE, Tables.CANCELLATION + id));
 		}
-		this.recorder.write(this.record.name(), writes, removals, () -> recorded(batch));
+		this.recorder.write(this.record.name(), writes, removals, () -> {
+			this.removedJobs.add(batch.removals(), this.recorder.version());
+			recorded(batch);
+		});
 	}
 
 	private void recorded(DispatchBatch batch) {
--- a/src/main/java/org/crocuspost/lead/Recorder.java
+++ b/src/main/java/org/crocuspost/lead/Recorder.java
@@ -147,4 +147,12 @@
 		return this.confirmedNanos;
 	}
 
+	/**
+	 * Returns the version of the last transaction that is applied.
+	 * @return the version of the store
+	 */
+	long version() {
+		return this.version;
+	}
+
 }
