Let a stop settle a start only in the life that obeyed it

Cause: a start without an answer is stopped until the worker confirms. The confirmation of a stop that was sent to the former life was taken for the present life's, which knows of no stop and may still carry the start out. Change: the confirmation counts only under the present fencing token, which rises with each life. Before: HostAgentTests.aStopThatAnEarlierLifeConfirmedDoesNotSettleAStart failed (17 run, 1 failed). After: all 17 pass.

--- a/src/main/java/org/crocuspost/host/HostAgent.java
+++ b/src/main/java/org/crocuspost/host/HostAgent.java
@@ -554,7 +554,9 @@
 		this.worker.stop(life, usedFence, key.task(), key.run(), (outcome) -> {
 			learnFence(outcome, usedFence);
 			PendingStart start = this.pending.get(key);
-			if (start != null && outcome.kind() == OrderOutcome.Kind.OBEYED) {
+			// A stop under a former token may have been obeyed by an earlier life, which
+			// has taken that with it.
+			if (start != null && outcome.kind() == OrderOutcome.Kind.OBEYED && usedFence == this.fence) {
 				start.unresolved = false;
 				start.settledNanos = this.clock.nanoTime();
 			}
--- a/src/test/java/org/crocuspost/host/HostAgentTests.java
+++ b/src/test/java/org/crocuspost/host/HostAgentTests.java
@@ -130,6 +130,25 @@
 		assertThat(this.agent.composeReport().getPendingList()).isEmpty();
 	}
 
+	/**
+	 * The answer to a stop crosses the restart of the worker.
+	 */
+	@Test
+	void aStopThatAnEarlierLifeConfirmedDoesNotSettleAStart() {
+		begin();
+		this.worker.startOutcome = OrderOutcome.Kind.UNKNOWN;
+		this.worker.withholdsStopAnswers = true;
+		this.agent.ordered(grantAndStart("worker", 1));
+		this.time.advance(Duration.ofMillis(300));
+		assertThat(this.worker.withheldStopAnswers).hasSize(1);
+		this.worker.born = 2;
+		this.agent.announced(announcement("worker", 2, 1));
+		this.worker.withheldStopAnswers.get(0).accept(new OrderOutcome(OrderOutcome.Kind.OBEYED, "scripted"));
+		this.time.advance(Duration.ofSeconds(2));
+		assertThat(this.agent.composeReport().getPendingList()).hasSize(1);
+		assertThat(this.worker.withheldStopAnswers).hasSizeGreaterThan(1);
+	}
+
 	@Test
 	void aLeavingWorkerGetsNothingNew() {
 		begin();
@@ -286,6 +305,10 @@
 
 		private OrderOutcome.Kind stopOutcome = OrderOutcome.Kind.OBEYED;
 
+		private final List<Consumer<OrderOutcome>> withheldStopAnswers = new ArrayList<>();
+
+		private boolean withholdsStopAnswers;
+
 		private boolean fenced;
 
 		private boolean gone;
@@ -322,7 +345,12 @@
 		@Override
 		public void stop(WorkerAnnouncement life, long fence, TaskKey task, int run, Consumer<OrderOutcome> answer) {
 			this.stops.add(task);
-			answer.accept(new OrderOutcome(this.stopOutcome, "scripted"));
+			if (this.withholdsStopAnswers) {
+				this.withheldStopAnswers.add(answer);
+			}
+			else {
+				answer.accept(new OrderOutcome(this.stopOutcome, "scripted"));
+			}
 		}
 
 		@Override
