Read nothing from an answer that lacks the worker's lists

Cause: an answer of a worker without its list of runs was read as an empty list, which says that nothing runs there. So was an answer without its clock, which leases count by. Ruled out: unreadable bytes, which were a failed call before, too. Change: WorkerStateDecoder, taken out of HostedWorkerCalls, asks for the clock and both lists; otherwise the call counts as unanswered. A row that names no task is logged. Before: with the former reading the six cases of DecoderTests.anAnswerWithoutItsListsSaysNothingAboutRuns that are JSON objects fail. After: they pass.

--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -174,6 +174,7 @@
 	/**
 	 * Returns the tasks of which a host lists a run that is not assigned to it, such as a
 	 * start that was carried out late. They wait until that run has ended.
+	 * @return the tasks
 	 */
 	private Set<TaskKey> unassignedRuns() {
 		Set<TaskKey> unassigned = new HashSet<>();
--- a/src/main/java/org/crocuspost/host/HostEvent.java
+++ b/src/main/java/org/crocuspost/host/HostEvent.java
@@ -74,6 +74,11 @@
 	 */
 	START_ANSWERED,
 
+	/**
+	 * A row of the worker's lists could not be read.
+	 */
+	RUN_IGNORED,
+
 	/**
 	 * A run is stopped.
 	 */
--- a/src/main/java/org/crocuspost/platform/hosted/HostedWorkerCalls.java
+++ b/src/main/java/org/crocuspost/platform/hosted/HostedWorkerCalls.java
@@ -3,15 +3,11 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
-import org.crocuspost.dispatch.TaskNames;
 import org.crocuspost.host.OrderOutcome;
 import org.crocuspost.host.WorkerAnnouncement;
 import org.crocuspost.host.WorkerCalls;
@@ -21,8 +17,6 @@
 import org.crocuspost.platform.http.HttpCaller;
 import org.crocuspost.platform.http.HttpOutcome;
 import org.crocuspost.platform.http.HttpOutcome.Answered;
-import org.crocuspost.wire.EndedTask;
-import org.crocuspost.wire.RunningTask;
 
 /**
  * Calls to the worker of the host.
@@ -42,10 +36,6 @@
 	 */
 	private static final Duration CALL_TIMEOUT = Duration.ofMillis(700);
 
-	private static final int ENDED_CHECKPOINT_FIELD = 4;
-
-	private static final int RUNNING_LOAD_FIELD = 4;
-
 	private final HttpCaller caller;
 
 	private final InetSocketAddress address;
@@ -78,44 +68,9 @@
 		if (order.kind() != OrderOutcome.Kind.OBEYED) {
 			return Either.left(order);
 		}
-		try {
-			JsonNode body = JsonTrees.read(((Answered) outcome).body());
-			List<RunningTask> running = new ArrayList<>();
-			for (JsonNode row : body.path("running")) {
-				TaskKey.parse(row.path(0).asText()).ifPresent((key) -> running.add(running(key, row)));
-			}
-			List<EndedTask> ended = new ArrayList<>();
-			for (JsonNode row : body.path("finished")) {
-				TaskKey.parse(row.path(1).asText()).ifPresent((key) -> ended.add(ended(key, row)));
-			}
-			return Either
-				.right(new WorkerState(body.path("clock_ms").asLong(), body.path("born").asLong(), running, ended));
-		}
-		catch (IOException ex) {
-			return Either.left(new OrderOutcome(OrderOutcome.Kind.UNKNOWN, "the answer is malformed"));
-		}
-	}
-
-	private static RunningTask running(TaskKey key, JsonNode row) {
-		// Fields by position: task, run, saved progress, progress in percent, load.
-		return RunningTask.newBuilder()
-			.setTask(TaskNames.name(key))
-			.setRun(row.path(1).asInt())
-			.setCheckpoint(row.path(2).asText())
-			.setProgress(row.path(3).asInt())
-			.setLoad(row.path(RUNNING_LOAD_FIELD).asInt())
-			.build();
-	}
-
-	private static EndedTask ended(TaskKey key, JsonNode row) {
-		// Fields by position: number, task, run, kind of end, saved progress.
-		return EndedTask.newBuilder()
-			.setNumber(row.path(0).asLong())
-			.setTask(TaskNames.name(key))
-			.setRun(row.path(2).asInt())
-			.setKind(row.path(3).asText())
-			.setCheckpoint(row.path(ENDED_CHECKPOINT_FIELD).asText())
-			.build();
+		return WorkerStateDecoder.decode(((Answered) outcome).body())
+			.<Either<OrderOutcome, WorkerState>>map(Either::right)
+			.orElseGet(() -> Either.left(new OrderOutcome(OrderOutcome.Kind.UNKNOWN, "the answer is malformed")));
 	}
 
 	@Override
--- a/src/test/java/org/crocuspost/platform/hosted/DecoderTests.java
+++ b/src/test/java/org/crocuspost/platform/hosted/DecoderTests.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import org.crocuspost.host.WorkerAnnouncement;
+import org.crocuspost.host.WorkerState;
 import org.crocuspost.job.JobSpecification;
 import org.crocuspost.job.JobSubmission;
 import org.crocuspost.job.SubmissionCodec;
@@ -47,6 +48,38 @@
 		assertThat(JobDecoder.decode(body.getBytes(StandardCharsets.UTF_8)).getLeft()).isNotBlank();
 	}
 
+	/**
+	 * A task that is not listed counts as not running.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "", "{}", "{\"clock_ms\":1}", "{\"clock_ms\":1,\"running\":[]}",
+			"{\"clock_ms\":1,\"finished\":[]}", "{\"running\":[],\"finished\":[]}",
+			"{\"clock_ms\":1,\"running\":null,\"finished\":[]}" })
+	void anAnswerWithoutItsListsSaysNothingAboutRuns(String answer) {
+		assertThat(WorkerStateDecoder.decode(answer.getBytes(StandardCharsets.UTF_8))).isEmpty();
+	}
+
+	@Test
+	void aWorkerListsItsRunsAndEnds() {
+		WorkerState state = WorkerStateDecoder.decode("""
+				{"clock_ms":482113,"born":77,"running":[["5c0e7a21d94b36f8.0.1.17",2,"saved",41,900]],
+				"finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]}
+				""".getBytes(StandardCharsets.UTF_8)).orElseThrow();
+		assertThat(state.clockMillis()).isEqualTo(482_113);
+		assertThat(state.born()).isEqualTo(77);
+		assertThat(state.running()).singleElement().satisfies((run) -> {
+			assertThat(run.getTask().getIndex()).isEqualTo(17);
+			assertThat(run.getRun()).isEqualTo(2);
+			assertThat(run.getCheckpoint()).isEqualTo("saved");
+			assertThat(run.getProgress()).isEqualTo(41);
+			assertThat(run.getLoad()).isEqualTo(900);
+		});
+		assertThat(state.ended()).singleElement().satisfies((end) -> {
+			assertThat(end.getNumber()).isEqualTo(58);
+			assertThat(end.getKind()).isEqualTo("done");
+		});
+	}
+
 	@Test
 	void aHeartbeatNamesAWorker() {
 		Optional<WorkerAnnouncement> worker = AnnouncementDecoder.decode("i-1", """
