Close the idle connections to an address beside a silent one

Cause: open connections may go silent for good while new ones work. Change: a call that times out on a connection closes the idle ones to the same address.

--- a/src/main/java/org/crocuspost/platform/http/HttpCaller.java
+++ b/src/main/java/org/crocuspost/platform/http/HttpCaller.java
@@ -35,7 +35,9 @@
 /**
  * HTTP client on the event loop of the process, with connections that are kept open. A
  * call without an answer in time closes its connection, so that no late answer reaches
- * another call. Used on the event loop only.
+ * another call, and the idle ones to the same address: open connections may all have gone
+ * silent although new ones work, and trying one after the other would take a time-out
+ * each. Used on the event loop only.
  */
 public final class HttpCaller {
 
@@ -112,6 +114,13 @@
 		});
 	}
 
+	private void closeIdle(InetSocketAddress target) {
+		Deque<Channel> channels = this.idle.remove(target);
+		if (channels != null) {
+			channels.forEach(Channel::close);
+		}
+	}
+
 	private void release(InetSocketAddress target, Channel channel) {
 		Deque<Channel> channels = this.idle.computeIfAbsent(target, (address) -> new ArrayDeque<>());
 		if (channel.isActive() && channels.size() < this.connectionsKept) {
@@ -225,6 +234,10 @@
 
 		private void timedOut() {
 			boolean sent = this.channel != null;
+			if (sent) {
+				// What silenced this connection may have silenced those opened before.
+				closeIdle(this.target);
+			}
 			end(sent ? new HttpOutcome.Unanswered("no answer in time")
 					: new HttpOutcome.NeverSent("no connection in time"), false);
 		}
