Do not call a cancellation not run that may still be stored

Cause: the desk forgot that its first write had no answer when the second was refused, for example at once by the circuit breaker, and answered with the second verdict only. Ruled out: acceptances of jobs, which keep the first verdict. Change: cancellations keep it in the same way. After: it passes, with the other tests of the desk.

--- a/src/main/java/org/crocuspost/ingress/JobDesk.java
+++ b/src/main/java/org/crocuspost/ingress/JobDesk.java
@@ -208,25 +208,34 @@
 			answer.accept(new JobAnswer.Accepted());
 		}
 		else if (state.isPresent()) {
-			storeCancellation(id, STORE_TRIES, answer);
+			storeCancellation(id, STORE_TRIES, Verdict.NOT_RUN, answer);
 		}
 		else {
-			ifStored(id, answer, () -> storeCancellation(id, STORE_TRIES, answer));
+			ifStored(id, answer, () -> storeCancellation(id, STORE_TRIES, Verdict.NOT_RUN, answer));
 		}
 	}
 
-	private void storeCancellation(String id, int tries, Consumer<JobAnswer> answer) {
+	/**
+	 * Stores a cancellation.
+	 * @param id the identity of the job
+	 * @param tries the most calls to the store
+	 * @param former whether an earlier call may still take effect
+	 * @param answer receives the answer
+	 */
+	private void storeCancellation(String id, int tries, Verdict former, Consumer<JobAnswer> answer) {
 		RowTransaction transaction = RowTransaction.of(List.of(),
 				List.of(new RowTransaction.Write(Tables.INTAKE, Tables.CANCELLATION + id, "")));
 		this.store.commit(transaction, (outcome) -> {
+			boolean notStored = outcome.isLeft() && outcome.getLeft().verdict() == Verdict.NOT_RUN;
+			Verdict verdict = notStored ? former : Verdict.MAY_HAVE_RUN;
 			if (outcome.isLeft() && tries > 1) {
-				storeCancellation(id, tries - 1, answer);
+				storeCancellation(id, tries - 1, verdict, answer);
 				return;
 			}
 			EventLog.info(IngressEvent.CANCELLATION_ANSWERED, Field.of("job", id),
 					Field.of("stored", outcome.isRight()));
-			answer.accept(outcome.isRight() ? new JobAnswer.Accepted() : new JobAnswer.Refused(
-					outcome.getLeft().verdict(), false, outcome.getLeft().message(), Optional.of(STORE_RETRY_AFTER)));
+			answer.accept(outcome.isRight() ? new JobAnswer.Accepted() : new JobAnswer.Refused(verdict, false,
+					outcome.getLeft().message(), Optional.of(STORE_RETRY_AFTER)));
 		});
 	}
 
--- a/src/test/java/org/crocuspost/ingress/JobDeskTests.java
+++ b/src/test/java/org/crocuspost/ingress/JobDeskTests.java
@@ -113,6 +113,19 @@
 		assertThat(this.store.row(Tables.INTAKE, Tables.CANCELLATION + ID).exists()).isTrue();
 	}
 
+	/**
+	 * The first try has no answer and the second is refused: the first may still act.
+	 */
+	@Test
+	void aCancellationThatMayBeStoredLaterIsNotSaidNotToRun() {
+		ask(JobRequest.Method.SUBMIT, "/queue/" + ID);
+		this.store.faultsInTurn(Fault.LATE, Fault.REFUSED);
+		JobAnswer.Refused refused = (JobAnswer.Refused) ask(JobRequest.Method.CANCEL, "/queue/" + ID);
+		this.store.applyHeld();
+		assertThat(this.store.row(Tables.INTAKE, Tables.CANCELLATION + ID).exists()).isTrue();
+		assertThat(refused.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+	}
+
 	@Test
 	void theRecordedStateGoesBeforeWhatWasAcceptedHere() {
 		ask(JobRequest.Method.SUBMIT, "/queue/" + ID);
--- a/src/test/java/org/crocuspost/rows/MemoryRowStore.java
+++ b/src/test/java/org/crocuspost/rows/MemoryRowStore.java
@@ -1,8 +1,10 @@
 package org.crocuspost.rows;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -23,6 +25,8 @@
 
 	private long version;
 
+	private final Deque<Fault> faultsInTurn = new ArrayDeque<>();
+
 	private Fault fault = Fault.NONE;
 
 	private int commits;
@@ -66,6 +70,14 @@
 		this.fault = next;
 	}
 
+	/**
+	 * Lets the next commits fail one after the other in different ways.
+	 * @param next a fault for each commit
+	 */
+	public void faultsInTurn(Fault... next) {
+		this.faultsInTurn.addAll(List.of(next));
+	}
+
 	/**
 	 * Applies the held transactions whose conditions still hold.
 	 */
@@ -82,7 +94,8 @@
 	@Override
 	public void commit(RowTransaction transaction, Consumer<Either<Failure, RowCommit>> answer) {
 		this.commits++;
-		switch (this.fault) {
+		Fault present = this.faultsInTurn.isEmpty() ? this.fault : this.faultsInTurn.remove();
+		switch (present) {
 			case REFUSED -> answer.accept(Either.left(ErrorCode.STORE_UNAVAILABLE.with("refused")));
 			case ANSWER_LOST -> {
 				apply(transaction);
