Give no run up while a worker has more ends than it lists

Cause: a worker lists 500 ends at a time. A run whose end lies behind them is in neither list, and the leader took it for gone. Change: a report with a full list of ends says that more may follow, and the leader then concludes nothing from what it does not list. It takes over 500 ends that nobody acknowledges; the known sites have fewer.

--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -28,8 +28,9 @@
  * Brings the leader's working copy in line with what hosts report.
  *
  * <p>
- * A report is complete: a run that it does not list, although the order for it was
- * carried out, is not there. So lost messages need no handling of their own.
+ * A report is complete unless it says that more ends follow: a run that it does not list,
+ * although the order for it was carried out, is not there. So lost messages need no
+ * handling of their own.
  */
 public final class ReportProcessor {
 
@@ -291,7 +292,9 @@
 		if (pressure > 0) {
 			this.imagePressure.observe(host.name(), pressure, shares);
 		}
-		settleMissing(host, report, listed);
+		if (!report.getEndsFollow()) {
+			settleMissing(host, report, listed);
+		}
 	}
 
 	private static double pressure(StepSpecification step, RunningTask running) {
--- a/src/main/java/org/crocuspost/host/HostAgent.java
+++ b/src/main/java/org/crocuspost/host/HostAgent.java
@@ -89,6 +89,8 @@
 
 	private final TreeMap<Long, EndedTask> ended = new TreeMap<>();
 
+	private boolean endsFollow;
+
 	private final Map<RunKey, PendingStart> pending = new LinkedHashMap<>();
 
 	private final List<RefusedStart> refused = new ArrayList<>();
@@ -188,6 +190,7 @@
 		this.recordedEnds = 0;
 		this.answered = false;
 		this.running = List.of();
+		this.endsFollow = false;
 		this.ended.clear();
 		// A start that has not shown in the lists may have reached the new life.
 		this.pending.values().forEach(PendingStart::reopen);
@@ -292,6 +295,7 @@
 		this.answeredNanos = this.clock.nanoTime();
 		this.workerClockMillis = Math.max(this.workerClockMillis, state.clockMillis());
 		this.running = state.running();
+		this.endsFollow = state.ended().size() >= HostAgentSettings.LISTED_ENDS;
 		state.ended().forEach((end) -> {
 			if (end.getNumber() > this.recordedEnds) {
 				this.ended.put(end.getNumber(), end);
@@ -384,6 +388,7 @@
 			.setLeaseStamp(this.workerClockMillis)
 			.setWorkerAnswers(workerAnswers())
 			.setHandledOrder(this.handledOrder)
+			.setEndsFollow(this.endsFollow)
 			.setListsAgeMillis(this.answered ? (this.clock.nanoTime() - this.answeredNanos) / 1_000_000 : 0);
 		// Empty lists would say that nothing runs there, so the report names no worker
 		// until its lists are read.
--- a/src/main/java/org/crocuspost/host/HostAgentSettings.java
+++ b/src/main/java/org/crocuspost/host/HostAgentSettings.java
@@ -70,6 +70,12 @@
 	 */
 	static final long FENCE_STEP = 10_000;
 
+	/**
+	 * The most ends that a worker lists at a time, by the platform's pages. Behind a full
+	 * list there may be more.
+	 */
+	static final int LISTED_ENDS = 500;
+
 	/**
 	 * Runs whose traits are remembered before old ones are forgotten.
 	 */
--- a/src/test/java/org/crocuspost/dispatch/DispatcherTests.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatcherTests.java
@@ -183,6 +183,24 @@
 		assertThat(worker.obeyed).hasSize(1);
 	}
 
+	/**
+	 * A worker lists 500 ends at a time, so a run in neither list may have ended.
+	 */
+	@Test
+	void aRunIsNotGivenUpWhileEndsFollow() {
+		SimulatedWorker worker = this.fixture.worker("host", 4_000);
+		this.fixture.submit("0123456789abcdef", DispatchFixture.step(1, 1_000));
+		this.fixture.round();
+		this.fixture.report(worker);
+		worker.endAll("done");
+		HostReport whole = worker.report();
+		this.fixture.reports.reported(whole.toBuilder().clearEnded().setEndsFollow(true).build(), true);
+		this.fixture.round();
+		assertThat(worker.obeyed).hasSize(1);
+		this.fixture.reports.reported(whole, true);
+		assertThat(this.fixture.job("0123456789abcdef").state()).isEqualTo(JobState.COMPLETED);
+	}
+
 	@Test
 	void aRunIsGivenUpWithTheEvidenceThatDecidedIt() {
 		SimulatedWorker worker = this.fixture.worker("host", 4_000);
--- a/src/test/java/org/crocuspost/host/HostAgentTests.java
+++ b/src/test/java/org/crocuspost/host/HostAgentTests.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.vavr.control.Either;
@@ -12,6 +13,7 @@
 import org.crocuspost.hostlink.LeaderPort;
 import org.crocuspost.job.TaskKey;
 import org.crocuspost.time.VirtualTime;
+import org.crocuspost.wire.EndedTask;
 import org.crocuspost.wire.LeaderMessage;
 import org.crocuspost.wire.RunningTask;
 import org.crocuspost.wire.StartOrder;
@@ -43,6 +45,15 @@
 		return new WorkerAnnouncement(id, born, "service", "domain", false, 0, 0, 4_000, 4_000, 0, List.of(), sequence);
 	}
 
+	private static EndedTask end(int number) {
+		return EndedTask.newBuilder()
+			.setNumber(number)
+			.setTask(TaskNames.name(new TaskKey("fedcba9876543210", 0, 0, number)))
+			.setRun(1)
+			.setKind("done")
+			.build();
+	}
+
 	private LeaderMessage grantAndStart(String workerId, long born) {
 		return LeaderMessage.newBuilder()
 			.setWorkerBorn(born)
@@ -275,6 +286,18 @@
 		assertThat(this.worker.acknowledged).last().isEqualTo(12L);
 	}
 
+	@Test
+	void aFullListOfEndsIsReportedAsIncomplete() {
+		begin();
+		assertThat(this.agent.composeReport().getEndsFollow()).isFalse();
+		this.worker.ended = IntStream.rangeClosed(1, 500).mapToObj(HostAgentTests::end).toList();
+		this.time.advance(Duration.ofSeconds(1));
+		assertThat(this.agent.composeReport().getEndsFollow()).isTrue();
+		this.worker.ended = List.of();
+		this.time.advance(Duration.ofSeconds(1));
+		assertThat(this.agent.composeReport().getEndsFollow()).isFalse();
+	}
+
 	@Test
 	void aHigherFencingTokenIsTakenWhenTheWorkerKnowsOne() {
 		begin();
@@ -315,6 +338,8 @@
 
 		private long born = 1;
 
+		private List<EndedTask> ended = List.of();
+
 		private long clockMillis() {
 			return HostAgentTests.this.time.nanoTime() / 1_000_000 + 1;
 		}
@@ -332,7 +357,7 @@
 			boolean refused = this.fenced;
 			HostAgentTests.this.time.schedule(patience, () -> answer
 				.accept(refused ? Either.left(new OrderOutcome(OrderOutcome.Kind.FENCED, "fence"))
-						: Either.right(new WorkerState(clockMillis(), this.born, List.<RunningTask>of(), List.of()))));
+						: Either.right(new WorkerState(clockMillis(), this.born, List.<RunningTask>of(), this.ended))));
 		}
 
 		@Override
