Start nothing between a failed call and the worker's next answer

Cause: after a call that failed the agent extends no lease, because the worker may be in another life, but it went on to send starts with the lease of the former life. The clock of the new life begins anew, so it would cut that lease to its longest one, and run on after the leader has given the host up. Change: a start is refused until the worker has answered again.

--- a/src/main/java/org/crocuspost/host/HostAgent.java
+++ b/src/main/java/org/crocuspost/host/HostAgent.java
@@ -492,6 +492,11 @@
 		if (life.draining()) {
 			return "draining";
 		}
+		if (this.holdFailed) {
+			// The worker may be in another life, whose clock the lease does not belong
+			// to.
+			return "the worker's life is uncertain";
+		}
 		boolean lease = this.leaseUntilMillis - this.workerClockMillis > HostAgentSettings.SHORTEST_LEASE.toMillis();
 		return (lease && workerAnswers()) ? "" : "no lease";
 	}
--- a/src/test/java/org/crocuspost/host/HostAgentTests.java
+++ b/src/test/java/org/crocuspost/host/HostAgentTests.java
@@ -286,6 +286,23 @@
 		assertThat(this.worker.acknowledged).last().isEqualTo(12L);
 	}
 
+	/**
+	 * The worker may have started again: its new life would take the lease of the former
+	 * one, whose clock was ahead, for its longest lease.
+	 */
+	@Test
+	void nothingStartsBetweenACallThatFailedAndTheNextAnswer() {
+		begin();
+		this.worker.gone = true;
+		this.time.advance(Duration.ofMillis(500));
+		this.agent.ordered(grantAndStart("worker", 1));
+		assertThat(this.worker.starts).isEmpty();
+		this.worker.gone = false;
+		this.time.advance(Duration.ofSeconds(1));
+		this.agent.ordered(grantAndStart("worker", 1));
+		assertThat(this.worker.starts).hasSize(1);
+	}
+
 	@Test
 	void aFullListOfEndsIsReportedAsIncomplete() {
 		begin();
