--- /dev/null
+++ b/src/test/java/org/crocuspost/lead/LeaderTests.java
@@ -0,0 +1,161 @@
+package org.crocuspost.lead;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.vavr.control.Either;
+import org.crocuspost.dispatch.DispatchSettings;
+import org.crocuspost.error.Failure;
+import org.crocuspost.job.JobSpecification;
+import org.crocuspost.job.JobState;
+import org.crocuspost.job.JobSubmission;
+import org.crocuspost.job.JobSummary;
+import org.crocuspost.job.QueueConfiguration;
+import org.crocuspost.job.StepSpecification;
+import org.crocuspost.job.SubmissionCodec;
+import org.crocuspost.rows.MemoryRowStore;
+import org.crocuspost.rows.MemoryRowStore.Fault;
+import org.crocuspost.rows.RowChanges;
+import org.crocuspost.rows.RowCommit;
+import org.crocuspost.rows.RowPage;
+import org.crocuspost.rows.RowStore;
+import org.crocuspost.rows.RowTransaction;
+import org.crocuspost.rows.StoredRow;
+import org.crocuspost.time.VirtualTime;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * What a leader makes of the tables, whatever the store forgets or answers late.
+ */
+class LeaderTests {
+
+	private static final String ENDED = "0123456789abcdef";
+
+	private static final String WAITING = "fedcba9876543210";
+
+	private static final LeaderRecord RECORD = new LeaderRecord(5, 0, "entry-1");
+
+	private final VirtualTime time = new VirtualTime(Instant.EPOCH.plus(Duration.ofHours(1)));
+
+	private final ForgetfulStore store = new ForgetfulStore();
+
+	private final EventLoop loop = new DefaultEventLoop();
+
+	private void write(String table, String key, String value) {
+		this.store.commit(RowTransaction.of(List.of(), List.of(new RowTransaction.Write(table, key, value))),
+				(answer) -> {
+				});
+	}
+
+	private void job(String id) {
+		StepSpecification step = new StepSpecification(1, 100, 100, 0, Duration.ZERO, List.of(), false, false, false,
+				"", "", 0, false, false, "", Duration.ZERO, false, -1);
+		JobSubmission submission = new JobSubmission(id, "queue", 0,
+				new JobSpecification("text", List.of(step), 1, false, 0, 0));
+		write(Tables.INTAKE, Tables.JOB + id, SubmissionCodec.write(submission));
+	}
+
+	private void lead() {
+		write(Tables.LEDGER, Tables.LEADER, RECORD.write());
+		new Leader(this.store, RECORD, this.store.rows.row(Tables.LEDGER, Tables.LEADER).version(), new NoOperator(),
+				new DispatchSettings(Duration.ofSeconds(6), Duration.ofMinutes(2), 1.5),
+				new LeadMetrics(new PrometheusRegistry()), this.loop, this.time, this.time, () -> {
+				});
+	}
+
+	@AfterEach
+	void endLoop() {
+		this.loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * The store loses its history while the removal of an ended job has no answer yet, so
+	 * the job is read once more after the leader has forgotten it.
+	 */
+	@Test
+	void anEndedJobThatIsBeingRemovedDoesNotBeginAnew() {
+		job(ENDED);
+		write(Tables.LEDGER, Tables.PROGRESS + ENDED, new JobSummary("queue", JobState.COMPLETED, 0).write());
+		job(WAITING);
+		lead();
+		this.store.rows.fault(Fault.LATE);
+		this.time.advance(Duration.ofMillis(50));
+		this.store.historyLost = true;
+		this.time.advance(Duration.ofMillis(50));
+		this.store.rows.fault(Fault.NONE);
+		this.store.rows.applyHeld();
+		this.time.advance(Duration.ofSeconds(2));
+		assertThat(this.store.rows.row(Tables.LEDGER, Tables.PROGRESS + WAITING).exists()).isTrue();
+		assertThat(this.store.rows.row(Tables.INTAKE, Tables.JOB + ENDED).exists()).isFalse();
+		assertThat(this.store.rows.row(Tables.LEDGER, Tables.PROGRESS + ENDED).value()).isEmpty();
+	}
+
+	/**
+	 * Store in memory that can lose its history.
+	 */
+	private static final class ForgetfulStore implements RowStore {
+
+		private final MemoryRowStore rows = new MemoryRowStore();
+
+		private boolean historyLost;
+
+		@Override
+		public void commit(RowTransaction transaction, Consumer<Either<Failure, RowCommit>> answer) {
+			this.rows.commit(transaction, answer);
+		}
+
+		@Override
+		public void read(String table, String key, Consumer<Either<Failure, StoredRow>> answer) {
+			this.rows.read(table, key, answer);
+		}
+
+		@Override
+		public void scan(String table, String fromKey, Consumer<Either<Failure, RowPage>> answer) {
+			this.rows.scan(table, fromKey, answer);
+		}
+
+		@Override
+		public void changes(String table, long afterVersion, Duration patience,
+				Consumer<Either<Failure, RowChanges>> answer) {
+			if (this.historyLost) {
+				this.historyLost = false;
+				answer.accept(Either.right(RowChanges.HISTORY_LOST));
+			}
+			else {
+				this.rows.changes(table, afterVersion, patience, answer);
+			}
+		}
+
+	}
+
+	private static final class NoOperator implements OperatorView {
+
+		@Override
+		public Optional<QueueConfiguration> configuration() {
+			return Optional.empty();
+		}
+
+		@Override
+		public Set<String> evacuated() {
+			return Set.of();
+		}
+
+		@Override
+		public Duration age() {
+			return Duration.ZERO;
+		}
+
+	}
+
+}
