Record that a worker has left for leaders to come

Cause: the leader heard at 20.41 s that a worker had left, could not record it, since the store did not answer it any more, and was replaced at 23.04 s. The next leader found the tasks assigned to a host that was gone for good and waited 18.5 s (run-lost, "lease lapsed", evidenceAgeMillis 18498), the time in which a leader without the store may go on to extend leases and the lease itself. Ruled out: a shorter wait, which would let a host run on that only the former leader reaches; room (other tasks were placed at once). Change: the agent that concludes that its worker has left records it, with the life that has ended, in the intake. A leader that reads it gives the runs of that life up at once. Before: DispatcherTests.aNewLeaderStartsTheTasksOfAWorkerThatHasDepartedAtOnce and aDepartureThatIsReadBeforeTheJobsEndsTheRunsOfThatLifeOnly could not pass, nothing was recorded. After: they pass.

--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -105,8 +105,7 @@
 		this.jobs.put(submission.id(), tracked);
 		for (TaskProgress task : job.allTasks()) {
 			if (task.status() == TaskStatus.PLACED) {
-				host(task.host()).placements()
-					.put(task.key(), new Placement(task, Placement.Phase.INHERITED, this.clock.nanoTime()));
+				inherit(task);
 			}
 		}
 		if (stored.isEmpty()) {
@@ -118,6 +117,20 @@
 		}
 	}
 
+	private void inherit(TaskProgress task) {
+		HostState host = host(task.host());
+		Optional<Departure> departure = host.departure()
+			.filter((known) -> known.endsRunsOf(task.worker(), task.workerBorn()));
+		if (departure.isPresent()) {
+			task.lose();
+			this.changedJobs.add(task.key().job());
+			this.listener.runLost(task, task.run(), host.name(), ReportProcessor.LEFT,
+					Evidence.of(departure.get(), this.clock.millis()));
+			return;
+		}
+		host.placements().put(task.key(), new Placement(task, Placement.Phase.INHERITED, this.clock.nanoTime()));
+	}
+
 	/**
 	 * Cancels a job. The runs that it still has are stopped by the answers to the next
 	 * reports of their hosts.
--- a/src/main/java/org/crocuspost/dispatch/Evidence.java
+++ b/src/main/java/org/crocuspost/dispatch/Evidence.java
@@ -8,8 +8,10 @@
 /**
  * What the leader's conclusion that a run is lost rests on.
  *
- * @param agent the life of the agent whose report decided it; empty if silence did
- * @param age how old the worker's lists in the report were, or how long the silence was
+ * @param agent the life of the agent whose report or record decided it; empty if silence
+ * did
+ * @param age how old the worker's lists in the report were, or the record, or how long
+ * the silence was
  */
 public record Evidence(String agent, Duration age) {
 
@@ -22,6 +24,10 @@
 		return new Evidence(report.getLife(), Duration.ofMillis(report.getListsAgeMillis()));
 	}
 
+	static Evidence of(Departure departure, long nowMillis) {
+		return new Evidence(departure.agent(), Duration.ofMillis(Math.max(0, nowMillis - departure.atMillis())));
+	}
+
 	static Evidence ofSilence(Duration silence) {
 		return new Evidence("", silence);
 	}
--- a/src/main/java/org/crocuspost/dispatch/HostState.java
+++ b/src/main/java/org/crocuspost/dispatch/HostState.java
@@ -5,11 +5,13 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import org.crocuspost.job.StepSpecification;
 import org.crocuspost.job.TaskKey;
 import org.crocuspost.wire.WorkerDescription;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A host with its worker, as the leader knows it. Mutable.
@@ -36,6 +38,8 @@
 
 	private String life = "";
 
+	private @Nullable Departure departure;
+
 	private final Map<TaskKey, Placement> placements = new LinkedHashMap<>();
 
 	private final Map<TaskKey, StepSpecification> strangers = new LinkedHashMap<>();
@@ -262,6 +266,14 @@
 		return this.grantNanos;
 	}
 
+	Optional<Departure> departure() {
+		return Optional.ofNullable(this.departure);
+	}
+
+	void departure(Departure value) {
+		this.departure = value;
+	}
+
 	void granted(long nowNanos) {
 		this.grantedOnce = true;
 		this.grantNanos = nowNanos;
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -44,7 +44,7 @@
 	 */
 	private static final int STALL_MINIMUM_PACE = 50;
 
-	private static final String LEFT = "worker left";
+	static final String LEFT = "worker left";
 
 	private static final String LAPSED = "lease lapsed";
 
@@ -122,6 +122,24 @@
 		}
 	}
 
+	/**
+	 * Gives up the runs of a worker whose end its agent has recorded.
+	 * @param name the name of the host
+	 * @param departure the end
+	 */
+	public void departed(String name, Departure departure) {
+		HostState host = this.dispatcher.host(name);
+		host.departure(departure);
+		Evidence evidence = Evidence.of(departure, this.dispatcher.clock().millis());
+		for (Placement placement : List.copyOf(host.placements().values())) {
+			TaskProgress task = placement.task();
+			if (placement.phase() != Placement.Phase.RECORDING
+					&& departure.endsRunsOf(task.worker(), task.workerBorn())) {
+				lose(host, placement, LEFT, evidence);
+			}
+		}
+	}
+
 	/**
 	 * Gives up the runs of hosts whose lease has lapsed.
 	 * @param unreachable how long a host that this leader never heard of may still run
--- a/src/main/java/org/crocuspost/host/HostAgent.java
+++ b/src/main/java/org/crocuspost/host/HostAgent.java
@@ -7,8 +7,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Function;
 
 import io.vavr.control.Either;
+import org.crocuspost.dispatch.Departure;
 import org.crocuspost.dispatch.TaskNames;
 import org.crocuspost.hostlink.LeaderPort;
 import org.crocuspost.hostlink.LeaderPortListener;
@@ -49,6 +52,8 @@
 
 	private final LeaderPort leader;
 
+	private final Consumer<Departure> departures;
+
 	private final Clock clock;
 
 	private final Timer timer;
@@ -109,14 +114,17 @@
 	 * @param metrics metrics of the agent
 	 * @param worker calls the worker
 	 * @param leaderPort creates the port for the leader
+	 * @param departures records the end of a worker for leaders to come
 	 * @param clock the clock of the process
 	 * @param timer the timer of the event loop
 	 */
 	public HostAgent(HostAgentSettings settings, HostMetrics metrics, WorkerCalls worker,
-			java.util.function.Function<LeaderPortListener, LeaderPort> leaderPort, Clock clock, Timer timer) {
+			Function<LeaderPortListener, LeaderPort> leaderPort, Consumer<Departure> departures, Clock clock,
+			Timer timer) {
 		this.settings = settings;
 		this.metrics = metrics;
 		this.worker = worker;
+		this.departures = departures;
 		this.clock = clock;
 		this.timer = timer;
 		// A later life must have a higher token than all earlier ones. The wall clock
@@ -241,6 +249,8 @@
 		this.left = true;
 		this.running = List.of();
 		this.pending.clear();
+		this.departures
+			.accept(new Departure(departing.id(), departing.born(), this.clock.instant().toEpochMilli(), this.life));
 		report();
 	}
 
@@ -493,8 +503,8 @@
 			return "draining";
 		}
 		if (this.holdFailed) {
-			// The worker may be in another life, whose clock the lease does not belong
-			// to.
+			// The worker may be in another life, and the lease is by the former one's
+			// clock.
 			return "the worker's life is uncertain";
 		}
 		boolean lease = this.leaseUntilMillis - this.workerClockMillis > HostAgentSettings.SHORTEST_LEASE.toMillis();
--- a/src/main/java/org/crocuspost/host/HostEvent.java
+++ b/src/main/java/org/crocuspost/host/HostEvent.java
@@ -95,7 +95,12 @@
 	HOST_REGISTERED,
 
 	/**
-	 * The agent could not be entered in the store and tries again.
+	 * The end of the worker is recorded in the store.
+	 */
+	DEPARTURE_RECORDED,
+
+	/**
+	 * The agent could not write to the store and tries again.
 	 */
 	REGISTRATION_DELAYED
 
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -10,6 +10,7 @@
 
 import io.netty.channel.EventLoop;
 import org.crocuspost.dispatch.DefaultPlacementPolicy;
+import org.crocuspost.dispatch.Departure;
 import org.crocuspost.dispatch.DispatchBatch;
 import org.crocuspost.dispatch.DispatchSettings;
 import org.crocuspost.dispatch.Dispatcher;
@@ -160,6 +161,13 @@
 		else if (row.key().startsWith(Tables.HOST)) {
 			learnHost(row.key().substring(Tables.HOST.length()), row.value());
 		}
+		else if (row.key().startsWith(Tables.DEPARTURE)) {
+			Departure.read(row.value())
+				.ifPresentOrElse(
+						(departure) -> this.reports.departed(row.key().substring(Tables.DEPARTURE.length()), departure),
+						() -> EventLog.warn(LeadEvent.ROW_IGNORED, Field.of("key", row.key()),
+								Field.of("version", row.version()), Field.of("reason", "malformed departure")));
+		}
 	}
 
 	private void learnJob(StoredRow row) {
--- a/src/main/java/org/crocuspost/lead/Tables.java
+++ b/src/main/java/org/crocuspost/lead/Tables.java
@@ -6,7 +6,8 @@
 public final class Tables {
 
 	/**
-	 * Written by the entries and agents, read by the leader: jobs, cancellations, hosts.
+	 * Written by the entries and agents, read by the leader: jobs, cancellations, hosts,
+	 * workers that left.
 	 */
 	public static final String INTAKE = "intake";
 
@@ -35,6 +36,11 @@
 	 */
 	public static final String HOST = "host/";
 
+	/**
+	 * Prefix of the keys of hosts whose worker has left.
+	 */
+	public static final String DEPARTURE = "departed/";
+
 	/**
 	 * Prefix of the keys of the progress of jobs.
 	 */
--- a/src/main/java/org/crocuspost/platform/hosted/AgentProgram.java
+++ b/src/main/java/org/crocuspost/platform/hosted/AgentProgram.java
@@ -8,6 +8,7 @@
 import io.netty.channel.EventLoop;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.crocuspost.daemon.DaemonCommand;
+import org.crocuspost.dispatch.Departure;
 import org.crocuspost.host.HostAgent;
 import org.crocuspost.host.HostAgentSettings;
 import org.crocuspost.host.HostEvent;
@@ -72,7 +73,7 @@
 				(listener) -> {
 					this.port[0] = new LeaderPort(listener);
 					return this.port[0];
-				}, clock, this.timer);
+				}, this::recordDeparture, clock, this.timer);
 	}
 
 	void start() {
@@ -91,16 +92,25 @@
 	 * Enters the host in the store, where the leader finds it.
 	 */
 	private void register() {
-		RowTransaction.Write row = new RowTransaction.Write(Tables.INTAKE, Tables.HOST + this.settings.name(),
-				this.settings.ip() + ":" + this.settings.internalPort());
+		write(new RowTransaction.Write(Tables.INTAKE, Tables.HOST + this.settings.name(),
+				this.settings.ip() + ":" + this.settings.internalPort()), HostEvent.HOST_REGISTERED);
+	}
+
+	private void recordDeparture(Departure departure) {
+		write(new RowTransaction.Write(Tables.INTAKE, Tables.DEPARTURE + this.settings.name(), departure.write()),
+				HostEvent.DEPARTURE_RECORDED);
+	}
+
+	private void write(RowTransaction.Write row, HostEvent written) {
 		this.store.commit(RowTransaction.of(List.of(), List.of(row)), (answer) -> {
 			if (answer.isRight()) {
-				EventLog.info(HostEvent.HOST_REGISTERED, Field.of("host", this.settings.name()),
+				EventLog.info(written, Field.of("host", this.settings.name()),
 						Field.of("version", answer.get().version()));
 				return;
 			}
-			EventLog.warn(HostEvent.REGISTRATION_DELAYED, Field.of("reason", answer.getLeft().message()));
-			this.timer.schedule(REGISTRATION_RETRY, this::register);
+			EventLog.warn(HostEvent.REGISTRATION_DELAYED, Field.of("key", row.key()),
+					Field.of("reason", answer.getLeft().message()));
+			this.timer.schedule(REGISTRATION_RETRY, () -> write(row, written));
 		});
 	}
 
--- a/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
@@ -51,7 +51,7 @@
 
 	ReportProcessor reports = new ReportProcessor(this.dispatcher, this.imagePressure);
 
-	private Dispatcher newDispatcher() {
+	Dispatcher newDispatcher() {
 		Dispatcher created = new Dispatcher(SETTINGS, new DefaultPlacementPolicy(this.imagePressure), this.time,
 				new RecordingListener());
 		created.configure(new QueueConfiguration(1,
@@ -103,6 +103,13 @@
 		this.dispatcher = newDispatcher();
 		this.reports = new ReportProcessor(this.dispatcher, this.imagePressure);
 		this.workers.values().forEach((worker) -> worker.handledOrder = 0);
+		submitAgain();
+	}
+
+	/**
+	 * Lets the leader read what is stored.
+	 */
+	void submitAgain() {
 		this.submissions.forEach(
 				(id, submission) -> this.dispatcher.submitted(submission, Optional.ofNullable(this.stored.get(id))));
 	}
--- a/src/test/java/org/crocuspost/dispatch/DispatcherTests.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatcherTests.java
@@ -201,6 +201,39 @@
 		assertThat(this.fixture.job("0123456789abcdef").state()).isEqualTo(JobState.COMPLETED);
 	}
 
+	/**
+	 * The leader that heard of the worker's end was gone before it had recorded that;
+	 * melashuttle, mix with seed 209798783296.
+	 */
+	@Test
+	void aNewLeaderStartsTheTasksOfAWorkerThatHasDepartedAtOnce() {
+		this.fixture.worker("one", 1_000);
+		this.fixture.submit("0123456789abcdef", DispatchFixture.step(1, 1_000));
+		this.fixture.round();
+		this.fixture.workers.clear();
+		this.fixture.takeOver();
+		this.fixture.reports.departed("one", new Departure("worker-one", 1, 0, "agent"));
+		SimulatedWorker other = this.fixture.worker("other", 1_000);
+		this.fixture.round();
+		assertThat(other.obeyed).extracting(StartOrder::getRun).containsExactly(2);
+	}
+
+	@Test
+	void aDepartureThatIsReadBeforeTheJobsEndsTheRunsOfThatLifeOnly() {
+		this.fixture.worker("one", 1_000);
+		this.fixture.submit("0123456789abcdef", DispatchFixture.step(1, 1_000));
+		this.fixture.round();
+		this.fixture.workers.clear();
+		this.fixture.dispatcher = this.fixture.newDispatcher();
+		this.fixture.reports = new ReportProcessor(this.fixture.dispatcher, this.fixture.imagePressure);
+		this.fixture.reports.departed("one", new Departure("worker-one", 1, 0, "agent"));
+		this.fixture.submitAgain();
+		assertThat(this.fixture.task("0123456789abcdef", 0, 0).status()).isEqualTo(TaskStatus.WAITING_AFTER_LOSS);
+		this.fixture.takeOver();
+		this.fixture.reports.departed("one", new Departure("worker-one", 2, 0, "agent"));
+		assertThat(this.fixture.task("0123456789abcdef", 0, 0).status()).isEqualTo(TaskStatus.PLACED);
+	}
+
 	@Test
 	void aRunIsGivenUpWithTheEvidenceThatDecidedIt() {
 		SimulatedWorker worker = this.fixture.worker("host", 4_000);
--- a/src/test/java/org/crocuspost/host/HostAgentTests.java
+++ b/src/test/java/org/crocuspost/host/HostAgentTests.java
@@ -9,6 +9,7 @@
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.vavr.control.Either;
+import org.crocuspost.dispatch.Departure;
 import org.crocuspost.dispatch.TaskNames;
 import org.crocuspost.hostlink.LeaderPort;
 import org.crocuspost.job.TaskKey;
@@ -32,8 +33,11 @@
 
 	private final ScriptedWorker worker = new ScriptedWorker();
 
+	private final List<Departure> departures = new ArrayList<>();
+
 	private final HostAgent agent = new HostAgent(new HostAgentSettings("host", Duration.ofSeconds(6)),
-			new HostMetrics(new PrometheusRegistry()), this.worker, LeaderPort::new, this.time, this.time);
+			new HostMetrics(new PrometheusRegistry()), this.worker, LeaderPort::new, this.departures::add, this.time,
+			this.time);
 
 	private void begin() {
 		this.agent.start();
@@ -256,6 +260,10 @@
 		this.worker.gone = true;
 		this.time.advance(Duration.ofSeconds(2));
 		assertThat(this.agent.composeReport().getWorker().getLeft()).isTrue();
+		assertThat(this.departures).singleElement().satisfies((departure) -> {
+			assertThat(departure.worker()).isEqualTo("worker");
+			assertThat(departure.born()).isEqualTo(1);
+		});
 	}
 
 	/**
