Wait for one lease where the agent obeys the new leader

Cause: a new leader waited 18.4 s for the runs of a worker that never answered, as if the former leader could still extend its lease, also where the worker's agent had reported to the new leader and so took nothing from the former one. Change: from the first report of an agent on, its worker's lease is counted as extended at that moment at the latest. Before: DispatcherTests.theRunsOfASilentWorkerAreGivenUpALeaseAfterItsAgentIsHeard failed (the task was still assigned after 7 s). After: it passes.

--- a/src/main/java/org/crocuspost/dispatch/HostState.java
+++ b/src/main/java/org/crocuspost/dispatch/HostState.java
@@ -266,6 +266,16 @@
 		return this.grantNanos;
 	}
 
+	/**
+	 * Notes that the agent obeys this leader: no other can extend the lease any more.
+	 * @param nowNanos the present time
+	 */
+	void obeys(long nowNanos) {
+		if (!this.grantedOnce) {
+			granted(nowNanos);
+		}
+	}
+
 	Optional<Departure> departure() {
 		return Optional.ofNullable(this.departure);
 	}
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -82,6 +82,7 @@
 		HostState host = this.dispatcher.host(report.getHost());
 		long now = this.dispatcher.clock().nanoTime();
 		host.connected(true);
+		host.obeys(now);
 		if (report.getWorker().getId().isEmpty()) {
 			// The agent does not know its worker or what runs there yet.
 			host.answers(false);
--- a/src/test/java/org/crocuspost/dispatch/DispatcherTests.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatcherTests.java
@@ -234,6 +234,21 @@
 		assertThat(this.fixture.task("0123456789abcdef", 0, 0).status()).isEqualTo(TaskStatus.PLACED);
 	}
 
+	/**
+	 * An agent that obeys the new leader takes no lease from the former one.
+	 */
+	@Test
+	void theRunsOfASilentWorkerAreGivenUpALeaseAfterItsAgentIsHeard() {
+		SimulatedWorker worker = this.fixture.worker("one", 1_000);
+		this.fixture.submit("0123456789abcdef", DispatchFixture.step(1, 1_000));
+		this.fixture.round();
+		this.fixture.takeOver();
+		this.fixture.reports.reported(worker.report().toBuilder().setWorkerAnswers(false).build(), true);
+		this.fixture.time.advance(Duration.ofSeconds(7));
+		this.fixture.reports.expire(Duration.ofSeconds(18), 0);
+		assertThat(this.fixture.task("0123456789abcdef", 0, 0).status()).isEqualTo(TaskStatus.WAITING_AFTER_LOSS);
+	}
+
 	@Test
 	void aRunIsGivenUpWithTheEvidenceThatDecidedIt() {
 		SimulatedWorker worker = this.fixture.worker("host", 4_000);
