Say once that a worker is suspected

Cause: a standing task was logged with each report, not when the worker became suspected. Change: the line is written when the quarantine begins. The stops are ordered as before. Test: DispatcherTests.aWorkerWhoseTaskStandsStillIsSuspectedOnce.

--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -430,6 +430,9 @@
 				|| now - placement.progressNanos() < STALL_TIMEOUT.toNanos()) {
 			return false;
 		}
+		if (host.quarantined(now)) {
+			return true;
+		}
 		host.quarantine(now);
 		this.dispatcher.listener()
 			.hostChanged(host.name(), "suspected", "task " + placement.task().key() + " stands still at "
--- a/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
@@ -47,6 +47,8 @@
 
 	final List<LostRun> lost = new ArrayList<>();
 
+	final List<String> beliefs = new ArrayList<>();
+
 	Dispatcher dispatcher = newDispatcher();
 
 	ReportProcessor reports = new ReportProcessor(this.dispatcher, this.imagePressure);
@@ -328,6 +330,7 @@
 
 		@Override
 		public void hostChanged(String host, String belief, String detail) {
+			DispatchFixture.this.beliefs.add(belief);
 		}
 
 	}
--- a/src/test/java/org/crocuspost/dispatch/DispatcherTests.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatcherTests.java
@@ -249,6 +249,23 @@
 		assertThat(this.fixture.task("0123456789abcdef", 0, 0).status()).isEqualTo(TaskStatus.WAITING_AFTER_LOSS);
 	}
 
+	/**
+	 * A report comes every few milliseconds while the run is being stopped.
+	 */
+	@Test
+	void aWorkerWhoseTaskStandsStillIsSuspectedOnce() {
+		SimulatedWorker worker = this.fixture.worker("one", 1_000);
+		this.fixture.submit("0123456789abcdef", DispatchFixture.step(1, 1_000));
+		this.fixture.round();
+		this.fixture.report(worker);
+		this.fixture.time.advance(ReportProcessor.STALL_TIMEOUT);
+		for (int report = 0; report < 20; report++) {
+			assertThat(this.fixture.reports.reported(worker.report(), true).stops()).hasSize(1);
+			this.fixture.time.advance(Duration.ofMillis(20));
+		}
+		assertThat(this.fixture.beliefs).containsOnlyOnce("suspected");
+	}
+
 	@Test
 	void aRunIsGivenUpWithTheEvidenceThatDecidedIt() {
 		SimulatedWorker worker = this.fixture.worker("host", 4_000);
