--- a/src/test/java/org/crocuspost/ingress/JobDeskTests.java
+++ b/src/test/java/org/crocuspost/ingress/JobDeskTests.java
@@ -21,6 +21,7 @@
 import org.crocuspost.rows.MemoryRowStore.Fault;
 import org.crocuspost.rows.StoredRow;
 import org.crocuspost.time.VirtualTime;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -126,6 +127,23 @@
 		assertThat(refused.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
 	}
 
+	/**
+	 * The write of a job that had no answer is still under way when the caller takes the
+	 * job back.
+	 */
+	@Test
+	@Tag("known-red")
+	void aJobThatIsStoredAfterItsCancellationDoesNotRun() {
+		this.store.fault(Fault.LATE);
+		ask(JobRequest.Method.SUBMIT, "/queue/" + ID);
+		this.store.fault(Fault.NONE);
+		JobAnswer cancelled = ask(JobRequest.Method.CANCEL, "/queue/" + ID);
+		assertThat(cancelled).isInstanceOfAny(JobAnswer.Accepted.class, JobAnswer.NoJob.class);
+		this.store.applyHeld();
+		boolean stored = this.store.row(Tables.INTAKE, Tables.JOB + ID).exists();
+		assertThat(stored && !this.store.row(Tables.INTAKE, Tables.CANCELLATION + ID).exists()).isFalse();
+	}
+
 	@Test
 	void theRecordedStateGoesBeforeWhatWasAcceptedHere() {
 		ask(JobRequest.Method.SUBMIT, "/queue/" + ID);
