Log claims, returns to the queue and why jobs wait

Cause: of a task that resumed late the log showed neither when it left its worker nor when it was claimed again nor why it waited in between. The tour prints the reason only at its end, when the task may run again. Ruled out: a line a round and task, which grows with the queue; the throttle of an attempt, which the record of the worker shows already. Before: a failed tour has no line between the note that takes the failure domain out and the end. Conclusion: the lines tell a claim that was refused from one that was not tried and from a task that runs slowly.

--- a/src/main/java/org/crocuspost/scheduler/SchedulerEvent.java
+++ b/src/main/java/org/crocuspost/scheduler/SchedulerEvent.java
@@ -27,6 +27,21 @@
 	 */
 	SCHEDULER_COMMIT_UNKNOWN,
 
+	/**
+	 * A task was claimed for a worker.
+	 */
+	TASK_CLAIMED,
+
+	/**
+	 * A task left its worker without having ended and waits for the next claim.
+	 */
+	TASK_REQUEUED,
+
+	/**
+	 * The reason why the tasks of a job wait has changed.
+	 */
+	JOB_WAITS,
+
 	/**
 	 * All task leases of a silent worker have lapsed.
 	 */
--- a/src/main/java/org/crocuspost/scheduler/SchedulingRound.java
+++ b/src/main/java/org/crocuspost/scheduler/SchedulingRound.java
@@ -76,6 +76,8 @@
 
 	private final Clock clock;
 
+	private final WaitLog waitLog;
+
 	private final Map<String, Stopwatch> foreignSince = new HashMap<>();
 
 	private final Set<String> unknown = new HashSet<>();
@@ -104,6 +106,7 @@
 		this.reconciler = new TaskReconciler(settings, workers, permissions, this.commands, this.knowledge,
 				new EvictionBudgets(clock));
 		this.planner = new ClaimPlanner(policy, this.pending, this.knowledge, new PreemptionPlanner(clock));
+		this.waitLog = new WaitLog(self.name());
 		this.lastScan = Stopwatch.start(clock);
 	}
 
@@ -251,7 +254,7 @@
 	private void claim(List<ShardToken> tokens, RoundConfiguration configuration) {
 		this.ramp.observe(configuration.configuration().domainsOut());
 		if (!this.planner.anyWaiting(configuration.configuration())) {
-			this.waits = Map.of();
+			publish(Map.of());
 			return;
 		}
 		WorkerRooms rooms = new WorkerRooms();
@@ -268,10 +271,15 @@
 				configuration.configuration().domainsOut());
 		ClaimPlan plan = this.planner.plan(configuration.configuration(), rooms, use,
 				(task) -> preferred(task.record().taskId(), preference), this.settings.limits().rowsPerTransaction());
-		this.waits = Map.copyOf(plan.waits());
+		publish(plan.waits());
 		tokens.forEach((token) -> commitPlan(token, plan, configuration));
 	}
 
+	private void publish(Map<String, JobWait> present) {
+		this.waits = Map.copyOf(present);
+		this.waitLog.update(present);
+	}
+
 	private void addRooms(ShardToken token, WorkerRooms rooms) {
 		Map<String, List<CachedTask>> rows = new HashMap<>();
 		for (CachedTask task : this.tasks.activeIn(token.domain())) {
@@ -328,6 +336,7 @@
 		Either<Failure, List<TaskChange>> committed = this.tasks.commit(token, changes, conditions);
 		if (committed.isRight()) {
 			changes.forEach((change) -> command(token, change));
+			changes.forEach(SchedulingRound::logChange);
 			return true;
 		}
 		Failure failure = committed.getLeft();
@@ -345,6 +354,20 @@
 		return false;
 	}
 
+	private static void logChange(TaskChange change) {
+		TaskRecord row = change.after();
+		if (change.startOn() != null) {
+			EventLog.info(SchedulerEvent.TASK_CLAIMED, Field.of("task", row.taskId()),
+					Field.of("attempt", row.attempt()), Field.of("worker", row.worker()));
+		}
+		else if (row.status() == TaskStatus.PENDING && !change.deletion()) {
+			TaskRecord before = change.before().record();
+			EventLog.info(SchedulerEvent.TASK_REQUEUED, Field.of("task", row.taskId()),
+					Field.of("attempt", row.attempt()), Field.of("worker", before.worker()),
+					Field.of("status", before.status()), Field.of("reason", before.reason()));
+		}
+	}
+
 	private void command(ShardToken token, TaskChange change) {
 		if (change.command() == TaskCommand.Kind.KIND_UNSPECIFIED) {
 			return;
