Show that evicted tasks wait while their job's effect is unknown

No promise is broken. Cause: a job whose effect on a service is unknown (standard error above 0.5) is tried on 2 workers at once. The workers that the job runs on already use the trials up, also against a second task on the same worker. An agent whose domain is out, or whose endpoint left, repeats its last observations in each report, so its worker counts until the domain is back and 30 s beyond. Ruled out: yields and evictions by the control of interference, which act on running attempts; the ramp of the returned domain, the preferred scheduler, late knowledge of the row and lack of room, since the reason given is none of NO_ROOM, OTHER_SCHEDULER and NO_DOMAIN; refused start commands, of which the log has none. Conclusion: the claims are refused; they are not late.

--- a/src/test/java/org/crocuspost/interference/InterferenceControllerTests.java
+++ b/src/test/java/org/crocuspost/interference/InterferenceControllerTests.java
@@ -98,6 +98,16 @@
 		assertThat(this.percents.get(SMALL_CULPRIT.key())).isEqualTo(100);
 	}
 
+	@Test
+	void nothingIsObservedWhileTheEndpointTakesNoRequests() {
+		run(30);
+		this.running.add(LARGE_NEIGHBOUR);
+		run(1);
+		assertThat(this.controller.observations()).hasSize(1);
+		this.controller.release();
+		assertThat(this.controller.observations()).isEmpty();
+	}
+
 	@Test
 	void workIsReleasedWhenRequestsCease() {
 		this.effects.put("noisy", 4.0);
