Resume evicted tasks while their job's effect is unknown

Users saw: tasks that are evicted because their failure domain goes out wait up to 40 s and longer although other workers have room; the tour's step "batch tasks are done" fails. Cause: a job of unknown effect is tried on 2 workers of a service at once. The count took in every worker that had reported the pair within 30 s, so a job that ran on 2 workers could not start anywhere, not even beside its own tasks. An agent whose domain is out or whose endpoint left kept reporting its last observations, so the worker that a task had to leave counted until its domain was back and 30 s more. Change: a further task on a worker that runs the job is no new trial and needs only a service with room. A worker stops to count with the first report that does not name the pair; what was learned stays, and the 30 s hold for workers that fall silent. A released controller observes nothing. The limits themselves (2 workers, pressure up to 0.6, bounded slowdown) are as before.

--- a/src/main/java/org/crocuspost/bench/policy/LearnedControl.java
+++ b/src/main/java/org/crocuspost/bench/policy/LearnedControl.java
@@ -11,7 +11,6 @@
 import org.crocuspost.interference.InterferenceController;
 import org.crocuspost.interference.InterferenceSettings;
 import org.crocuspost.interference.LearnedPairPenalty;
-import org.crocuspost.interference.PairObservation;
 import org.crocuspost.interference.PairPenalties;
 import org.crocuspost.interference.PairPenaltySettings;
 import org.crocuspost.placement.DefaultPlacementPolicy;
@@ -81,9 +80,7 @@
 	}
 
 	private void report(BenchWorker worker, InterferenceController controller, Evictions evictions) {
-		for (PairObservation observation : controller.observations()) {
-			this.penalties.observe(worker.name(), observation);
-		}
+		this.penalties.reported(worker.name(), controller.observations());
 		EvictionRequest request = this.requests.remove(worker.index());
 		if (request != null && this.fleetBudget.take()) {
 			worker.find(request.attempt()).ifPresent(evictions::evict);
--- a/src/main/java/org/crocuspost/daemon/SchedulerInterference.java
+++ b/src/main/java/org/crocuspost/daemon/SchedulerInterference.java
@@ -48,8 +48,7 @@
 		if (!report.getService().isEmpty()) {
 			this.services.put(report.getWorker(), report.getService());
 		}
-		InterferenceMessages.observations(report)
-			.forEach((observation) -> this.penalties.observe(report.getWorker(), observation));
+		this.penalties.reported(report.getWorker(), InterferenceMessages.observations(report));
 	}
 
 	@Override
--- a/src/main/java/org/crocuspost/interference/InterferenceController.java
+++ b/src/main/java/org/crocuspost/interference/InterferenceController.java
@@ -121,8 +121,8 @@
 	}
 
 	/**
-	 * Releases all attempts. Called in place of {@link #control} while the endpoint takes
-	 * no requests, when there is no latency to protect.
+	 * Releases all attempts and observes nothing. Called in place of {@link #control}
+	 * while the endpoint takes no requests, when there is no latency to protect.
 	 */
 	public void release() {
 		List<ControlledAttempt> running = this.attempts.current();
@@ -130,6 +130,7 @@
 		this.window.clear();
 		this.pressure = 0;
 		this.allowance = 1;
+		this.observations = List.of();
 		running.forEach((attempt) -> setThrottle(attempt.key(), 100));
 	}
 
--- a/src/main/java/org/crocuspost/interference/LearnedPairPenalty.java
+++ b/src/main/java/org/crocuspost/interference/LearnedPairPenalty.java
@@ -54,8 +54,7 @@
 		if (service.isEmpty()) {
 			return COST_WITHOUT_SERVICE;
 		}
-		double pressure = worker.servicePressure() / PRESSURE_UNIT;
-		Optional<Double> penalty = this.penalties.penalty(service.get(), job, share(job, worker), pressure);
+		Optional<Double> penalty = penalty(service.get(), job, worker);
 		if (penalty.isEmpty()) {
 			return Double.POSITIVE_INFINITY;
 		}
@@ -66,6 +65,13 @@
 		return (harmless || first || bounded) ? penalty.get() : Double.POSITIVE_INFINITY;
 	}
 
+	private Optional<Double> penalty(String service, String job, WorkerSnapshot worker) {
+		double share = share(job, worker);
+		double pressure = worker.servicePressure() / PRESSURE_UNIT;
+		return worker.tasksByJob().containsKey(job) ? this.penalties.furtherPenalty(service, job, share, pressure)
+				: this.penalties.penalty(service, job, share, pressure);
+	}
+
 	private double present(String service, WorkerSnapshot worker) {
 		double sum = 0;
 		for (Map.Entry<String, Integer> tasks : worker.tasksByJob().entrySet()) {
--- a/src/main/java/org/crocuspost/interference/PairEvidence.java
+++ b/src/main/java/org/crocuspost/interference/PairEvidence.java
@@ -12,6 +12,10 @@
  * whole. A new observation of a worker replaces its earlier one in the sums. A placement
  * asks for every job on every worker, so going through all observations each time would
  * cost the square of the number of workers.
+ *
+ * <p>
+ * A trial is a worker on which the pair runs. It ends with the first report that does not
+ * name the pair, while the evidence stays.
  */
 final class PairEvidence {
 
@@ -19,6 +23,8 @@
 
 	private final Map<String, Observed> observed = new HashMap<>();
 
+	private final Map<String, Long> trials = new HashMap<>();
+
 	private double precision;
 
 	private double weighted;
@@ -37,6 +43,11 @@
 			add(earlier, -freshness(earlier.nanos(), now));
 		}
 		add(newest, 1);
+		this.trials.put(worker, now);
+	}
+
+	void endTrial(String worker) {
+		this.trials.remove(worker);
 	}
 
 	JobEffect effect(long now) {
@@ -46,8 +57,8 @@
 		return new JobEffect(mean, 1 / Math.sqrt(sum));
 	}
 
-	long observedSince(long nanos) {
-		return this.observed.values().stream().filter((entry) -> entry.nanos() >= nanos).count();
+	long trialsSince(long nanos) {
+		return this.trials.values().stream().filter((reported) -> reported >= nanos).count();
 	}
 
 	/**
@@ -57,6 +68,7 @@
 	 */
 	boolean expire(long oldest) {
 		this.observed.values().removeIf((entry) -> entry.nanos() < oldest);
+		this.trials.values().removeIf((reported) -> reported < oldest);
 		this.precision = 0;
 		this.weighted = 0;
 		this.observed.values().forEach((entry) -> add(entry, freshness(entry.nanos(), this.updated)));
--- a/src/main/java/org/crocuspost/interference/PairPenalties.java
+++ b/src/main/java/org/crocuspost/interference/PairPenalties.java
@@ -2,8 +2,11 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.crocuspost.time.Clock;
 
@@ -18,10 +21,15 @@
  *
  * <p>
  * An unknown pair is tried on a few workers of a service at once and only where the
- * service is well within its objective.
+ * service is well within its objective. A further task on a worker that runs the job
+ * already is no new trial. Otherwise a job that runs on many workers could not resume its
+ * evicted tasks anywhere.
  */
 public final class PairPenalties {
 
+	/**
+	 * How long a worker without a report counts as trying the pairs of its last one.
+	 */
 	private static final Duration EXPLORATION_MEMORY = Duration.ofSeconds(30);
 
 	private static final double CAUTION_WITHOUT_ROOM = 1;
@@ -34,6 +42,8 @@
 
 	private final Map<Pair, PairEvidence> evidence = new HashMap<>();
 
+	private final Map<String, Set<Pair>> trialsByWorker = new HashMap<>();
+
 	/**
 	 * Creates penalties without knowledge.
 	 * @param settings the settings
@@ -44,6 +54,28 @@
 		this.clock = clock;
 	}
 
+	/**
+	 * Takes all observations of the newest report of a worker. A pair that the report
+	 * does not name no longer runs there.
+	 * @param worker the name of the worker
+	 * @param observations what it has learned of the pairs that run on it
+	 */
+	public void reported(String worker, List<PairObservation> observations) {
+		Set<Pair> ended = this.trialsByWorker.remove(worker);
+		observations.forEach((observation) -> observe(worker, observation));
+		if (ended != null) {
+			ended.removeAll(this.trialsByWorker.getOrDefault(worker, Set.of()));
+			ended.forEach((pair) -> endTrial(worker, pair));
+		}
+	}
+
+	private void endTrial(String worker, Pair pair) {
+		PairEvidence known = this.evidence.get(pair);
+		if (known != null) {
+			known.endTrial(worker);
+		}
+	}
+
 	/**
 	 * Takes the newest observation of a worker.
 	 * @param worker the name of the worker
@@ -51,6 +83,7 @@
 	 */
 	public void observe(String worker, PairObservation observation) {
 		Pair pair = new Pair(observation.service(), observation.job());
+		this.trialsByWorker.computeIfAbsent(worker, (name) -> new HashSet<>()).add(pair);
 		this.evidence.computeIfAbsent(pair, (key) -> new PairEvidence(this.settings.halfLife()))
 			.observe(worker, observation.effect(), this.clock.nanoTime());
 	}
@@ -67,7 +100,8 @@
 	}
 
 	/**
-	 * Returns the penalty for starting a job beside a service.
+	 * Returns the penalty for starting a job beside a service on a worker that does not
+	 * run the job.
 	 * @param service the name of the service on the worker
 	 * @param job the name of the job
 	 * @param share the share of the worker's cores that the task takes
@@ -77,15 +111,37 @@
 	 * job must not be tried there now
 	 */
 	public Optional<Double> penalty(String service, String job, double share, double pressure) {
+		boolean unknown = unknown(effect(service, job));
+		if (unknown && exploring(service, job) >= this.settings.mostExploring()) {
+			return Optional.empty();
+		}
+		return furtherPenalty(service, job, share, pressure);
+	}
+
+	/**
+	 * Returns the penalty for starting a further task on a worker that runs the job
+	 * already.
+	 * @param service the name of the service on the worker
+	 * @param job the name of the job
+	 * @param share the share of the worker's cores that the task takes
+	 * @param pressure the tail of the service's latency on the worker relative to its
+	 * objective
+	 * @return the expected rise of the logarithm of the service's latency, or none if no
+	 * task of the job must be added there now
+	 */
+	public Optional<Double> furtherPenalty(String service, String job, double share, double pressure) {
 		JobEffect effect = effect(service, job);
 		boolean room = pressure <= this.settings.explorationPressure();
-		boolean unknown = effect.standardError() > this.settings.uncertainError();
-		if (unknown && (!room || exploring(service, job) >= this.settings.mostExploring())) {
+		if (unknown(effect) && !room) {
 			return Optional.empty();
 		}
 		return Optional.of(share * effect.upperBound(room ? 0 : CAUTION_WITHOUT_ROOM));
 	}
 
+	private boolean unknown(JobEffect effect) {
+		return effect.standardError() > this.settings.uncertainError();
+	}
+
 	/**
 	 * Drops observations that no longer count.
 	 */
@@ -96,7 +152,7 @@
 
 	private long exploring(String service, String job) {
 		PairEvidence known = this.evidence.get(new Pair(service, job));
-		return (known != null) ? known.observedSince(this.clock.nanoTime() - EXPLORATION_MEMORY.toNanos()) : 0;
+		return (known != null) ? known.trialsSince(this.clock.nanoTime() - EXPLORATION_MEMORY.toNanos()) : 0;
 	}
 
 	private record Pair(String service, String job) {
--- a/src/test/java/org/crocuspost/interference/PairPenaltiesTests.java
+++ b/src/test/java/org/crocuspost/interference/PairPenaltiesTests.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 
 import org.assertj.core.data.Offset;
 import org.crocuspost.time.VirtualTime;
@@ -35,6 +36,30 @@
 		assertThat(this.penalties.penalty("wallet", "statements", 0.2, AMPLE_ROOM)).isPresent();
 	}
 
+	@Test
+	void workerThatNoLongerRunsTheJobMakesRoomForAnotherTrial() {
+		this.penalties.reported("w1", List.of(observation(JobEffect.UNKNOWN)));
+		this.penalties.reported("w2", List.of(observation(JobEffect.UNKNOWN)));
+		assertThat(this.penalties.penalty("wallet", "statements", 0.2, AMPLE_ROOM)).isEmpty();
+		this.penalties.reported("w2", List.of());
+		assertThat(this.penalties.penalty("wallet", "statements", 0.2, AMPLE_ROOM)).isPresent();
+	}
+
+	@Test
+	void whatWasLearnedStaysWhenATrialEnds() {
+		this.penalties.reported("w1", List.of(observation(new JobEffect(2, 0.1))));
+		this.penalties.reported("w1", List.of());
+		assertThat(this.penalties.effect("wallet", "statements").mean()).isGreaterThan(1.8);
+	}
+
+	@Test
+	void furtherTaskOnAWorkerIsNoNewTrialButNeedsRoom() {
+		observe("w1", JobEffect.UNKNOWN);
+		observe("w2", JobEffect.UNKNOWN);
+		assertThat(this.penalties.furtherPenalty("wallet", "statements", 0.2, AMPLE_ROOM)).isPresent();
+		assertThat(this.penalties.furtherPenalty("wallet", "statements", 0.2, LITTLE_ROOM)).isEmpty();
+	}
+
 	@Test
 	void preciseObservationsOutweighVagueOnes() {
 		observe("w1", new JobEffect(2, 0.1));
@@ -63,7 +88,11 @@
 	}
 
 	private void observe(String worker, JobEffect effect) {
-		this.penalties.observe(worker, new PairObservation("wallet", "statements", effect));
+		this.penalties.observe(worker, observation(effect));
+	}
+
+	private static PairObservation observation(JobEffect effect) {
+		return new PairObservation("wallet", "statements", effect);
 	}
 
 }
