Release batch work whose service is withdrawn

Cause: the agent calls the control only for a service that is declared. Without it the throttles, the pressure and the observations stay as they were; the same stale observations kept evicted tasks waiting when a failure domain went out. Change: a service that the known configuration does not declare is treated as an endpoint that takes no requests. Before the first configuration arrives nothing changes, so an agent that restarts does not release throttled work. Ruled out: an endpoint that is withdrawn by name, leaves or is in a domain that is out, which is released already.

--- a/src/main/java/org/crocuspost/daemon/AgentInterference.java
+++ b/src/main/java/org/crocuspost/daemon/AgentInterference.java
@@ -1,6 +1,9 @@
 package org.crocuspost.daemon;
 
+import java.util.Optional;
+
 import org.crocuspost.configuration.ServiceSpecification;
+import org.crocuspost.distribution.AgentConfiguration;
 import org.crocuspost.distribution.ConfigurationReceiver;
 import org.crocuspost.interference.InterferenceController;
 import org.crocuspost.interference.InterferenceMessages;
@@ -88,15 +91,17 @@
 		if (current == null) {
 			return;
 		}
-		if (!this.serving) {
+		AgentConfiguration configuration = this.receiver.current();
+		Optional<ServiceSpecification> declared = configuration.services()
+			.stream()
+			.filter((candidate) -> candidate.name().equals(this.service))
+			.findFirst();
+		boolean withdrawn = configuration.version() > 0 && declared.isEmpty();
+		if (!this.serving || withdrawn) {
 			current.release();
 			return;
 		}
-		for (ServiceSpecification declared : this.receiver.current().services()) {
-			if (declared.name().equals(this.service)) {
-				current.control(this.service, declared.objective());
-			}
-		}
+		declared.ifPresent((specification) -> current.control(this.service, specification.objective()));
 	}
 
 	/**
