Do not call a request not run after one of its attempts has run

Cause: of several attempts of an idempotent request the last outcome counted. A retry or a hedge that was refused hid an earlier attempt that had run, or may have. Ruled out: requests that are not idempotent, which are repeated only after a refusal. Change: outcomes of attempts are combined: what has run or may have run stays so.

--- a/src/main/java/org/crocuspost/retry/FirstGoodOutcome.java
+++ b/src/main/java/org/crocuspost/retry/FirstGoodOutcome.java
@@ -2,9 +2,11 @@
 
 import java.util.concurrent.CompletableFuture;
 
+import org.jspecify.annotations.Nullable;
+
 /**
- * Completes with the first answer without a fault among several attempts, or with the
- * last outcome if there is none.
+ * Completes with the first answer without a fault among several attempts. If there is
+ * none, the outcome that tells most of whether the request has run counts.
  */
 final class FirstGoodOutcome {
 
@@ -12,6 +14,8 @@
 
 	private int pending;
 
+	private @Nullable RequestOutcome ended;
+
 	CompletableFuture<RequestOutcome> stage() {
 		return this.result;
 	}
@@ -24,16 +28,24 @@
 	}
 
 	private void end(CompletableFuture<RequestOutcome> attempt) {
+		if (attempt.isCompletedExceptionally()) {
+			attempt.whenComplete((outcome, exception) -> this.result.completeExceptionally(exception));
+			return;
+		}
+		RequestOutcome outcome = attempt.join();
+		RequestOutcome all;
 		boolean last;
 		synchronized (this) {
 			this.pending--;
 			last = this.pending == 0;
+			all = (this.ended != null) ? outcome.after(this.ended) : outcome;
+			this.ended = all;
 		}
-		if (attempt.isCompletedExceptionally()) {
-			attempt.whenComplete((outcome, exception) -> this.result.completeExceptionally(exception));
+		if (good(outcome)) {
+			this.result.complete(outcome);
 		}
-		else if (last || good(attempt.join())) {
-			this.result.complete(attempt.join());
+		else if (last) {
+			this.result.complete(all);
 		}
 	}
 
--- a/src/main/java/org/crocuspost/retry/RequestOutcome.java
+++ b/src/main/java/org/crocuspost/retry/RequestOutcome.java
@@ -19,6 +19,16 @@
 	 */
 	Verdict verdict();
 
+	/**
+	 * Returns what became of a request of which this is the last attempt. A refused
+	 * attempt does not undo an earlier one that has run or may have run.
+	 * @param earlier what became of the attempts before
+	 * @return the outcome for the caller
+	 */
+	default RequestOutcome after(RequestOutcome earlier) {
+		return (verdict().compareTo(earlier.verdict()) < 0) ? earlier : this;
+	}
+
 	/**
 	 * Makes the outcome of a failure, by its verdict.
 	 * @param failure the failure
--- a/src/main/java/org/crocuspost/retry/RequestRunner.java
+++ b/src/main/java/org/crocuspost/retry/RequestRunner.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.stream.Stream;
@@ -70,18 +71,20 @@
 	 */
 	public CompletionStage<RequestOutcome> run(RoutedRequest request) {
 		this.budget.firstAttempt();
-		return attempt(request, 1, List.of());
+		return attempt(request, 1, List.of(), Optional.empty());
 	}
 
-	private CompletionStage<RequestOutcome> attempt(RoutedRequest request, int attempt, List<RoutedEndpoint> tried) {
+	private CompletionStage<RequestOutcome> attempt(RoutedRequest request, int attempt, List<RoutedEndpoint> tried,
+			Optional<RequestOutcome> earlier) {
 		Either<Failure, RoutedEndpoint> selected = this.selector.select(request.service(), tried);
 		if (selected.isLeft()) {
-			return CompletableFuture.completedFuture(new RequestOutcome.NotRun(selected.getLeft(), RETRY_AFTER));
+			RequestOutcome refused = new RequestOutcome.NotRun(selected.getLeft(), RETRY_AFTER);
+			return CompletableFuture.completedFuture(earlier.map(refused::after).orElse(refused));
 		}
 		RoutedEndpoint endpoint = selected.get();
 		int number = 1 + (attempt - 1) * NUMBERS_PER_ATTEMPT;
-		return send(request, number, endpoint)
-			.thenCompose((outcome) -> proceed(request, attempt, append(tried, endpoint), outcome));
+		return send(request, number, endpoint).thenCompose((outcome) -> proceed(request, attempt,
+				append(tried, endpoint), outcome, earlier.map(outcome::after).orElse(outcome)));
 	}
 
 	private CompletionStage<RequestOutcome> send(RoutedRequest request, int number, RoutedEndpoint endpoint) {
@@ -99,11 +102,11 @@
 	}
 
 	private CompletionStage<RequestOutcome> proceed(RoutedRequest request, int attempt, List<RoutedEndpoint> tried,
-			RequestOutcome outcome) {
-		if (attempt < MAXIMUM_ATTEMPTS && timeLeft(request) && mayRepeat(request, outcome)) {
-			return attempt(request, attempt + 1, tried);
+			RequestOutcome last, RequestOutcome all) {
+		if (attempt < MAXIMUM_ATTEMPTS && timeLeft(request) && mayRepeat(request, last)) {
+			return attempt(request, attempt + 1, tried, Optional.of(all));
 		}
-		return CompletableFuture.completedFuture(outcome);
+		return CompletableFuture.completedFuture(all);
 	}
 
 	private boolean timeLeft(RoutedRequest request) {
--- a/src/test/java/org/crocuspost/entry/EndpointFaultTests.java
+++ b/src/test/java/org/crocuspost/entry/EndpointFaultTests.java
@@ -80,6 +80,32 @@
 		}
 	}
 
+	/**
+	 * The tour saw refusals that said "not run" of requests that had.
+	 */
+	@Test
+	void aRequestOfWhichOneAttemptHasRunIsNotSaidNotToRun() throws Exception {
+		try (RequestPathFixture path = new RequestPathFixture()) {
+			EndpointStandIn breaking = path.endpoint();
+			EndpointStandIn refusing = path.endpoint();
+			LoopbackEntry entry = path.entry("entry-1");
+			path.agent("agent-1", breaking, entry);
+			path.agent("agent-2", refusing, entry);
+			breaking.setFault(EndpointFault.RESET_DURING);
+			refusing.close();
+			int refused = 0;
+			for (int count = 0; count < 12; count++) {
+				int runs = breaking.ledger().size();
+				HttpResponse<String> response = RequestPathFixture.get(path.send(entry, "GET", "", DEADLINE, "4000"));
+				boolean notRun = response.headers().firstValue("Crocuspost-Verdict").orElseThrow().equals("not-run");
+				refused += notRun ? 1 : 0;
+				assertThat(notRun && breaking.ledger().size() > runs).as("request " + count).isFalse();
+			}
+			assertThat(breaking.ledger()).isNotEmpty();
+			assertThat(refused).isLessThan(12);
+		}
+	}
+
 	@Test
 	void aLateAnswerIsNotTakenForTheAnswerToTheNextRequest() throws Exception {
 		try (RequestPathFixture path = new RequestPathFixture()) {
