Do not take a filler that gets its pace back for one that hangs

Cause: the time without progress went on while the agent held a filler at pace zero. Change: the time without progress begins anew while the pace is under 50. Before: DispatcherTests.aFillerThatGetsItsPaceBackIsNotTakenToHang failed. After: it passes, and a filler that stands still at full pace is still stopped.

--- a/src/main/java/org/crocuspost/dispatch/Placement.java
+++ b/src/main/java/org/crocuspost/dispatch/Placement.java
@@ -69,7 +69,8 @@
 	void reported(RunningTask running, long nowNanos) {
 		this.phase = Phase.REPORTED;
 		this.report = running;
-		if (running.getProgress() != this.progress) {
+		// A run that is slowed down on purpose does not hang.
+		if (running.getProgress() != this.progress || running.getPace() < ReportProcessor.STALL_MINIMUM_PACE) {
 			this.progress = running.getProgress();
 			this.progressNanos = nowNanos;
 		}
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -42,7 +42,7 @@
 	/**
 	 * Pace below which a task that stands still is not suspected.
 	 */
-	private static final int STALL_MINIMUM_PACE = 50;
+	static final int STALL_MINIMUM_PACE = 50;
 
 	static final String LEFT = "worker left";
 
--- a/src/test/java/org/crocuspost/dispatch/DispatcherTests.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatcherTests.java
@@ -249,6 +249,27 @@
 		assertThat(this.fixture.task("0123456789abcdef", 0, 0).status()).isEqualTo(TaskStatus.WAITING_AFTER_LOSS);
 	}
 
+	/**
+	 * The agent held the filler beside a busy service; melashuttle, hunt-214d-11.
+	 */
+	@Test
+	void aFillerThatGetsItsPaceBackIsNotTakenToHang() {
+		SimulatedWorker worker = this.fixture.worker("one", 4_000);
+		this.fixture.submit("0123456789abcdef", new StepBuilder().milliCores(1_000).filler("image").build());
+		this.fixture.round();
+		TaskKey task = this.fixture.task("0123456789abcdef", 0, 0).key();
+		worker.pace(task, 0);
+		for (int report = 0; report < 20; report++) {
+			this.fixture.report(worker);
+			this.fixture.time.advance(Duration.ofMillis(200));
+		}
+		worker.pace(task, 100);
+		assertThat(this.fixture.reports.reported(worker.report(), true).stops()).isEmpty();
+		assertThat(this.fixture.beliefs).doesNotContain("suspected");
+		this.fixture.time.advance(ReportProcessor.STALL_TIMEOUT);
+		assertThat(this.fixture.reports.reported(worker.report(), true).stops()).hasSize(1);
+	}
+
 	/**
 	 * A report comes every few milliseconds while the run is being stopped.
 	 */
