--- a/src/test/java/org/crocuspost/soak/FaultSoakTests.java
+++ b/src/test/java/org/crocuspost/soak/FaultSoakTests.java
@@ -23,12 +23,9 @@
 
 	// Seed 1: a replaced agent reported before its worker was known, and all runs of the
 	// host were taken for gone. Seed 3: a restarted worker's ends were acknowledged by
-	// the
-	// numbers of its former life. Seeds 110, 111, 114, 134 and 138 (3 hosts, 20 s): a
-	// start
-	// that crossed a restart was started again beside itself. Seed 407 (3 hosts, 20 s):
-	// the
-	// soak itself took a cancellation without an answer for none.
+	// the numbers of its former life. Seeds 110, 111, 114, 134 and 138 (3 hosts, 20 s):
+	// a start that crossed a restart was started again beside itself. Seed 407 (3 hosts,
+	// 20 s): the soak itself took a cancellation without an answer for none.
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 3, 111 })
 	void thePromisesAreKeptUnderFaults(long seed) throws Exception {
