Report a worker whose life is uncertain as not answering

Cause: after a call that failed the agent refuses starts, but went on to report for up to 1.5 s that its worker answers, so the leader would have assigned the same tasks to it again and again, each with a record in the store. Change: a report after a failed call says that the worker does not answer, until it does. Test: HostAgentTests.nothingStartsBetweenACallThatFailedAndTheNextAnswer asks for that, too, which the code before does not meet.

--- a/src/main/java/org/crocuspost/host/HostAgent.java
+++ b/src/main/java/org/crocuspost/host/HostAgent.java
@@ -396,7 +396,7 @@
 			.setHost(this.settings.host())
 			.setLife(this.life)
 			.setLeaseStamp(this.workerClockMillis)
-			.setWorkerAnswers(workerAnswers())
+			.setWorkerAnswers(workerAnswers() && !this.holdFailed)
 			.setHandledOrder(this.handledOrder)
 			.setEndsFollow(this.endsFollow)
 			.setListsAgeMillis(this.answered ? (this.clock.nanoTime() - this.answeredNanos) / 1_000_000 : 0);
--- a/src/test/java/org/crocuspost/host/HostAgentTests.java
+++ b/src/test/java/org/crocuspost/host/HostAgentTests.java
@@ -305,6 +305,7 @@
 		this.time.advance(Duration.ofMillis(500));
 		this.agent.ordered(grantAndStart("worker", 1));
 		assertThat(this.worker.starts).isEmpty();
+		assertThat(this.agent.composeReport().getWorkerAnswers()).isFalse();
 		this.worker.gone = false;
 		this.time.advance(Duration.ofSeconds(1));
 		this.agent.ordered(grantAndStart("worker", 1));
