Keep a watch alive after an unexpected error, count its age over a suspension

Cause: an exception of a listener in RowWatch left the watch without a next call, and the process acted on the rows of that moment for ever. An exception in the handler of an answer closed the connection without a log line. The age of the rows counted on the monotonic clock alone, which stands still while a host is suspended, so a process that wakes took old rows for new ones.

Change: the table is read again after an error; HttpCaller logs and isolates errors of its callers; ages are the longer of the times by both clocks (ClockReading). Ruled out: /proc/uptime counts suspensions too, but the wall clock needs no platform file, and a step forward only makes the process careful for one read.

--- a/src/main/java/org/crocuspost/platform/http/HttpCaller.java
+++ b/src/main/java/org/crocuspost/platform/http/HttpCaller.java
@@ -31,6 +31,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import org.crocuspost.net.Sockets;
 import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
 
 /**
  * HTTP client that runs on the event loop of the process and reuses idle connections. A
@@ -261,7 +262,14 @@
 				}
 				this.channel.close();
 			}
-			this.answer.accept(outcome);
+			try {
+				this.answer.accept(outcome);
+			}
+			catch (RuntimeException ex) {
+				// The answer to one call must not affect the connection or other calls.
+				Logger.error(ex, "the answer to {} {} caused an unexpected error", this.request.method(),
+						this.request.path());
+			}
 		}
 
 	}
--- a/src/main/java/org/crocuspost/rows/RowEvent.java
+++ b/src/main/java/org/crocuspost/rows/RowEvent.java
@@ -21,6 +21,11 @@
 	 * The store has discarded changes that were not read yet; the whole table is read
 	 * again.
 	 */
-	ROW_HISTORY_LOST
+	ROW_HISTORY_LOST,
+
+	/**
+	 * Rows of a watched table caused an unexpected error; the whole table is read again.
+	 */
+	ROWS_NOT_APPLIED
 
 }
--- a/src/main/java/org/crocuspost/rows/RowWatch.java
+++ b/src/main/java/org/crocuspost/rows/RowWatch.java
@@ -8,7 +8,9 @@
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
 import org.crocuspost.time.Clock;
+import org.crocuspost.time.ClockReading;
 import org.crocuspost.time.Timer;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Follows a table: reads the whole table, then its changes, and the whole table again if
@@ -22,6 +24,12 @@
 	 */
 	private static final Duration RETRY_PAUSE = Duration.ofMillis(250);
 
+	/**
+	 * Pause before the table is read again after an unexpected error of the listener. The
+	 * error probably occurs again, and reading a table is expensive.
+	 */
+	private static final Duration ERROR_PAUSE = Duration.ofSeconds(2);
+
 	private final RowStore store;
 
 	private final String table;
@@ -36,9 +44,7 @@
 
 	private long version = -1;
 
-	private long confirmedNanos;
-
-	private boolean confirmed;
+	private @Nullable ClockReading confirmed;
 
 	private boolean failing;
 
@@ -82,7 +88,7 @@
 	 * @return true if it has been read
 	 */
 	public boolean hasReadTable() {
-		return this.confirmed;
+		return this.confirmed != null;
 	}
 
 	/**
@@ -91,14 +97,14 @@
 	 * if it never has
 	 */
 	public Duration age() {
-		return this.confirmed ? Duration.ofNanos(this.clock.nanoTime() - this.confirmedNanos) : Duration.ofDays(1);
+		return (this.confirmed != null) ? this.confirmed.age(this.clock) : Duration.ofDays(1);
 	}
 
 	private void readTable(String fromKey, List<StoredRow> rows, long firstVersion) {
 		if (this.closed) {
 			return;
 		}
-		long askedNanos = this.clock.nanoTime();
+		ClockReading asked = ClockReading.of(this.clock);
 		this.store.scan(this.table, fromKey, (answer) -> {
 			if (this.closed) {
 				return;
@@ -116,9 +122,10 @@
 				return;
 			}
 			this.version = version;
-			succeeded(askedNanos);
-			this.listener.tableRead(rows);
-			readChanges();
+			succeeded(asked);
+			if (apply(() -> this.listener.tableRead(rows))) {
+				readChanges();
+			}
 		});
 	}
 
@@ -126,7 +133,7 @@
 		if (this.closed) {
 			return;
 		}
-		long askedNanos = this.clock.nanoTime();
+		ClockReading asked = ClockReading.of(this.clock);
 		// After a failure the received rows may be out of date, so calls do not wait for
 		// a change until one succeeds: its answer confirms the rows immediately.
 		Duration maximumWait = this.failing ? Duration.ZERO : this.settings.maximumWait();
@@ -146,28 +153,47 @@
 				return;
 			}
 			this.version = Math.max(this.version, changes.storeVersion());
-			succeeded(changes.rows().isEmpty() ? endOfWait(askedNanos, maximumWait) : askedNanos);
-			if (!changes.rows().isEmpty()) {
-				this.listener.rowsChanged(changes.rows());
+			succeeded(changes.rows().isEmpty() ? endOfWait(asked, maximumWait) : asked);
+			if (changes.rows().isEmpty() || apply(() -> this.listener.rowsChanged(changes.rows()))) {
+				this.timer.schedule(this.settings.pause(), this::readChanges);
 			}
-			this.timer.schedule(this.settings.pause(), this::readChanges);
 		});
 	}
 
+	/**
+	 * Passes rows to the listener. After an unexpected error, which must not end the
+	 * watch, the whole table is read again.
+	 * @param delivery calls the listener
+	 * @return whether the rows were applied
+	 */
+	private boolean apply(Runnable delivery) {
+		try {
+			delivery.run();
+			return true;
+		}
+		catch (RuntimeException ex) {
+			EventLog.error(ex, RowEvent.ROWS_NOT_APPLIED, Field.of("table", this.table),
+					Field.of("version", this.version));
+			this.timer.schedule(ERROR_PAUSE, () -> readTable("", new ArrayList<>(), -1));
+			return false;
+		}
+	}
+
 	/**
 	 * Returns the time as of which an answer without changes confirms the received rows.
 	 * The store last checks for changes at the end of its wait.
-	 * @param askedNanos the monotonic time of the call, in nanoseconds
+	 * @param asked the time of the call
 	 * @param maximumWait how long the store waited for a change
-	 * @return the monotonic time in nanoseconds
+	 * @return the time
 	 */
-	private long endOfWait(long askedNanos, Duration maximumWait) {
-		return Math.min(this.clock.nanoTime(), askedNanos + maximumWait.toNanos());
+	private ClockReading endOfWait(ClockReading asked, Duration maximumWait) {
+		return asked.plus(maximumWait).earlier(ClockReading.of(this.clock));
 	}
 
-	private void succeeded(long atNanos) {
-		this.confirmed = true;
-		this.confirmedNanos = Math.max(this.confirmedNanos, atNanos);
+	private void succeeded(ClockReading moment) {
+		if (this.confirmed == null || moment.nanos() >= this.confirmed.nanos()) {
+			this.confirmed = moment;
+		}
 		if (this.failing) {
 			this.failing = false;
 			EventLog.info(RowEvent.ROW_WATCH_REGAINED, Field.of("table", this.table),
--- a/src/main/java/org/crocuspost/time/VirtualTime.java
+++ b/src/main/java/org/crocuspost/time/VirtualTime.java
@@ -21,6 +21,8 @@
 
 	private long sequence;
 
+	private Duration wallClockOffset = Duration.ZERO;
+
 	/**
 	 * Creates a clock with a given start time.
 	 * @param origin the wall-clock time at monotonic time zero
@@ -31,7 +33,7 @@
 
 	@Override
 	public Instant instant() {
-		return this.origin.plusNanos(this.nanos);
+		return this.origin.plusNanos(this.nanos).plus(this.wallClockOffset);
 	}
 
 	@Override
@@ -68,6 +70,15 @@
 		this.nanos = end;
 	}
 
+	/**
+	 * Moves the wall clock without the monotonic clock, as a suspension of the host or a
+	 * correction of the clock does. No action becomes due.
+	 * @param duration the duration; negative to set the wall clock back
+	 */
+	public void shiftWallClock(Duration duration) {
+		this.wallClockOffset = this.wallClockOffset.plus(duration);
+	}
+
 	private record Entry(long dueNanos, long sequence, Runnable action) {
 	}
 
--- a/src/test/java/org/crocuspost/rows/RowWatchTests.java
+++ b/src/test/java/org/crocuspost/rows/RowWatchTests.java
@@ -76,12 +76,34 @@
 		assertThat(this.listener.tables.get(1)).containsExactly(new StoredRow("key", 7, "value"));
 	}
 
+	/**
+	 * A listener that fails must not end the watch: the process would act on old rows for
+	 * ever.
+	 */
+	@Test
+	void watchContinuesAfterAnUnexpectedErrorOfItsListener() {
+		this.watch.start();
+		this.time.advance(Duration.ofSeconds(3));
+		this.store.rows = List.of(new StoredRow("key", 7, "value"));
+		this.store.historyLost = true;
+		this.listener.failures = 1;
+		this.time.advance(Duration.ofSeconds(6));
+		assertThat(this.listener.tables).last().isEqualTo(List.of(new StoredRow("key", 7, "value")));
+		assertThat(this.watch.age()).isLessThan(MAXIMUM_WAIT.plusMillis(200));
+	}
+
 	private static final class RecordingListener implements RowWatchListener {
 
 		private final List<List<StoredRow>> tables = new ArrayList<>();
 
+		private int failures;
+
 		@Override
 		public void tableRead(List<StoredRow> rows) {
+			if (this.failures > 0) {
+				this.failures--;
+				throw new IllegalStateException("scripted");
+			}
 			this.tables.add(List.copyOf(rows));
 		}
 
