--- a/src/main/java/org/crocuspost/dispatch/DispatchBatch.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchBatch.java
@@ -9,19 +9,20 @@
  * Holds decisions that must be recorded in the store before they take effect.
  *
  * @param jobs the stored form of each changed job by job identity
- * @param starts the runs to order after the jobs are recorded
+ * @param tasks the stored form of each changed task
+ * @param starts the runs to order after their tasks are recorded
  * @param ends the newest processed end of a run by host, to be acknowledged after the
- * jobs are recorded
- * @param removals the identities of jobs to remove from the store
+ * tasks are recorded
+ * @param cleanup the rows of ended jobs that are not needed any more
  */
-public record DispatchBatch(Map<String, String> jobs, List<Start> starts, Map<String, WorkerEnds> ends,
-		List<String> removals) {
+public record DispatchBatch(Map<String, String> jobs, Map<TaskKey, String> tasks, List<Start> starts,
+		Map<String, WorkerEnds> ends, Cleanup cleanup) {
 
 	public DispatchBatch {
 		jobs = Map.copyOf(jobs);
+		tasks = Map.copyOf(tasks);
 		starts = List.copyOf(starts);
 		ends = Map.copyOf(ends);
-		removals = List.copyOf(removals);
 	}
 
 	/**
@@ -29,7 +30,7 @@
 	 * @return true if the batch is empty
 	 */
 	public boolean isEmpty() {
-		return this.jobs.isEmpty() && this.ends.isEmpty() && this.removals.isEmpty();
+		return this.jobs.isEmpty() && this.tasks.isEmpty() && this.ends.isEmpty() && this.cleanup.isEmpty();
 	}
 
 	/**
@@ -52,4 +53,30 @@
 	public record WorkerEnds(String worker, long born, long number) {
 	}
 
+	/**
+	 * Rows of ended jobs that are not needed any more.
+	 *
+	 * @param tasks the tasks whose rows are removed
+	 * @param reduced the jobs whose specification is replaced by the mark of an ended job
+	 * @param expired the jobs whose state is not kept any longer
+	 */
+	public record Cleanup(List<TaskKey> tasks, List<String> reduced, List<String> expired) {
+
+		/**
+		 * No rows.
+		 */
+		public static final Cleanup NONE = new Cleanup(List.of(), List.of(), List.of());
+
+		public Cleanup {
+			tasks = List.copyOf(tasks);
+			reduced = List.copyOf(reduced);
+			expired = List.copyOf(expired);
+		}
+
+		boolean isEmpty() {
+			return this.tasks.isEmpty() && this.reduced.isEmpty() && this.expired.isEmpty();
+		}
+
+	}
+
 }
--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -17,6 +17,7 @@
 import org.crocuspost.job.Queue;
 import org.crocuspost.job.QueueConfiguration;
 import org.crocuspost.job.StepSpecification;
+import org.crocuspost.job.StoredProgress;
 import org.crocuspost.job.TaskKey;
 import org.crocuspost.job.TaskProgress;
 import org.crocuspost.job.TaskStatus;
@@ -49,11 +50,9 @@
 
 	private final Set<String> earlyCancellations = new LinkedHashSet<>();
 
-	private final Set<String> changedJobs = new LinkedHashSet<>();
+	private final PendingChanges changes = new PendingChanges();
 
-	private final Map<String, DispatchBatch.WorkerEnds> changedEnds = new HashMap<>();
-
-	private final List<DispatchBatch.Start> newStarts = new ArrayList<>();
+	private final EndedJobs endedJobs;
 
 	private QueueConfiguration configuration = new QueueConfiguration(0, List.of(), List.of(), 0);
 
@@ -68,6 +67,7 @@
 	 */
 	public Dispatcher(DispatchSettings settings, PlacementPolicy policy, Clock clock, DispatchListener listener) {
 		this.settings = settings;
+		this.endedJobs = new EndedJobs(settings.retention());
 		this.policy = policy;
 		this.clock = clock;
 		this.listener = listener;
@@ -81,6 +81,7 @@
 	public void configure(QueueConfiguration next) {
 		if (next.version() > this.configuration.version()) {
 			this.configuration = next;
+			this.jobs.values().forEach((tracked) -> endIfAttemptsExhausted(tracked.job()));
 		}
 	}
 
@@ -97,21 +98,25 @@
 	 * @param submission the job
 	 * @param stored the stored progress of the job; empty if none was recorded yet
 	 */
-	public void submitted(JobSubmission submission, Optional<String> stored) {
-		if (this.jobs.containsKey(submission.id())) {
+	public void submitted(JobSubmission submission, Optional<StoredProgress> stored) {
+		if (this.jobs.containsKey(submission.id()) || this.endedJobs.contains(submission.id())) {
 			return;
 		}
 		JobProgress job = new JobProgress(submission);
 		stored.ifPresent(job::restore);
 		TrackedJob tracked = new TrackedJob(job, this.clock.nanoTime());
 		this.jobs.put(submission.id(), tracked);
+		if (job.state().terminal()) {
+			addEnded(job);
+		}
 		for (TaskProgress task : job.allTasks()) {
 			if (task.status() == TaskStatus.PLACED) {
 				inheritRun(task);
 			}
 		}
+		endIfAttemptsExhausted(job);
 		if (stored.isEmpty()) {
-			this.changedJobs.add(submission.id());
+			this.changes.jobChanged(submission.id());
 			this.listener.jobSeen(job);
 		}
 		if (this.earlyCancellations.remove(submission.id())) {
@@ -119,13 +124,31 @@
 		}
 	}
 
+	/**
+	 * Adds a job that ended before this leader took over and whose specification is not
+	 * stored any more.
+	 * @param id the identity of the job
+	 * @param endedMillis the time of its end, Unix time in milliseconds
+	 */
+	public void endedEarlier(String id, long endedMillis) {
+		if (!this.jobs.containsKey(id)) {
+			this.endedJobs.addReduced(id, endedMillis);
+			this.earlyCancellations.remove(id);
+		}
+	}
+
+	private void addEnded(JobProgress job) {
+		this.endedJobs.add(job.id(), job.endedMillis(),
+				job.allTasks().stream().filter(TaskProgress::everAssigned).map(TaskProgress::key).toList());
+	}
+
 	private void inheritRun(TaskProgress task) {
 		HostState host = host(task.host());
 		Optional<Departure> departure = host.departure()
 			.filter((recorded) -> recorded.endsRunsOf(task.worker(), task.workerStartMillis()));
 		if (departure.isPresent()) {
 			task.loseRun();
-			this.changedJobs.add(task.key().job());
+			this.changes.taskChanged(task.key());
 			this.listener.runLost(task, task.run(), host.name(), ReportProcessor.WORKER_LEFT,
 					Evidence.of(departure.get(), this.clock.millis()));
 			return;
@@ -143,7 +166,9 @@
 	public Set<String> cancelled(String id) {
 		TrackedJob tracked = this.jobs.get(id);
 		if (tracked == null) {
-			this.earlyCancellations.add(id);
+			if (!this.endedJobs.contains(id)) {
+				this.earlyCancellations.add(id);
+			}
 			return Set.of();
 		}
 		if (tracked.job().state().terminal()) {
@@ -154,7 +179,8 @@
 
 	Set<String> endJob(JobProgress job, JobState state, String reason) {
 		job.end(state, this.clock.instant().toEpochMilli());
-		this.changedJobs.add(job.id());
+		addEnded(job);
+		this.changes.jobChanged(job.id());
 		this.listener.jobEnded(job, reason);
 		Set<String> affected = new LinkedHashSet<>();
 		for (TaskProgress task : job.allTasks()) {
@@ -255,6 +281,23 @@
 		}
 	}
 
+	/**
+	 * Ends a job if one of its tasks has failed too often. That is normally noticed when
+	 * the failure is reported, but a new leader may receive reports before it knows the
+	 * allowed number, and may read a failure that was recorded without the end of its
+	 * job.
+	 * @param job the job
+	 */
+	private void endIfAttemptsExhausted(JobProgress job) {
+		int allowed = queueOf(job).map(Queue::attempts).orElse(Integer.MAX_VALUE);
+		for (TaskProgress task : job.allTasks()) {
+			if (!job.state().terminal() && task.failures() >= allowed && task.status().waiting()
+					&& !task.step().lasting()) {
+				endJob(job, JobState.FAILED, "task " + task.key() + " failed " + task.failures() + " times");
+			}
+		}
+	}
+
 	private void assignStep(TrackedJob tracked, List<TaskProgress> tasks, List<CandidateHost> candidates,
 			Set<TaskKey> unassigned) {
 		if (tasks.get(0).step().gang()) {
@@ -288,59 +331,52 @@
 		long now = this.clock.nanoTime();
 		task.assign(run, host.name(), host.worker().getId(), host.worker().getBorn());
 		host.placements().put(task.key(), new Placement(task, Placement.Phase.RECORDING, now));
-		tracked.job().markActive();
+		if (tracked.job().markActive()) {
+			this.changes.jobChanged(task.key().job());
+		}
 		tracked.markRunning(now);
-		this.changedJobs.add(task.key().job());
-		this.newStarts.add(new DispatchBatch.Start(task.key(), run, host.name()));
+		this.changes.runPlaced(new DispatchBatch.Start(task.key(), run, host.name()));
 		this.listener.placed(task, (now - tracked.firstSeenNanos()) / 1_000_000);
 	}
 
 	/**
 	 * Takes the next batch of decisions that have to be recorded.
-	 * @param limit the maximum number of jobs in the batch
+	 * @param limit the maximum number of rows in the batch
 	 * @return the batch
 	 */
 	public DispatchBatch takeBatch(int limit) {
-		Map<String, String> rows = new LinkedHashMap<>();
-		for (String id : List.copyOf(this.changedJobs)) {
-			if (rows.size() == limit) {
-				break;
-			}
-			this.changedJobs.remove(id);
-			rows.put(id, this.jobs.get(id).job().write());
-		}
-		boolean all = this.changedJobs.isEmpty();
-		List<DispatchBatch.Start> starts = new ArrayList<>();
-		for (DispatchBatch.Start start : List.copyOf(this.newStarts)) {
-			if (rows.containsKey(start.task().job())) {
-				starts.add(start);
-				this.newStarts.remove(start);
-			}
-		}
-		Map<String, DispatchBatch.WorkerEnds> ends = all ? Map.copyOf(this.changedEnds) : Map.of();
-		if (all) {
-			this.changedEnds.clear();
+		DispatchBatch changed = this.changes.take(limit, (id) -> this.jobs.get(id).job().summary().write(),
+				this::taskRow);
+		long nowMillis = this.clock.millis();
+		if (!this.endedJobs.isDue(nowMillis)) {
+			return changed;
 		}
-		return new DispatchBatch(rows, starts, ends, expiredJobs(limit - rows.size()));
+		int remaining = limit - changed.jobs().size() - changed.tasks().size();
+		return new DispatchBatch(changed.jobs(), changed.tasks(), changed.starts(), changed.ends(),
+				this.endedJobs.next(remaining, nowMillis, jobsWithRuns()));
 	}
 
-	private List<String> expiredJobs(int limit) {
-		List<String> expired = new ArrayList<>();
-		long before = this.clock.millis() - this.settings.retention().toMillis();
-		for (TrackedJob tracked : this.jobs.values()) {
-			if (expired.size() < limit && tracked.job().state().terminal() && tracked.job().endedMillis() < before) {
-				expired.add(tracked.job().id());
-			}
+	private String taskRow(TaskKey key) {
+		TrackedJob tracked = this.jobs.get(key.job());
+		// The tasks of an ended job never start again.
+		return (tracked == null || tracked.job().state().terminal()) ? "" : tracked.job().task(key).write();
+	}
+
+	private Set<String> jobsWithRuns() {
+		Set<String> result = new HashSet<>();
+		for (HostState host : this.hosts.values()) {
+			host.placements().keySet().forEach((task) -> result.add(task.job()));
+			host.unassignedRuns().keySet().forEach((task) -> result.add(task.job()));
 		}
-		return expired;
+		return result;
 	}
 
 	/**
 	 * Returns whether decisions wait to be recorded.
-	 * @return true if the next batch holds changed jobs or ends of runs
+	 * @return true if the next batch holds changed jobs, changed tasks or ends of runs
 	 */
 	public boolean hasChanges() {
-		return !this.changedJobs.isEmpty() || !this.changedEnds.isEmpty();
+		return !this.changes.isEmpty();
 	}
 
 	/**
@@ -351,7 +387,8 @@
 	 * @return the orders to send by host
 	 */
 	public Map<String, List<StartOrder>> recorded(DispatchBatch batch, boolean mayStart) {
-		batch.removals().forEach(this.jobs::remove);
+		batch.cleanup().reduced().forEach(this.jobs::remove);
+		this.endedJobs.removed(batch.cleanup());
 		batch.ends().forEach((name, ends) -> {
 			HostState host = host(name);
 			if (host.worker().getId().equals(ends.worker()) && host.worker().getBorn() == ends.born()) {
@@ -382,7 +419,7 @@
 	private void cancelUnsentStart(HostState host, Placement placement) {
 		host.placements().remove(placement.task().key());
 		placement.task().endRun(false);
-		this.changedJobs.add(placement.task().key().job());
+		this.changes.taskChanged(placement.task().key());
 		this.listener.runEnded(placement.task(), placement.run(), host.name(), "never ordered");
 	}
 
@@ -411,12 +448,12 @@
 			.build();
 	}
 
-	void markChanged(String job) {
-		this.changedJobs.add(job);
+	void markChanged(TaskKey task) {
+		this.changes.taskChanged(task);
 	}
 
 	void markEndsProcessed(HostState host) {
-		this.changedEnds.put(host.name(),
+		this.changes.endsProcessed(host.name(),
 				new DispatchBatch.WorkerEnds(host.worker().getId(), host.worker().getBorn(), host.processedEnds()));
 	}
 
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -205,7 +205,7 @@
 		host.placements().remove(task.key());
 		if (placement.current()) {
 			task.loseRun();
-			this.dispatcher.markChanged(task.key().job());
+			this.dispatcher.markChanged(task.key());
 			this.dispatcher.listener().runLost(task, placement.run(), host.name(), reason, evidence);
 		}
 	}
@@ -261,7 +261,7 @@
 		else {
 			task.endRun(failed);
 		}
-		this.dispatcher.markChanged(job.id());
+		this.dispatcher.markChanged(task.key());
 		this.dispatcher.listener().runEnded(task, ended.getRun(), host, ended.getKind());
 		if (job.state().terminal()) {
 			return;
@@ -278,11 +278,14 @@
 		}
 	}
 
-	private static void completeTask(JobProgress job, TaskProgress task) {
+	private void completeTask(JobProgress job, TaskProgress task) {
 		task.complete();
 		if (task.step().gang()) {
 			// The end of one member completes the whole gang.
-			job.tasks(task.key().occurrence(), task.key().step()).forEach(TaskProgress::complete);
+			for (TaskProgress member : job.tasks(task.key().occurrence(), task.key().step())) {
+				member.complete();
+				this.dispatcher.markChanged(member.key());
+			}
 		}
 	}
 
--- a/src/main/java/org/crocuspost/host/HostAgent.java
+++ b/src/main/java/org/crocuspost/host/HostAgent.java
@@ -18,6 +18,7 @@
 import org.crocuspost.job.TaskKey;
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
+import org.crocuspost.time.Cancellable;
 import org.crocuspost.time.Clock;
 import org.crocuspost.time.Timer;
 import org.crocuspost.wire.EndedTask;
@@ -118,6 +119,13 @@
 
 	private PaceController paceController = new PaceController(PaceSettings.DEFAULT);
 
+	private final ReportPacer reportPacer = new ReportPacer();
+
+	private boolean reportWanted;
+
+	private Cancellable scheduledReport = () -> {
+	};
+
 	/**
 	 * Creates an agent. It is idle until {@link #start()} is called.
 	 * @param settings the settings
@@ -287,12 +295,14 @@
 		long usedFence = this.fence;
 		this.worker.hold(target, usedFence, acknowledged, lease, maximumWait, (answer) -> {
 			if (generation == this.holdGeneration) {
+				// Scheduled first: without further calls all runs would end with their
+				// lease, whatever goes wrong with one answer.
+				Duration pause = answer.isRight() ? HostAgentSettings.HOLD_PAUSE : HostAgentSettings.HOLD_RETRY_PAUSE;
+				this.timer.schedule(pause, () -> hold(generation));
 				if (answer.isLeft()) {
 					raiseFenceIfRejected(answer.getLeft(), usedFence);
 				}
 				handleHoldAnswer(target, answer, askedNanos);
-				Duration pause = answer.isRight() ? HostAgentSettings.HOLD_PAUSE : HostAgentSettings.HOLD_RETRY_PAUSE;
-				this.timer.schedule(pause, () -> hold(generation));
 			}
 		});
 	}
@@ -404,10 +414,30 @@
 				&& this.clock.nanoTime() - this.answeredNanos < HostAgentSettings.WORKER_TIMEOUT.toNanos();
 	}
 
+	/**
+	 * Sends a report as soon as the pace of the leader allows it.
+	 */
 	private void report() {
-		if (this.leader.connected()) {
+		if (!this.leader.connected()) {
+			return;
+		}
+		long now = this.clock.nanoTime();
+		Duration delay = this.leader.answersReports() ? this.reportPacer.delay(now) : Duration.ZERO;
+		if (delay.compareTo(Duration.ZERO) <= 0) {
+			this.reportWanted = false;
+			this.reportPacer.reportSent(now);
 			this.leader.send(composeReport());
 			this.refused.clear();
+			return;
+		}
+		this.reportWanted = true;
+		this.scheduledReport.cancel();
+		this.scheduledReport = this.timer.schedule(delay, this::sendWantedReport);
+	}
+
+	private void sendWantedReport() {
+		if (this.reportWanted) {
+			report();
 		}
 	}
 
@@ -455,9 +485,15 @@
 		EventLog.info(HostEvent.LEADER_CONNECTED, Field.of("leader", hello.getLeader()),
 				Field.of("epoch", hello.getEpoch()));
 		this.handledOrder = 0;
+		this.reportPacer.reset();
 		report();
 	}
 
+	@Override
+	public void connectionFailed(String reason) {
+		EventLog.warn(HostEvent.CONNECTION_FAILED, Field.of("epoch", this.leader.epoch()), Field.of("reason", reason));
+	}
+
 	@Override
 	public void connectionLost() {
 		EventLog.info(HostEvent.LEADER_DISCONNECTED, Field.of("epoch", this.leader.epoch()));
@@ -466,6 +502,7 @@
 	@Override
 	public void messageReceived(LeaderMessage message) {
 		this.handledOrder = Math.max(this.handledOrder, message.getOrder());
+		this.reportPacer.reportAnswered(message.getAnsweredReport());
 		if (this.announcement != null && this.announcement.born() == message.getWorkerBorn()) {
 			updateLease(message);
 		}
@@ -478,6 +515,7 @@
 			this.traits.keySet()
 				.retainAll(this.running.stream().map(RunKey::of).collect(java.util.stream.Collectors.toSet()));
 		}
+		sendWantedReport();
 	}
 
 	/**
--- a/src/main/java/org/crocuspost/host/HostEvent.java
+++ b/src/main/java/org/crocuspost/host/HostEvent.java
@@ -24,6 +24,12 @@
 	 */
 	WORKER_LISTED,
 
+	/**
+	 * A connection of a leader is closed because of a network error or a message that
+	 * cannot be processed.
+	 */
+	CONNECTION_FAILED,
+
 	/**
 	 * The worker is draining before its departure.
 	 */
--- a/src/main/java/org/crocuspost/hostlink/HostLink.java
+++ b/src/main/java/org/crocuspost/hostlink/HostLink.java
@@ -12,6 +12,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
+import org.crocuspost.net.TrafficMeter;
 import org.crocuspost.time.Clock;
 import org.crocuspost.time.Timer;
 import org.crocuspost.wire.HostReport;
@@ -26,10 +27,16 @@
 public final class HostLink {
 
 	/**
-	 * Delay between two connection attempts.
+	 * Delay before a lost connection is opened again.
 	 */
 	private static final Duration RECONNECT_DELAY = Duration.ofMillis(200);
 
+	/**
+	 * Maximum delay between two attempts to connect to a host that does not answer. Hosts
+	 * that are gone for good are still in the table.
+	 */
+	private static final Duration MAXIMUM_RECONNECT_DELAY = Duration.ofSeconds(1);
+
 	/**
 	 * Time without a report after which the connection is closed. Agents report several
 	 * times a second, so by then the agent can no longer be reached on the connection.
@@ -44,6 +51,8 @@
 
 	private final LeaderHello hello;
 
+	private final TrafficMeter traffic;
+
 	private final EventLoop loop;
 
 	private final Timer timer;
@@ -54,6 +63,10 @@
 
 	private @Nullable Channel channel;
 
+	private ReportDecoder decoder = new ReportDecoder();
+
+	private Duration nextAttemptDelay = RECONNECT_DELAY;
+
 	private long lastActivityNanos;
 
 	private boolean closed;
@@ -64,16 +77,18 @@
 	 * @param address the address on which the agent listens
 	 * @param hello the first message of each connection, which carries the epoch of the
 	 * leader
+	 * @param traffic counts the bytes of the connections
 	 * @param loop the event loop of the process
 	 * @param timer the timer of the event loop
 	 * @param clock the clock of the process
 	 * @param listener receives connection changes and reports
 	 */
-	public HostLink(String host, InetSocketAddress address, LeaderHello hello, EventLoop loop, Timer timer, Clock clock,
-			HostLinkListener listener) {
+	public HostLink(String host, InetSocketAddress address, LeaderHello hello, TrafficMeter traffic, EventLoop loop,
+			Timer timer, Clock clock, HostLinkListener listener) {
 		this.host = host;
 		this.address = address;
 		this.hello = hello;
+		this.traffic = traffic;
 		this.loop = loop;
 		this.timer = timer;
 		this.clock = clock;
@@ -95,6 +110,7 @@
 
 				@Override
 				protected void initChannel(SocketChannel newChannel) {
+					newChannel.pipeline().addLast(HostLink.this.traffic.connectionHandler("hosts"));
 					FramePipeline.initialize(newChannel, HostReport.getDefaultInstance(), new ReportHandler());
 				}
 
@@ -109,12 +125,17 @@
 		}
 		else if (future.isSuccess()) {
 			this.channel = future.channel();
+			this.decoder = new ReportDecoder();
+			this.nextAttemptDelay = RECONNECT_DELAY;
 			this.lastActivityNanos = this.clock.nanoTime();
 			this.listener.connectionChanged(this.host, true);
 			this.channel.writeAndFlush(LeaderMessage.newBuilder().setHello(this.hello).build());
 		}
 		else {
-			this.timer.schedule(RECONNECT_DELAY, this::open);
+			this.timer.schedule(this.nextAttemptDelay, this::open);
+			Duration doubled = this.nextAttemptDelay.multipliedBy(2);
+			this.nextAttemptDelay = (doubled.compareTo(MAXIMUM_RECONNECT_DELAY) < 0) ? doubled
+					: MAXIMUM_RECONNECT_DELAY;
 		}
 	}
 
@@ -125,6 +146,7 @@
 	 */
 	public void send(LeaderMessage message) {
 		if (this.channel != null && this.channel.isActive()) {
+			this.decoder.endsRecorded(message.getWorkerBorn(), message.getRecordedEnds());
 			this.channel.writeAndFlush(message);
 		}
 	}
@@ -153,10 +175,23 @@
 
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, HostReport report) {
-			if (!HostLink.this.closed && context.channel() == HostLink.this.channel) {
-				HostLink.this.lastActivityNanos = HostLink.this.clock.nanoTime();
-				HostLink.this.listener.reportReceived(report);
+			if (HostLink.this.closed || context.channel() != HostLink.this.channel) {
+				return;
+			}
+			if (!report.getHost().equals(HostLink.this.host)) {
+				HostLink.this.listener.addressReused(HostLink.this.host, report.getHost());
+				return;
 			}
+			receive(context, report);
+		}
+
+		private void receive(ChannelHandlerContext context, HostReport report) {
+			HostLink.this.lastActivityNanos = HostLink.this.clock.nanoTime();
+			HostLink.this.decoder.decode(report).ifPresentOrElse(HostLink.this.listener::reportReceived, () -> {
+				HostLink.this.listener.connectionFailed(HostLink.this.host,
+						"report " + report.getSequence() + " does not follow the previous one");
+				context.close();
+			});
 		}
 
 		@Override
@@ -170,6 +205,7 @@
 
 		@Override
 		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			HostLink.this.listener.connectionFailed(HostLink.this.host, String.valueOf(cause));
 			// The loss of the connection is handled when the channel becomes inactive.
 			context.close();
 		}
--- a/src/main/java/org/crocuspost/hostlink/LeaderPort.java
+++ b/src/main/java/org/crocuspost/hostlink/LeaderPort.java
@@ -26,6 +26,8 @@
 
 	private @Nullable Channel leader;
 
+	private @Nullable ReportEncoder encoder;
+
 	private long epoch;
 
 	/**
@@ -59,15 +61,24 @@
 	}
 
 	/**
-	 * Sends a report if a leader is connected.
-	 * @param report the report
+	 * Sends a report if a leader is connected. A leader that reads changes receives only
+	 * what has changed since the previous report on its connection.
+	 * @param report the whole report
 	 */
 	public void send(HostReport report) {
 		if (this.leader != null && this.leader.isActive()) {
-			this.leader.writeAndFlush(report);
+			this.leader.writeAndFlush((this.encoder != null) ? this.encoder.encode(report) : report);
 		}
 	}
 
+	/**
+	 * Returns whether the connected leader answers each report by its number.
+	 * @return true if it does; false also if no leader is connected
+	 */
+	public boolean answersReports() {
+		return connected() && this.encoder != null;
+	}
+
 	/**
 	 * Returns whether a leader is connected.
 	 * @return true if a leader is connected
@@ -105,6 +116,7 @@
 			Channel previous = LeaderPort.this.leader;
 			LeaderPort.this.epoch = helloEpoch;
 			LeaderPort.this.leader = channel;
+			LeaderPort.this.encoder = message.getHello().getReadsChanges() ? new ReportEncoder() : null;
 			if (previous != null && previous != channel) {
 				previous.close();
 			}
@@ -121,6 +133,7 @@
 
 		@Override
 		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			LeaderPort.this.listener.connectionFailed(String.valueOf(cause));
 			// The loss of the connection is handled when the channel becomes inactive.
 			context.close();
 		}
--- a/src/main/java/org/crocuspost/hostlink/LeaderPortListener.java
+++ b/src/main/java/org/crocuspost/hostlink/LeaderPortListener.java
@@ -20,6 +20,13 @@
 	 */
 	void messageReceived(LeaderMessage message);
 
+	/**
+	 * Called before a connection is closed because of a message that cannot be processed
+	 * or because of a network error.
+	 * @param reason what failed
+	 */
+	void connectionFailed(String reason);
+
 	/**
 	 * Called when the connection to the leader has been lost.
 	 */
--- a/src/main/java/org/crocuspost/job/JobProgress.java
+++ b/src/main/java/org/crocuspost/job/JobProgress.java
@@ -7,17 +7,20 @@
  * Progress of a job. Mutable; used on the leader's event loop only.
  *
  * <p>
- * The stored form has one line for the job and one for each task that was ever assigned,
- * so that a waiting job is cheap to store.
+ * The stored form has one row for the job, which holds what callers ask for, and one for
+ * each task that was ever assigned. A change of a task costs the same in a step of any
+ * width, and the processes that only answer callers do not read the tasks.
  */
 public final class JobProgress {
 
-	private static final int TASK_FIELD_COUNT = 10;
+	private static final int TASK_KEY_FIELDS = 3;
 
 	private final JobSubmission submission;
 
 	private final List<List<List<TaskProgress>>> occurrences = new ArrayList<>();
 
+	private final List<TaskProgress> allTasks;
+
 	private JobState state = JobState.QUEUED;
 
 	private long endedMillis;
@@ -40,6 +43,7 @@
 			}
 			this.occurrences.add(List.copyOf(tasksOfSteps));
 		}
+		this.allTasks = this.occurrences.stream().flatMap(List::stream).flatMap(List::stream).toList();
 	}
 
 	/**
@@ -108,14 +112,7 @@
 	 * @return true if the job is complete
 	 */
 	public boolean allDone() {
-		for (List<List<TaskProgress>> steps : this.occurrences) {
-			for (List<TaskProgress> tasks : steps) {
-				if (!allDone(tasks)) {
-					return false;
-				}
-			}
-		}
-		return true;
+		return allDone(this.allTasks);
 	}
 
 	/**
@@ -123,13 +120,9 @@
 	 * @return true if a task is running or about to run
 	 */
 	public boolean hasAssignedTask() {
-		for (List<List<TaskProgress>> steps : this.occurrences) {
-			for (List<TaskProgress> tasks : steps) {
-				for (TaskProgress task : tasks) {
-					if (task.status() == TaskStatus.PLACED) {
-						return true;
-					}
-				}
+		for (TaskProgress task : this.allTasks) {
+			if (task.status() == TaskStatus.PLACED) {
+				return true;
 			}
 		}
 		return false;
@@ -141,12 +134,8 @@
 	 */
 	public int unfinishedTaskCount() {
 		int unfinished = 0;
-		for (List<List<TaskProgress>> steps : this.occurrences) {
-			for (List<TaskProgress> tasks : steps) {
-				for (TaskProgress task : tasks) {
-					unfinished += (task.status() == TaskStatus.DONE) ? 0 : 1;
-				}
-			}
+		for (TaskProgress task : this.allTasks) {
+			unfinished += (task.status() == TaskStatus.DONE) ? 0 : 1;
 		}
 		return unfinished;
 	}
@@ -156,18 +145,19 @@
 	 * @return the tasks, ordered by occurrence, step and number
 	 */
 	public List<TaskProgress> allTasks() {
-		List<TaskProgress> result = new ArrayList<>();
-		this.occurrences.forEach((steps) -> steps.forEach(result::addAll));
-		return result;
+		return this.allTasks;
 	}
 
 	/**
 	 * Marks a queued job as active, since one of its tasks was assigned.
+	 * @return whether the job was queued before
 	 */
-	public void markActive() {
+	public boolean markActive() {
 		if (this.state == JobState.QUEUED) {
 			this.state = JobState.ACTIVE;
+			return true;
 		}
+		return false;
 	}
 
 	/**
@@ -181,42 +171,41 @@
 	}
 
 	/**
-	 * Encodes the progress for the store.
-	 * @return the stored form
+	 * Returns what callers ask for.
+	 * @return the summary
 	 */
-	public String write() {
-		StringBuilder text = new StringBuilder();
-		text.append(new JobSummary(this.submission.queue(), this.state, this.endedMillis).write());
-		for (TaskProgress task : allTasks()) {
-			if (task.everAssigned() || task.status() != TaskStatus.WAITING) {
-				text.append('\n').append(task.write());
-			}
-		}
-		return text.toString();
+	public JobSummary summary() {
+		return new JobSummary(this.submission.queue(), this.state, this.endedMillis);
 	}
 
 	/**
-	 * Restores the progress from its stored form.
-	 * @param text the stored form
-	 * @throws IllegalArgumentException if the text is malformed
+	 * Restores the progress from its stored form. Earlier versions stored the tasks in
+	 * the row of the job, one line each; such a row is read too.
+	 * @param stored the stored rows
+	 * @throws IllegalArgumentException if a row is malformed
 	 */
-	public void restore(String text) {
-		String[] lines = text.split("\n");
+	public void restore(StoredProgress stored) {
+		String[] lines = stored.job().split("\n");
 		JobSummary summary = JobSummary.read(lines[0]);
 		this.state = summary.state();
 		this.endedMillis = summary.endedMillis();
 		for (int line = 1; line < lines.length; line++) {
-			String[] parts = lines[line].split(" ");
-			if (parts.length != TASK_FIELD_COUNT) {
+			String[] parts = lines[line].split(" ", TASK_KEY_FIELDS + 1);
+			if (parts.length <= TASK_KEY_FIELDS) {
 				throw new IllegalArgumentException("malformed line of a stored task: " + lines[line]);
 			}
-			TaskProgress task = task(new TaskKey(this.submission.id(), Integer.parseInt(parts[0]),
-					Integer.parseInt(parts[1]), Integer.parseInt(parts[2])));
-			if (task == null) {
-				throw new IllegalArgumentException("stored task is not part of the job: " + lines[line]);
-			}
-			task.restore(parts);
+			restoreTask(new TaskKey(this.submission.id(), Integer.parseInt(parts[0]), Integer.parseInt(parts[1]),
+					Integer.parseInt(parts[2])), parts[TASK_KEY_FIELDS]);
+		}
+		stored.tasks().forEach(this::restoreTask);
+	}
+
+	private void restoreTask(TaskKey key, String text) {
+		TaskProgress task = task(key);
+		if (task == null) {
+			throw new IllegalArgumentException("stored task " + key + " is not part of the job");
 		}
+		task.restore(text);
 	}
 
 	public JobSubmission submission() {
--- a/src/main/java/org/crocuspost/job/TaskProgress.java
+++ b/src/main/java/org/crocuspost/job/TaskProgress.java
@@ -7,6 +7,8 @@
 
 	private static final String EMPTY_FIELD = "-";
 
+	private static final int FIELD_COUNT = 7;
+
 	private final TaskKey key;
 
 	private final StepSpecification step;
@@ -108,17 +110,25 @@
 
 	/**
 	 * Encodes the progress as one line without leading or trailing spaces.
-	 * @return the line
+	 * @return the line, which does not name the task
 	 */
 	public String write() {
-		return this.key.occurrence() + " " + this.key.step() + " " + this.key.index() + " " + this.status.ordinal()
-				+ " " + this.run + " " + this.failures + " " + encodeField(this.host) + " " + encodeField(this.worker)
-				+ " " + this.workerStartMillis + " " + encodeField(this.checkpoint);
+		return this.status.ordinal() + " " + this.run + " " + this.failures + " " + encodeField(this.host) + " "
+				+ encodeField(this.worker) + " " + this.workerStartMillis + " " + encodeField(this.checkpoint);
 	}
 
-	void restore(String[] parts) {
-		int field = 3;
-		this.status = TaskStatus.values()[Integer.parseInt(parts[field++])];
+	/**
+	 * Restores the progress from its stored form.
+	 * @param text the line
+	 * @throws IllegalArgumentException if the line is malformed
+	 */
+	void restore(String text) {
+		String[] parts = text.split(" ");
+		if (parts.length != FIELD_COUNT) {
+			throw new IllegalArgumentException("malformed progress of task " + this.key + ": " + text);
+		}
+		int field = 0;
+		this.status = TaskStatus.ofOrdinal(Integer.parseInt(parts[field++]));
 		this.run = Integer.parseInt(parts[field++]);
 		this.failures = Integer.parseInt(parts[field++]);
 		this.host = decodeField(parts[field++]);
--- a/src/main/java/org/crocuspost/job/TaskStatus.java
+++ b/src/main/java/org/crocuspost/job/TaskStatus.java
@@ -27,6 +27,19 @@
 	 */
 	DONE;
 
+	/**
+	 * Returns the status with a number.
+	 * @param ordinal the number
+	 * @return the status
+	 * @throws IllegalArgumentException if no status has this number
+	 */
+	static TaskStatus ofOrdinal(int ordinal) {
+		if (ordinal < 0 || ordinal >= values().length) {
+			throw new IllegalArgumentException("no status of a task has the number " + ordinal);
+		}
+		return values()[ordinal];
+	}
+
 	/**
 	 * Returns whether the task waits for a run.
 	 * @return true if the task waits for a run
--- a/src/main/java/org/crocuspost/lead/FencedWriter.java
+++ b/src/main/java/org/crocuspost/lead/FencedWriter.java
@@ -1,5 +1,6 @@
 package org.crocuspost.lead;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -12,6 +13,7 @@
 import org.crocuspost.rows.RowTransaction;
 import org.crocuspost.rows.StoredRow;
 import org.crocuspost.time.Clock;
+import org.crocuspost.time.ClockReading;
 import org.crocuspost.time.Timer;
 
 /**
@@ -38,7 +40,7 @@
 
 	private long version;
 
-	private long confirmedNanos;
+	private ClockReading confirmed;
 
 	private boolean busy;
 
@@ -54,7 +56,7 @@
 		this.clock = clock;
 		this.timer = timer;
 		this.onLeadershipLost = onLeadershipLost;
-		this.confirmedNanos = clock.nanoTime();
+		this.confirmed = ClockReading.of(clock);
 	}
 
 	/**
@@ -75,7 +77,7 @@
 	}
 
 	private void send(RowTransaction transaction, LeaderRecord next, Runnable onApplied) {
-		long sentNanos = this.clock.nanoTime();
+		ClockReading sent = ClockReading.of(this.clock);
 		this.store.commit(transaction, (answer) -> {
 			if (this.closed) {
 				return;
@@ -86,7 +88,7 @@
 			}
 			RowCommit commit = answer.get();
 			if (commit.applied()) {
-				handleApplied(next, commit.version(), sentNanos, onApplied);
+				handleApplied(next, commit.version(), sent, onApplied);
 				return;
 			}
 			StoredRow current = commit.current()
@@ -95,7 +97,7 @@
 				.findFirst()
 				.orElse(new StoredRow(Tables.LEADER_KEY, StoredRow.ABSENT, ""));
 			if (current.value().equals(next.write())) {
-				handleApplied(next, current.version(), sentNanos, onApplied);
+				handleApplied(next, current.version(), sent, onApplied);
 			}
 			else {
 				this.closed = true;
@@ -104,10 +106,10 @@
 		});
 	}
 
-	private void handleApplied(LeaderRecord next, long newVersion, long sentNanos, Runnable onApplied) {
+	private void handleApplied(LeaderRecord next, long newVersion, ClockReading sent, Runnable onApplied) {
 		this.record = next;
 		this.version = newVersion;
-		this.confirmedNanos = sentNanos;
+		this.confirmed = sent;
 		this.busy = false;
 		if (this.delayed) {
 			this.delayed = false;
@@ -145,8 +147,12 @@
 		return !this.delayed;
 	}
 
-	long confirmedNanos() {
-		return this.confirmedNanos;
+	/**
+	 * Returns the time for which another process may have been the leader.
+	 * @return the time since the last applied transaction was sent
+	 */
+	Duration confirmationAge() {
+		return this.confirmed.age(this.clock);
 	}
 
 	/**
--- a/src/main/java/org/crocuspost/lead/LeadEvent.java
+++ b/src/main/java/org/crocuspost/lead/LeadEvent.java
@@ -27,6 +27,11 @@
 	 */
 	STATE_RESTORED,
 
+	/**
+	 * A read of a table by a new leader has failed and is retried.
+	 */
+	READ_DELAYED,
+
 	/**
 	 * A transaction of the leader has failed and is retried.
 	 */
@@ -71,6 +76,18 @@
 	/**
 	 * The leader's view of the state of a host has changed.
 	 */
-	HOST_CHANGED
+	HOST_CHANGED,
+
+	/**
+	 * The connection to a host is closed because of a network error or a message that
+	 * cannot be processed; it is opened again.
+	 */
+	CONNECTION_FAILED,
+
+	/**
+	 * Bytes that the leader has sent and received since the previous line, by kind of
+	 * traffic.
+	 */
+	TRAFFIC_COUNTED
 
 }
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
 import org.crocuspost.dispatch.DefaultPlacementPolicy;
@@ -18,11 +19,14 @@
 import org.crocuspost.dispatch.ReportProcessor;
 import org.crocuspost.hostlink.HostLink;
 import org.crocuspost.hostlink.HostLinkListener;
-import org.crocuspost.job.JobSubmission;
+import org.crocuspost.job.JobSummary;
+import org.crocuspost.job.StoredProgress;
 import org.crocuspost.job.SubmissionCodec;
+import org.crocuspost.job.TaskKey;
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
 import org.crocuspost.net.Sockets;
+import org.crocuspost.net.TrafficMeter;
 import org.crocuspost.rows.RowStore;
 import org.crocuspost.rows.RowTransaction;
 import org.crocuspost.rows.RowWatch;
@@ -57,6 +61,10 @@
 
 	private final DispatchSettings settings;
 
+	private final TrafficMeter traffic;
+
+	private final TrafficLog trafficLog;
+
 	private final FencedWriter writer;
 
 	private final Dispatcher dispatcher;
@@ -69,7 +77,9 @@
 
 	private final Map<String, String> addresses = new HashMap<>();
 
-	private final Map<String, String> storedProgress = new HashMap<>();
+	private final Map<String, String> storedJobs = new HashMap<>();
+
+	private final Map<String, Map<TaskKey, String>> storedTasks = new HashMap<>();
 
 	private final RemovedJobs removedJobs = new RemovedJobs();
 
@@ -86,11 +96,14 @@
 	private boolean resigning;
 
 	Leader(RowStore store, LeaderRecord record, long version, OperatorView operator, DispatchSettings settings,
-			LeaderMetrics metrics, EventLoop loop, Clock clock, Timer timer, Runnable onLeadershipLost) {
+			LeaderMetrics metrics, TrafficMeter traffic, EventLoop loop, Clock clock, Timer timer,
+			Runnable onLeadershipLost) {
 		this.store = store;
 		this.record = record;
 		this.operator = operator;
 		this.settings = settings;
+		this.traffic = traffic;
+		this.trafficLog = new TrafficLog(traffic, clock);
 		this.loop = loop;
 		this.clock = clock;
 		this.timer = timer;
@@ -102,52 +115,89 @@
 		this.intakeWatch = new RowWatch(store, Tables.INTAKE, TableWatchSettings.INTAKE_WATCH, this, clock, timer);
 		this.takeoverNanos = clock.nanoTime();
 		this.tickTimer = timer.repeat(LeadershipTimings.TICK_INTERVAL, this::tick);
-		readProgress("");
+		readTable(Tables.LEDGER, "", this::readJobState,
+				() -> readTable(Tables.TASKS, "", this::readTaskProgress, this.intakeWatch::start));
 	}
 
-	private void readProgress(String fromKey) {
-		this.store.scan(Tables.LEDGER, fromKey, (answer) -> {
+	/**
+	 * Reads a table, and then continues. The tables that only leaders write cannot change
+	 * any more once this leader holds the leader's row.
+	 * @param table the table
+	 * @param fromKey the first key to read
+	 * @param reader receives each row
+	 * @param next runs when the table is read
+	 */
+	private void readTable(String table, String fromKey, Consumer<StoredRow> reader, Runnable next) {
+		this.store.scan(table, fromKey, (answer) -> {
 			if (this.closed) {
 				return;
 			}
 			if (answer.isLeft()) {
-				this.timer.schedule(LeadershipTimings.RETRY_DELAY, () -> readProgress(fromKey));
+				EventLog.warn(LeadEvent.READ_DELAYED, Field.of("table", table),
+						Field.of("reason", answer.getLeft().message()));
+				this.timer.schedule(LeadershipTimings.RETRY_DELAY, () -> readTable(table, fromKey, reader, next));
 				return;
 			}
 			List<StoredRow> rows = answer.get().rows();
-			for (StoredRow row : rows) {
-				if (row.key().startsWith(Tables.PROGRESS_PREFIX)) {
-					this.storedProgress.put(row.key().substring(Tables.PROGRESS_PREFIX.length()), row.value());
-				}
-			}
+			rows.forEach(reader);
 			if (answer.get().complete()) {
-				this.intakeWatch.start();
+				next.run();
 			}
 			else {
-				readProgress(rows.get(rows.size() - 1).key() + RowStore.KEY_SUCCESSOR_SUFFIX);
+				readTable(table, rows.get(rows.size() - 1).key() + RowStore.KEY_SUCCESSOR_SUFFIX, reader, next);
 			}
 		});
 	}
 
+	private void readJobState(StoredRow row) {
+		if (row.key().startsWith(Tables.PROGRESS_PREFIX)) {
+			this.storedJobs.put(row.key().substring(Tables.PROGRESS_PREFIX.length()), row.value());
+		}
+	}
+
+	private void readTaskProgress(StoredRow row) {
+		TaskKey.parse(row.key())
+			.ifPresentOrElse(
+					(task) -> this.storedTasks.computeIfAbsent(task.job(), (job) -> new HashMap<>())
+						.put(task, row.value()),
+					() -> EventLog.warn(LeadEvent.ROW_IGNORED, Field.of("key", row.key()),
+							Field.of("version", row.version()), Field.of("reason", "the key names no task")));
+	}
+
 	@Override
 	public void tableRead(List<StoredRow> rows) {
-		rows.forEach(this::applyRow);
+		rows.forEach(this::applyOrIgnore);
 		if (!this.restored) {
 			this.restored = true;
 			EventLog.info(LeadEvent.STATE_RESTORED, Field.of("epoch", this.record.epoch()),
-					Field.of("rows", rows.size()), Field.of("progress", this.storedProgress.size()),
+					Field.of("rows", rows.size()), Field.of("progress", this.storedJobs.size()),
 					Field.of("hosts", this.links.size()));
-			this.storedProgress.clear();
+			this.storedJobs.clear();
+			this.storedTasks.clear();
 		}
 		scheduleDecision();
 	}
 
 	@Override
 	public void rowsChanged(List<StoredRow> rows) {
-		rows.forEach(this::applyRow);
+		rows.forEach(this::applyOrIgnore);
 		scheduleDecision();
 	}
 
+	/**
+	 * Applies a row. One row that causes an unexpected error must not keep the leader
+	 * from the others.
+	 * @param row the row
+	 */
+	private void applyOrIgnore(StoredRow row) {
+		try {
+			applyRow(row);
+		}
+		catch (RuntimeException ex) {
+			EventLog.error(ex, LeadEvent.ROW_IGNORED, Field.of("key", row.key()), Field.of("version", row.version()));
+		}
+	}
+
 	private void applyRow(StoredRow row) {
 		if (!row.exists()) {
 			return;
@@ -179,9 +229,15 @@
 					Field.of("reason", "the job was removed after the row was written"));
 			return;
 		}
+		Optional<String> stored = Optional.ofNullable(this.storedJobs.get(id));
 		try {
-			JobSubmission submission = SubmissionCodec.read(id, row.value());
-			this.dispatcher.submitted(submission, Optional.ofNullable(this.storedProgress.get(id)));
+			if (row.value().equals(Tables.ENDED_JOB) || row.value().equals(Tables.WITHDRAWN_JOB)) {
+				this.dispatcher.endedEarlier(id,
+						stored.map((text) -> JobSummary.read(text).endedMillis()).orElse(this.clock.millis()));
+				return;
+			}
+			this.dispatcher.submitted(SubmissionCodec.read(id, row.value()),
+					stored.map((text) -> new StoredProgress(text, this.storedTasks.getOrDefault(id, Map.of()))));
 		}
 		catch (IOException | IllegalArgumentException ex) {
 			EventLog.warn(LeadEvent.ROW_IGNORED, Field.of("key", row.key()), Field.of("version", row.version()),
@@ -199,8 +255,12 @@
 		}
 		try {
 			HostLink link = new HostLink(host, Sockets.parseAddress(address),
-					LeaderHello.newBuilder().setEpoch(this.record.epoch()).setLeader(this.record.name()).build(),
-					this.loop, this.timer, this.clock, this);
+					LeaderHello.newBuilder()
+						.setEpoch(this.record.epoch())
+						.setLeader(this.record.name())
+						.setReadsChanges(true)
+						.build(),
+					this.traffic, this.loop, this.timer, this.clock, this);
 			this.links.put(host, link);
 			link.open();
 		}
@@ -220,6 +280,28 @@
 		}
 	}
 
+	@Override
+	public void connectionFailed(String host, String reason) {
+		EventLog.warn(LeadEvent.CONNECTION_FAILED, Field.of("host", host), Field.of("reason", reason));
+	}
+
+	/**
+	 * Ends the link of a host whose address another host has taken over. A host writes
+	 * its address to the store when it starts, so the link is opened again if it returns.
+	 * If both links stayed open, each would push out the other at the agent.
+	 */
+	@Override
+	public void addressReused(String host, String answering) {
+		EventLog.warn(LeadEvent.HOST_CHANGED, Field.of("host", host), Field.of("belief", "gone"),
+				Field.of("detail", "host " + answering + " answers at " + this.addresses.get(host)));
+		this.addresses.remove(host);
+		HostLink link = this.links.remove(host);
+		if (link != null) {
+			link.close();
+		}
+		this.reportProcessor.connected(host, false);
+	}
+
 	@Override
 	public void reportReceived(HostReport report) {
 		if (!this.restored) {
@@ -228,6 +310,7 @@
 		ReportProcessor.Response reaction = this.reportProcessor.reported(report, mayExtendLeases());
 		send(report.getHost(),
 				LeaderMessage.newBuilder()
+					.setAnsweredReport(report.getSequence())
 					.setLeaseStamp(reaction.leaseStamp())
 					.setRecordedEnds(reaction.recordedEnds())
 					.addAllStops(reaction.stops())
@@ -236,8 +319,7 @@
 	}
 
 	private boolean mayExtendLeases() {
-		return this.clock.nanoTime() - this.writer.confirmedNanos() < LeadershipTimings.LEASE_EXTENSION_WITHOUT_STORE
-			.toNanos();
+		return this.writer.confirmationAge().compareTo(LeadershipTimings.LEASE_EXTENSION_WITHOUT_STORE) < 0;
 	}
 
 	private void sendStops(String host) {
@@ -260,6 +342,7 @@
 			return;
 		}
 		this.links.values().forEach(HostLink::closeIfUnresponsive);
+		this.trafficLog.writeIfDue();
 		if (this.restored) {
 			this.reportProcessor.expireLeases(
 					LeadershipTimings.LEASE_EXTENSION_WITHOUT_STORE.plus(this.settings.leaseTimeout()),
@@ -293,42 +376,50 @@
 		if (this.operator.age().compareTo(LeadershipTimings.MAXIMUM_OPERATOR_VIEW_AGE) < 0 && this.writer.confirmed()) {
 			this.dispatcher.schedule();
 		}
-		if (this.dispatcher.hasChanges()) {
-			recordChanges();
+		DispatchBatch batch = this.dispatcher.takeBatch(LeadershipTimings.MAXIMUM_ROWS_PER_TRANSACTION);
+		if (batch.isEmpty()) {
+			renewIfDue();
 		}
 		else {
-			renewIfDue();
+			record(batch);
 		}
 	}
 
 	private void renewIfDue() {
-		if (this.clock.nanoTime() - this.writer.confirmedNanos() > LeadershipTimings.RENEWAL_INTERVAL.toNanos()) {
+		if (this.writer.confirmationAge().compareTo(LeadershipTimings.RENEWAL_INTERVAL) > 0) {
 			this.writer.write(this.record.name(), List.of(), List.of(), this::scheduleDecision);
 		}
 	}
 
-	private void recordChanges() {
-		DispatchBatch batch = this.dispatcher.takeBatch(LeadershipTimings.MAXIMUM_JOBS_PER_TRANSACTION);
+	private void record(DispatchBatch batch) {
 		List<RowTransaction.Write> writes = new ArrayList<>();
 		batch.jobs()
-			.forEach((id, progress) -> writes
-				.add(new RowTransaction.Write(Tables.LEDGER, Tables.PROGRESS_PREFIX + id, progress)));
+			.forEach((id, state) -> writes
+				.add(new RowTransaction.Write(Tables.LEDGER, Tables.PROGRESS_PREFIX + id, state)));
+		batch.tasks()
+			.forEach((task, progress) -> writes.add(new RowTransaction.Write(Tables.TASKS, task.toString(), progress)));
 		List<RowTransaction.Removal> removals = new ArrayList<>();
-		for (String id : batch.removals()) {
+		DispatchBatch.Cleanup cleanup = batch.cleanup();
+		cleanup.tasks().forEach((task) -> removals.add(new RowTransaction.Removal(Tables.TASKS, task.toString())));
+		cleanup.reduced()
+			.forEach((id) -> writes
+				.add(new RowTransaction.Write(Tables.INTAKE, Tables.JOB_PREFIX + id, Tables.ENDED_JOB)));
+		for (String id : cleanup.expired()) {
 			removals.add(new RowTransaction.Removal(Tables.LEDGER, Tables.PROGRESS_PREFIX + id));
 			removals.add(new RowTransaction.Removal(Tables.INTAKE, Tables.JOB_PREFIX + id));
 			removals.add(new RowTransaction.Removal(Tables.INTAKE, Tables.CANCELLATION_PREFIX + id));
 		}
 		this.writer.write(this.record.name(), writes, removals, () -> {
-			this.removedJobs.add(batch.removals(), this.writer.version());
+			this.removedJobs.add(cleanup.expired(), this.writer.version());
 			handleChangesRecorded(batch);
 		});
 	}
 
 	private void handleChangesRecorded(DispatchBatch batch) {
-		boolean operatorViewFresh = this.operator.age().compareTo(LeadershipTimings.MAXIMUM_OPERATOR_VIEW_AGE) < 0;
+		boolean mayStart = this.operator.age().compareTo(LeadershipTimings.MAXIMUM_OPERATOR_VIEW_AGE) < 0
+				&& this.writer.confirmationAge().compareTo(LeadershipTimings.MAXIMUM_START_DELAY) < 0;
 		this.dispatcher.setEvacuatedDomains(this.operator.evacuatedDomains());
-		Map<String, List<StartOrder>> orders = new LinkedHashMap<>(this.dispatcher.recorded(batch, operatorViewFresh));
+		Map<String, List<StartOrder>> orders = new LinkedHashMap<>(this.dispatcher.recorded(batch, mayStart));
 		batch.ends().keySet().forEach((host) -> orders.putIfAbsent(host, List.of()));
 		orders.forEach((host, starts) -> send(host,
 				LeaderMessage.newBuilder()
--- a/src/main/java/org/crocuspost/lead/LeaderElector.java
+++ b/src/main/java/org/crocuspost/lead/LeaderElector.java
@@ -6,6 +6,7 @@
 import org.crocuspost.dispatch.DispatchSettings;
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
+import org.crocuspost.net.TrafficMeter;
 import org.crocuspost.rows.RowCommit;
 import org.crocuspost.rows.RowStore;
 import org.crocuspost.rows.RowTransaction;
@@ -34,6 +35,8 @@
 
 	private final LeaderMetrics metrics;
 
+	private final TrafficMeter traffic;
+
 	private final EventLoop loop;
 
 	private final Clock clock;
@@ -59,18 +62,21 @@
 	 * @param operator the view of the operator's settings
 	 * @param settings times and thresholds of the dispatcher's decisions
 	 * @param metrics the metrics of leader election and of the decisions
+	 * @param traffic counts the bytes of the process
 	 * @param loop the event loop of the process
 	 * @param clock the clock of the process
 	 * @param timer the timer of the event loop
 	 */
 	public LeaderElector(String name, RowStore store, RowWatch ledgerWatch, OperatorView operator,
-			DispatchSettings settings, LeaderMetrics metrics, EventLoop loop, Clock clock, Timer timer) {
+			DispatchSettings settings, LeaderMetrics metrics, TrafficMeter traffic, EventLoop loop, Clock clock,
+			Timer timer) {
 		this.name = name;
 		this.store = store;
 		this.ledgerWatch = ledgerWatch;
 		this.operator = operator;
 		this.settings = settings;
 		this.metrics = metrics;
+		this.traffic = traffic;
 		this.loop = loop;
 		this.clock = clock;
 		this.timer = timer;
@@ -154,8 +160,8 @@
 	private void becomeLeader(LeaderRecord record, long version) {
 		this.metrics.setLeader(true);
 		EventLog.info(LeadEvent.LEADERSHIP_WON, Field.of("epoch", record.epoch()), Field.of("version", version));
-		this.leader = new Leader(this.store, record, version, this.operator, this.settings, this.metrics, this.loop,
-				this.clock, this.timer, () -> handleLeadershipLost(record));
+		this.leader = new Leader(this.store, record, version, this.operator, this.settings, this.metrics, this.traffic,
+				this.loop, this.clock, this.timer, () -> handleLeadershipLost(record));
 	}
 
 	private void handleLeadershipLost(LeaderRecord record) {
--- a/src/main/java/org/crocuspost/lead/LeadershipTimings.java
+++ b/src/main/java/org/crocuspost/lead/LeadershipTimings.java
@@ -38,6 +38,13 @@
 	 */
 	static final Duration MAXIMUM_OPERATOR_VIEW_AGE = Duration.ofMillis(1_500);
 
+	/**
+	 * Maximum time from sending a transaction to sending the start orders that it
+	 * records. Shorter than the time after which another process takes over: the store
+	 * may have answered before this process was suspended.
+	 */
+	static final Duration MAXIMUM_START_DELAY = Duration.ofMillis(2_000);
+
 	/**
 	 * Interval between two checks of the state of the leadership.
 	 */
@@ -55,10 +62,10 @@
 	static final Duration RETRY_DELAY = Duration.ofMillis(150);
 
 	/**
-	 * Maximum number of jobs in a transaction. The store accepts 100 entries in a
-	 * transaction.
+	 * Maximum number of rows in a transaction besides the leader's row. The store accepts
+	 * 100 entries in a transaction.
 	 */
-	static final int MAXIMUM_JOBS_PER_TRANSACTION = 60;
+	static final int MAXIMUM_ROWS_PER_TRANSACTION = 90;
 
 	private LeadershipTimings() {
 	}
--- a/src/main/java/org/crocuspost/lead/Tables.java
+++ b/src/main/java/org/crocuspost/lead/Tables.java
@@ -12,11 +12,29 @@
 	public static final String INTAKE = "intake";
 
 	/**
-	 * Table that the leader writes and entry processes read. Holds the progress of jobs
-	 * and the row that names the leader.
+	 * Table that the leader writes and entry processes read. Holds the states of jobs and
+	 * the row that names the leader.
 	 */
 	public static final String LEDGER = "ledger";
 
+	/**
+	 * Table that only the leader writes and reads. Holds the progress of the tasks of
+	 * active jobs.
+	 */
+	public static final String TASKS = "tasks";
+
+	/**
+	 * Value that replaces the specification of a job that has ended. Its row remains, so
+	 * that a repeated submission of the job is recognized.
+	 */
+	public static final String ENDED_JOB = "ended";
+
+	/**
+	 * Value that takes the place of a job whose cancellation was answered before the job
+	 * was stored. A write of the job that the store carries out later is refused.
+	 */
+	public static final String WITHDRAWN_JOB = "withdrawn";
+
 	/**
 	 * Key of the row that names the leader.
 	 */
@@ -43,7 +61,7 @@
 	public static final String DEPARTURE_PREFIX = "departed/";
 
 	/**
-	 * Prefix of the keys of the progress of jobs.
+	 * Prefix of the keys of the states of jobs.
 	 */
 	public static final String PROGRESS_PREFIX = "progress/";
 
--- a/src/main/java/org/crocuspost/platform/hosted/EntryProgram.java
+++ b/src/main/java/org/crocuspost/platform/hosted/EntryProgram.java
@@ -20,6 +20,7 @@
 import org.crocuspost.lead.Tables;
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
+import org.crocuspost.net.TrafficMeter;
 import org.crocuspost.platform.http.HttpCaller;
 import org.crocuspost.rows.CircuitBreakingRowStore;
 import org.crocuspost.rows.InstrumentedRowStore;
@@ -85,8 +86,9 @@
 		this.settings = settings;
 		this.loop = loop;
 		Timer timer = new ExecutorTimer(loop);
+		TrafficMeter traffic = new TrafficMeter(this.registry);
 		RowStore store = new InstrumentedRowStore(
-				new HostedRowStore(new HttpCaller(loop, STORE_CONNECTIONS), settings.storeAddress()), clock,
+				new HostedRowStore(new HttpCaller(loop, STORE_CONNECTIONS), settings.storeAddress(), traffic), clock,
 				this.registry);
 		RowStore protectedStore = new CircuitBreakingRowStore(store,
 				new CircuitBreaker(ProtectionSettings.DEFAULT, clock, RandomGenerator.getDefault()));
@@ -99,7 +101,7 @@
 				new DispatchSettings(settings.limits().leaseDuration(),
 						settings.limits().statusRetention().plus(DispatchSettings.RETENTION_MARGIN),
 						settings.limits().remotePenalty()),
-				new LeaderMetrics(this.registry), loop, clock, timer);
+				new LeaderMetrics(this.registry), traffic, loop, clock, timer);
 		electorReference.set(this.leaderElector);
 		this.jobService = new JobService(protectedStore, this.operator, directory, new IngressMetrics(this.registry),
 				clock);
--- a/src/main/java/org/crocuspost/platform/hosted/HostedRowStore.java
+++ b/src/main/java/org/crocuspost/platform/hosted/HostedRowStore.java
@@ -18,6 +18,7 @@
 import org.crocuspost.error.ErrorCode;
 import org.crocuspost.error.Failure;
 import org.crocuspost.json.JsonTrees;
+import org.crocuspost.net.TrafficMeter;
 import org.crocuspost.platform.http.HttpCaller;
 import org.crocuspost.platform.http.HttpOutcome;
 import org.crocuspost.platform.http.HttpOutcome.Answered;
@@ -59,20 +60,24 @@
 
 	private final InetSocketAddress address;
 
+	private final TrafficMeter traffic;
+
 	/**
 	 * Creates the adapter.
 	 * @param caller the HTTP client
 	 * @param address the address of the store
+	 * @param traffic counts the bytes of the calls
 	 */
-	public HostedRowStore(HttpCaller caller, InetSocketAddress address) {
+	public HostedRowStore(HttpCaller caller, InetSocketAddress address, TrafficMeter traffic) {
 		this.caller = caller;
 		this.address = address;
+		this.traffic = traffic;
 	}
 
 	@Override
 	public void commit(RowTransaction transaction, Consumer<Either<Failure, RowCommit>> answer) {
 		HttpCaller.Request request = new HttpCaller.Request("POST", "/v1/rows-tx", Map.of(), body(transaction));
-		this.caller.call(this.address, request, CALL_TIMEOUT, (outcome) -> answer.accept(commitResult(outcome)));
+		call("commit", request, CALL_TIMEOUT, (outcome) -> answer.accept(commitResult(outcome)));
 	}
 
 	private static byte[] body(RowTransaction transaction) {
@@ -126,7 +131,7 @@
 	public void read(String table, String key, Consumer<Either<Failure, StoredRow>> answer) {
 		String path = "/v1/rows-get?table=" + encode(table) + "&part=" + partition(table) + "&from=" + encode(key)
 				+ "&target=" + encode(key + RowStore.KEY_SUCCESSOR_SUFFIX) + "&limit=1";
-		get(path, CALL_TIMEOUT,
+		get("read", path, CALL_TIMEOUT,
 				(outcome) -> answer.accept(outcome.flatMap((answered) -> parse(answered,
 						(body) -> rows(body).stream()
 							.filter((row) -> row.key().equals(key))
@@ -139,7 +144,7 @@
 		String from = fromKey.isEmpty() ? "" : "&from=" + encode(fromKey);
 		String path = "/v1/rows-get?table=" + encode(table) + "&part=" + partition(table) + from + "&limit="
 				+ PAGE_ROWS;
-		get(path, CALL_TIMEOUT, (outcome) -> answer.accept(outcome.flatMap((answered) -> parse(answered,
+		get("scan", path, CALL_TIMEOUT, (outcome) -> answer.accept(outcome.flatMap((answered) -> parse(answered,
 				(body) -> new RowPage(rows(body), !body.path("has_more").asBoolean(), version(body))))));
 	}
 
@@ -148,7 +153,7 @@
 			Consumer<Either<Failure, RowChanges>> answer) {
 		String path = "/v1/rows-feed?table=" + encode(table) + "&after=" + afterVersion + "&wait_ms="
 				+ maximumWait.toMillis();
-		get(path, CALL_TIMEOUT.plus(maximumWait), (outcome) -> answer.accept(outcome.flatMap((answered) -> {
+		get("changes", path, CALL_TIMEOUT.plus(maximumWait), (outcome) -> answer.accept(outcome.flatMap((answered) -> {
 			if (answered.status() == GONE) {
 				return Either.right(RowChanges.HISTORY_LOST);
 			}
@@ -156,9 +161,9 @@
 		})));
 	}
 
-	private void get(String path, Duration timeout, Consumer<Either<Failure, Answered>> answer) {
+	private void get(String operation, String path, Duration timeout, Consumer<Either<Failure, Answered>> answer) {
 		HttpCaller.Request request = new HttpCaller.Request("GET", path, Map.of(), new byte[0]);
-		this.caller.call(this.address, request, timeout, (outcome) -> {
+		call(operation, request, timeout, (outcome) -> {
 			if (outcome instanceof Answered answered) {
 				answer.accept(Either.right(answered));
 			}
@@ -171,6 +176,14 @@
 		});
 	}
 
+	private void call(String operation, HttpCaller.Request request, Duration timeout, Consumer<HttpOutcome> answer) {
+		this.caller.call(this.address, request, timeout, (outcome) -> {
+			long received = (outcome instanceof Answered answered) ? answered.body().length : 0;
+			this.traffic.count("store " + operation, request.path().length() + request.body().length, received);
+			answer.accept(outcome);
+		});
+	}
+
 	private static <T> Either<Failure, T> parse(Answered answered, BodyParser<T> parser) {
 		if (answered.status() != OK) {
 			return unavailable("status " + answered.status());
--- a/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
@@ -14,6 +14,7 @@
 import org.crocuspost.job.Queue;
 import org.crocuspost.job.QueueConfiguration;
 import org.crocuspost.job.StepSpecification;
+import org.crocuspost.job.StoredProgress;
 import org.crocuspost.job.TaskKey;
 import org.crocuspost.job.TaskProgress;
 import org.crocuspost.time.VirtualTime;
@@ -40,7 +41,9 @@
 
 	final ImagePressure imagePressure = new ImagePressure();
 
-	final Map<String, String> storedProgress = new LinkedHashMap<>();
+	final Map<String, String> storedJobs = new LinkedHashMap<>();
+
+	final Map<String, Map<TaskKey, String>> storedTasks = new LinkedHashMap<>();
 
 	final Map<String, JobSubmission> submissions = new LinkedHashMap<>();
 
@@ -55,12 +58,20 @@
 	ReportProcessor reports = new ReportProcessor(this.dispatcher, this.imagePressure);
 
 	Dispatcher newDispatcher() {
-		Dispatcher created = new Dispatcher(SETTINGS, new DefaultPlacementPolicy(this.imagePressure), this.time,
+		Dispatcher created = newUnconfiguredDispatcher();
+		configure(created);
+		return created;
+	}
+
+	private Dispatcher newUnconfiguredDispatcher() {
+		return new Dispatcher(SETTINGS, new DefaultPlacementPolicy(this.imagePressure), this.time,
 				new RecordingListener());
+	}
+
+	void configure(Dispatcher created) {
 		created.configure(new QueueConfiguration(1,
 				List.of(new Queue(QUEUE, "host", "/queue/", SERVICE, 0, 2, 2, Duration.ofSeconds(1), false)), List.of(),
 				1_000));
-		return created;
 	}
 
 	SimulatedWorker worker(String host, int milliCores) {
@@ -84,11 +95,23 @@
 		this.dispatcher.schedule();
 		while (this.dispatcher.hasChanges()) {
 			DispatchBatch batch = this.dispatcher.takeBatch(100);
-			this.storedProgress.putAll(batch.jobs());
+			store(batch);
 			this.dispatcher.recorded(batch, true).forEach((host, orders) -> this.workers.get(host).execute(orders));
 		}
 	}
 
+	/**
+	 * Stores the rows of a batch, as the leader does before the batch takes effect.
+	 */
+	void store(DispatchBatch batch) {
+		this.storedJobs.putAll(batch.jobs());
+		batch.tasks()
+			.forEach((task, row) -> this.storedTasks.computeIfAbsent(task.job(), (job) -> new LinkedHashMap<>())
+				.put(task, row));
+		batch.cleanup().tasks().forEach((task) -> this.storedTasks.get(task.job()).remove(task));
+		batch.cleanup().expired().forEach(this.storedJobs::remove);
+	}
+
 	void reportAll() {
 		this.workers.values().forEach(this::report);
 	}
@@ -103,7 +126,18 @@
 	 * Replaces the leader by a new one that starts from the stored progress only.
 	 */
 	void takeOver() {
-		this.dispatcher = newDispatcher();
+		takeOver(newDispatcher());
+	}
+
+	/**
+	 * Replaces the leader by a new one that has not read the configuration yet.
+	 */
+	void takeOverWithoutConfiguration() {
+		takeOver(newUnconfiguredDispatcher());
+	}
+
+	private void takeOver(Dispatcher next) {
+		this.dispatcher = next;
 		this.reports = new ReportProcessor(this.dispatcher, this.imagePressure);
 		this.workers.values().forEach((worker) -> worker.handledOrder = 0);
 		restoreJobs();
@@ -113,8 +147,9 @@
 	 * Submits all jobs again with their stored progress, as a new leader reads them.
 	 */
 	void restoreJobs() {
-		this.submissions.forEach((id, submission) -> this.dispatcher.submitted(submission,
-				Optional.ofNullable(this.storedProgress.get(id))));
+		this.submissions.forEach(
+				(id, submission) -> this.dispatcher.submitted(submission, Optional.ofNullable(this.storedJobs.get(id))
+					.map((job) -> new StoredProgress(job, this.storedTasks.getOrDefault(id, Map.of())))));
 	}
 
 	JobProgress job(String id) {
--- a/src/test/java/org/crocuspost/dispatch/DispatcherTests.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatcherTests.java
@@ -28,7 +28,7 @@
 		this.fixture.dispatcher.schedule();
 		assertThat(worker.executedOrders).isEmpty();
 		DispatchBatch batch = this.fixture.dispatcher.takeBatch(10);
-		assertThat(batch.jobs().get("job")).contains("one worker-one");
+		assertThat(batch.tasks().values()).hasSize(2).allMatch((row) -> row.contains("one worker-one"));
 		assertThat(this.fixture.dispatcher.recorded(batch, true).get("one")).hasSize(2);
 	}
 
@@ -211,13 +211,37 @@
 		worker.endAll("failed");
 		this.fixture.report(worker);
 		while (this.fixture.dispatcher.hasChanges()) {
-			this.fixture.storedProgress.putAll(this.fixture.dispatcher.takeBatch(10).jobs());
+			this.fixture.store(this.fixture.dispatcher.takeBatch(10));
 		}
 		this.fixture.takeOver();
 		this.fixture.report(worker);
 		assertThat(this.fixture.task("job", 0, 0).failures()).isEqualTo(1);
 	}
 
+	/**
+	 * A new leader may receive the end of the last allowed run before it knows how many
+	 * runs are allowed.
+	 */
+	@Test
+	void startsNoRunAfterLastAllowedFailureReportedBeforeTheConfiguration() {
+		SimulatedWorker worker = this.fixture.worker("one", 8_000);
+		this.fixture.submit("job", DispatchFixture.step(1, 1_000));
+		for (int run = 0; run < 2; run++) {
+			this.fixture.runSchedulingRound();
+			worker.endAll("failed");
+			if (run == 0) {
+				this.fixture.report(worker);
+			}
+		}
+		this.fixture.takeOverWithoutConfiguration();
+		this.fixture.report(worker);
+		this.fixture.runSchedulingRound();
+		this.fixture.configure(this.fixture.dispatcher);
+		this.fixture.runSchedulingRound();
+		assertThat(worker.executedOrders).hasSize(2);
+		assertThat(this.fixture.job("job").state()).isEqualTo(JobState.FAILED);
+	}
+
 	@Test
 	void assignsNoTasksToWorkerWithConsecutiveFailures() {
 		SimulatedWorker bad = this.fixture.worker("bad", 64_000);
--- /dev/null
+++ b/src/test/java/org/crocuspost/dispatch/RecordingTests.java
@@ -0,0 +1,178 @@
+package org.crocuspost.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.crocuspost.dispatch.DispatchFixture.SimulatedWorker;
+import org.crocuspost.job.JobState;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that what is recorded depends on what has changed, and that no batch exceeds a
+ * transaction of the store.
+ */
+class RecordingTests {
+
+	private static final int LIMIT = 90;
+
+	private final DispatchFixture fixture = new DispatchFixture();
+
+	private static int rows(DispatchBatch batch) {
+		return batch.jobs().size() + batch.tasks().size() + batch.cleanup().tasks().size()
+				+ batch.cleanup().reduced().size() + 3 * batch.cleanup().expired().size();
+	}
+
+	/**
+	 * Records batches until there is nothing left to record or to clean up.
+	 */
+	private List<DispatchBatch> recordAll() {
+		List<DispatchBatch> batches = new ArrayList<>();
+		DispatchBatch batch = this.fixture.dispatcher.takeBatch(LIMIT);
+		while (!batch.isEmpty()) {
+			batches.add(batch);
+			this.fixture.store(batch);
+			this.fixture.dispatcher.recorded(batch, true)
+				.forEach((host, orders) -> this.fixture.workers.get(host).execute(orders));
+			batch = this.fixture.dispatcher.takeBatch(LIMIT);
+		}
+		return batches;
+	}
+
+	/**
+	 * Bytes recorded for one end must not grow with the width of the step.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 10, 110 })
+	void endOfOneTaskRecordsOneRow(int width) {
+		SimulatedWorker worker = this.fixture.worker("one", 1_000_000);
+		this.fixture.submit("job", DispatchFixture.step(width, 1_000));
+		this.fixture.dispatcher.schedule();
+		recordAll();
+		worker.end(this.fixture.task("job", 0, 0).key(), "failed");
+		this.fixture.report(worker);
+		DispatchBatch batch = this.fixture.dispatcher.takeBatch(LIMIT);
+		assertThat(batch.tasks()).containsOnlyKeys(this.fixture.task("job", 0, 0).key());
+		assertThat(batch.jobs()).isEmpty();
+		assertThat(batch.tasks().get(this.fixture.task("job", 0, 0).key())).hasSizeLessThan(60);
+	}
+
+	@Test
+	void wideJobIsRecordedInSeveralBatchesAndStartsWhole() {
+		SimulatedWorker worker = this.fixture.worker("one", 1_000_000);
+		this.fixture.submit("wide", DispatchFixture.step(200, 1_000));
+		this.fixture.dispatcher.schedule();
+		List<DispatchBatch> batches = recordAll();
+		assertThat(batches).hasSizeGreaterThan(2).allMatch((batch) -> rows(batch) <= LIMIT);
+		assertThat(worker.executedOrders).hasSize(200);
+	}
+
+	@Test
+	void endIsAcknowledgedOnlyAfterAllChangesAreRecorded() {
+		SimulatedWorker worker = this.fixture.worker("one", 1_000_000);
+		this.fixture.submit("wide", DispatchFixture.step(200, 1_000));
+		this.fixture.dispatcher.schedule();
+		recordAll();
+		worker.endAll("failed");
+		this.fixture.report(worker);
+		DispatchBatch first = this.fixture.dispatcher.takeBatch(LIMIT);
+		assertThat(first.ends()).isEmpty();
+		this.fixture.dispatcher.recorded(first, true);
+		assertThat(this.fixture.reports.recordedEnds("one")).isZero();
+		recordAll();
+		assertThat(this.fixture.reports.recordedEnds("one")).isEqualTo(200);
+	}
+
+	/**
+	 * Guards against transactions that exceed the limit of the store: they are refused
+	 * and sent again for ever.
+	 */
+	@Test
+	void aThousandExpiredJobsAreRemovedInBatchesThatFit() {
+		List<SimulatedWorker> workers = new ArrayList<>();
+		for (int number = 0; number < 4; number++) {
+			workers.add(this.fixture.worker("host" + number, 2_000_000));
+		}
+		for (int number = 0; number < 1_000; number++) {
+			this.fixture.submit("job" + number, DispatchFixture.step(2, 1_000));
+		}
+		this.fixture.dispatcher.schedule();
+		recordAll();
+		workers.forEach((worker) -> worker.endAll("done"));
+		this.fixture.reportAll();
+		recordAll();
+		assertThat(this.fixture.storedJobs.values()).allMatch((state) -> state.startsWith(JobState.COMPLETED.name()))
+			.hasSize(1_000);
+		this.fixture.time.advance(DispatchFixture.SETTINGS.retention().plusSeconds(1));
+		assertThat(recordAll()).allMatch((batch) -> rows(batch) <= LIMIT);
+		assertThat(this.fixture.storedJobs.keySet()).isEmpty();
+		assertThat(this.fixture.storedTasks.values()).allMatch((rows) -> rows.isEmpty());
+	}
+
+	@Test
+	void rowsOfAnEndedJobAreReducedOnceItsRunsAreGone() {
+		SimulatedWorker worker = this.fixture.worker("one", 4_000);
+		this.fixture.submit("job", DispatchFixture.step(2, 1_000));
+		this.fixture.dispatcher.schedule();
+		recordAll();
+		this.fixture.report(worker);
+		this.fixture.dispatcher.cancelled("job");
+		recordAll();
+		this.fixture.time.advance(EndedJobs.REDUCTION_DELAY);
+		assertThat(recordAll()).isEmpty();
+		worker.endAll("stopped");
+		this.fixture.report(worker);
+		List<DispatchBatch> batches = recordAll();
+		assertThat(batches).flatExtracting((batch) -> batch.cleanup().reduced()).containsExactly("job");
+		assertThat(batches).flatExtracting((batch) -> batch.cleanup().tasks()).hasSize(2);
+		assertThat(this.fixture.storedJobs.get("job")).startsWith(JobState.CANCELLED.name());
+	}
+
+	/**
+	 * A repeated submission can arrive seconds after the job has ended.
+	 */
+	@Test
+	void reducedJobIsNotStartedAgain() {
+		SimulatedWorker worker = this.fixture.worker("one", 4_000);
+		this.fixture.submit("job", DispatchFixture.step(1, 1_000));
+		this.fixture.dispatcher.schedule();
+		recordAll();
+		worker.endAll("done");
+		this.fixture.report(worker);
+		recordAll();
+		this.fixture.time.advance(EndedJobs.REDUCTION_DELAY);
+		recordAll();
+		this.fixture.submit("job", DispatchFixture.step(1, 1_000));
+		this.fixture.runSchedulingRound();
+		assertThat(worker.executedOrders).hasSize(1);
+	}
+
+	@Test
+	void newLeaderRemovesTheStateOfAReducedJobOnceItExpires() {
+		this.fixture.dispatcher.endedEarlier("job", this.fixture.time.millis());
+		assertThat(recordAll()).isEmpty();
+		this.fixture.time.advance(DispatchFixture.SETTINGS.retention().plus(Duration.ofSeconds(1)));
+		assertThat(recordAll()).flatExtracting((batch) -> batch.cleanup().expired()).containsExactly("job");
+	}
+
+	@Test
+	void newLeaderReadsProgressThatAnEarlierVersionStoredInOneRow() {
+		SimulatedWorker worker = this.fixture.worker("one", 4_000);
+		this.fixture.submit("job", DispatchFixture.step(2, 1_000));
+		this.fixture.runSchedulingRound();
+		this.fixture.storedTasks.clear();
+		this.fixture.storedJobs.put("job", "ACTIVE 0 queue\n0 0 0 2 1 0 one worker-one 1 -\n0 0 1 3 1 0 - - 0 -");
+		worker.end(this.fixture.task("job", 0, 1).key(), "done");
+		worker.ended.clear();
+		this.fixture.takeOver();
+		this.fixture.report(worker);
+		this.fixture.runSchedulingRound();
+		assertThat(worker.executedOrders).hasSize(2);
+		assertThat(this.fixture.task("job", 0, 0).host()).isEqualTo("one");
+	}
+
+}
--- a/src/test/java/org/crocuspost/host/HostAgentTests.java
+++ b/src/test/java/org/crocuspost/host/HostAgentTests.java
@@ -18,9 +18,12 @@
 import org.crocuspost.wire.LeaderMessage;
 import org.crocuspost.wire.RunningTask;
 import org.crocuspost.wire.StartOrder;
+import org.crocuspost.wire.TaskTraits;
+import org.crocuspost.wire.TraitsOfRun;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIllegalStateException;
 
 /**
  * Tests orders to a worker that answers late, does not answer or has restarted.
@@ -58,6 +61,14 @@
 			.build();
 	}
 
+	private static RunningTask run(int number, int load) {
+		return RunningTask.newBuilder()
+			.setTask(TaskNames.name(new TaskKey("fedcba9876543210", 0, 0, number)))
+			.setRun(1)
+			.setLoad(load)
+			.build();
+	}
+
 	private LeaderMessage grantAndStart(String workerId, long born) {
 		return LeaderMessage.newBuilder()
 			.setWorkerBorn(born)
@@ -337,6 +348,33 @@
 		assertThat(this.worker.fences.get(this.worker.fences.size() - 1)).isGreaterThan(before);
 	}
 
+	/**
+	 * Without further calls, all runs of the worker would end with their lease.
+	 */
+	@Test
+	void leaseIsExtendedAfterAnUnexpectedErrorInOneAnswer() {
+		startAgent();
+		RunningTask service = run(1, 900);
+		RunningTask filler = run(2, 1_000);
+		this.agent.messageReceived(LeaderMessage.newBuilder()
+			.addTraits(TraitsOfRun.newBuilder()
+				.setTask(service.getTask())
+				.setRun(1)
+				.setTraits(TaskTraits.newBuilder().setTailTarget(100)))
+			.addTraits(TraitsOfRun.newBuilder()
+				.setTask(filler.getTask())
+				.setRun(1)
+				.setTraits(TaskTraits.newBuilder().setFiller(true).setPressure(2)))
+			.build());
+		this.worker.running = List.of(service, filler);
+		this.worker.paceFails = true;
+		assertThatIllegalStateException().isThrownBy(() -> this.time.advance(Duration.ofSeconds(1)));
+		this.worker.paceFails = false;
+		int before = this.worker.leases.size();
+		this.time.advance(Duration.ofSeconds(1));
+		assertThat(this.worker.leases).hasSizeGreaterThan(before);
+	}
+
 	/**
 	 * Worker whose answers are set by a test.
 	 */
@@ -366,6 +404,10 @@
 
 		private long born = 1;
 
+		private List<RunningTask> running = List.of();
+
+		private boolean paceFails;
+
 		private List<EndedTask> ended = List.of();
 
 		private long clockMillis() {
@@ -383,9 +425,9 @@
 				return;
 			}
 			boolean refused = this.fenced;
-			HostAgentTests.this.time.schedule(maximumWait, () -> answer
-				.accept(refused ? Either.left(new OrderOutcome(OrderOutcome.Kind.FENCED, "fence"))
-						: Either.right(new WorkerState(clockMillis(), this.born, List.<RunningTask>of(), this.ended))));
+			HostAgentTests.this.time.schedule(maximumWait,
+					() -> answer.accept(refused ? Either.left(new OrderOutcome(OrderOutcome.Kind.FENCED, "fence"))
+							: Either.right(new WorkerState(clockMillis(), this.born, this.running, this.ended))));
 		}
 
 		@Override
@@ -409,6 +451,9 @@
 		@Override
 		public void pace(WorkerAnnouncement target, long fence, TaskKey task, int run, int percent,
 				Consumer<OrderOutcome> answer) {
+			if (this.paceFails) {
+				throw new IllegalStateException("scripted");
+			}
 			answer.accept(new OrderOutcome(OrderOutcome.Kind.OBEYED, ""));
 		}
 
