Withdraw a job that is cancelled before it is stored

Ruled out: keeping a cancellation for each unknown job, whose rows nobody would remove.

A repeated submission is refused as not run, which is true. The state of an ended job that an entry has not read yet is no longer given as queued.

--- a/src/main/java/org/crocuspost/ingress/IngressEvent.java
+++ b/src/main/java/org/crocuspost/ingress/IngressEvent.java
@@ -22,6 +22,12 @@
 	 */
 	CANCELLATION_ANSWERED,
 
+	/**
+	 * A job that is not stored was cancelled; its ID is taken, so that a delayed write of
+	 * the job is refused.
+	 */
+	JOB_WITHDRAWN,
+
 	/**
 	 * A stored progress row of a job cannot be parsed and was ignored.
 	 */
--- a/src/main/java/org/crocuspost/ingress/JobService.java
+++ b/src/main/java/org/crocuspost/ingress/JobService.java
@@ -18,6 +18,7 @@
 import org.crocuspost.lead.Tables;
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
+import org.crocuspost.rows.RowCommit;
 import org.crocuspost.rows.RowStore;
 import org.crocuspost.rows.RowTransaction;
 import org.crocuspost.rows.StoredRow;
@@ -156,7 +157,11 @@
 				List.of(new RowTransaction.Condition(Tables.INTAKE, key, StoredRow.ABSENT)),
 				List.of(new RowTransaction.Write(Tables.INTAKE, key, SubmissionCodec.write(submission))));
 		this.store.commit(transaction, (outcome) -> {
-			if (outcome.isRight()) {
+			if (outcome.isRight() && isWithdrawn(outcome.get())) {
+				answer.accept(new JobAnswer.Refused(Verdict.NOT_RUN, false,
+						"the job was cancelled before it was stored", Optional.empty()));
+			}
+			else if (outcome.isRight()) {
 				// If the row already exists, the same job was submitted before.
 				this.directory.addAccepted(submission.id(), submission.queue());
 				answer.accept(new JobAnswer.Accepted());
@@ -174,6 +179,14 @@
 		});
 	}
 
+	private static boolean isWithdrawn(RowCommit commit) {
+		return !commit.applied() && commit.current().stream().anyMatch(JobService::isWithdrawn);
+	}
+
+	private static boolean isWithdrawn(StoredRow row) {
+		return row.value().equals(Tables.WITHDRAWN_JOB);
+	}
+
 	private void show(Queue queue, String id, Consumer<JobAnswer> answer) {
 		if (id.isEmpty()) {
 			answer.accept(new JobAnswer.Pending(this.directory.pending(queue.name())));
@@ -184,10 +197,20 @@
 			answer.accept(new JobAnswer.State(state.get()));
 			return;
 		}
-		whenStored(id, answer, () -> answer.accept(new JobAnswer.State(JobState.QUEUED)));
+		readJob(id, answer, (row) -> {
+			if (!row.exists() || isWithdrawn(row)) {
+				answer.accept(new JobAnswer.NoJob());
+			}
+			else if (row.value().equals(Tables.ENDED_JOB)) {
+				answer.accept(unavailable("the state of the job is not read yet"));
+			}
+			else {
+				answer.accept(new JobAnswer.State(JobState.QUEUED));
+			}
+		});
 	}
 
-	private void whenStored(String id, Consumer<JobAnswer> answer, Runnable stored) {
+	private void readJob(String id, Consumer<JobAnswer> answer, Consumer<StoredRow> reader) {
 		if (!JobRequest.validId(id)) {
 			answer.accept(new JobAnswer.NoJob());
 			return;
@@ -196,11 +219,8 @@
 			if (row.isLeft()) {
 				answer.accept(unavailable(row.getLeft().message()));
 			}
-			else if (row.get().exists()) {
-				stored.run();
-			}
 			else {
-				answer.accept(new JobAnswer.NoJob());
+				reader.accept(row.get());
 			}
 		});
 	}
@@ -214,8 +234,61 @@
 			storeCancellation(id, STORE_ATTEMPTS, Verdict.NOT_RUN, answer);
 		}
 		else {
-			whenStored(id, answer, () -> storeCancellation(id, STORE_ATTEMPTS, Verdict.NOT_RUN, answer));
+			readJob(id, answer, (row) -> cancelStored(id, row, answer));
+		}
+	}
+
+	private void cancelStored(String id, StoredRow row, Consumer<JobAnswer> answer) {
+		if (!row.exists()) {
+			withdraw(id, STORE_ATTEMPTS, answer);
 		}
+		else if (isWithdrawn(row)) {
+			answer.accept(new JobAnswer.NoJob());
+		}
+		else if (row.value().equals(Tables.ENDED_JOB)) {
+			answer.accept(new JobAnswer.Accepted());
+		}
+		else {
+			storeCancellation(id, STORE_ATTEMPTS, Verdict.NOT_RUN, answer);
+		}
+	}
+
+	/**
+	 * Takes the place of a job that is not stored. The store may still carry out a write
+	 * of the job that was not answered, and the caller must not be told that there is no
+	 * job while it can still run.
+	 * @param id the ID of the job
+	 * @param attempts the maximum number of calls to the store
+	 * @param answer receives the answer
+	 */
+	private void withdraw(String id, int attempts, Consumer<JobAnswer> answer) {
+		String key = Tables.JOB_PREFIX + id;
+		RowTransaction transaction = RowTransaction.of(
+				List.of(new RowTransaction.Condition(Tables.INTAKE, key, StoredRow.ABSENT)),
+				List.of(new RowTransaction.Write(Tables.INTAKE, key, Tables.WITHDRAWN_JOB)));
+		this.store.commit(transaction, (outcome) -> {
+			if (outcome.isLeft() && attempts > 1) {
+				withdraw(id, attempts - 1, answer);
+				return;
+			}
+			EventLog.info(IngressEvent.JOB_WITHDRAWN, Field.of("job", id), Field.of("stored", outcome.isRight()));
+			if (outcome.isLeft()) {
+				answer.accept(new JobAnswer.Refused(outcome.getLeft().verdict(), false, outcome.getLeft().message(),
+						Optional.of(STORE_RETRY_AFTER)));
+			}
+			else if (outcome.get().applied()) {
+				answer.accept(new JobAnswer.NoJob());
+			}
+			else {
+				outcome.get()
+					.current()
+					.stream()
+					.filter((row) -> row.key().equals(key) && row.exists())
+					.findFirst()
+					.ifPresentOrElse((row) -> cancelStored(id, row, answer),
+							() -> answer.accept(unavailable("the store does not show the job")));
+			}
+		});
 	}
 
 	/**
