--- a/src/main/java/org/crocuspost/hostlink/HostLink.java
+++ b/src/main/java/org/crocuspost/hostlink/HostLink.java
@@ -12,7 +12,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import org.crocuspost.net.TrafficMeter;
+import org.crocuspost.net.TrafficCounters;
 import org.crocuspost.time.Clock;
 import org.crocuspost.time.Timer;
 import org.crocuspost.wire.HostReport;
@@ -51,7 +51,7 @@
 
 	private final LeaderHello hello;
 
-	private final TrafficMeter traffic;
+	private final TrafficCounters traffic;
 
 	private final EventLoop loop;
 
@@ -83,7 +83,7 @@
 	 * @param clock the clock of the process
 	 * @param listener receives connection changes and reports
 	 */
-	public HostLink(String host, InetSocketAddress address, LeaderHello hello, TrafficMeter traffic, EventLoop loop,
+	public HostLink(String host, InetSocketAddress address, LeaderHello hello, TrafficCounters traffic, EventLoop loop,
 			Timer timer, Clock clock, HostLinkListener listener) {
 		this.host = host;
 		this.address = address;
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -26,7 +26,7 @@
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
 import org.crocuspost.net.Sockets;
-import org.crocuspost.net.TrafficMeter;
+import org.crocuspost.net.TrafficCounters;
 import org.crocuspost.rows.RowStore;
 import org.crocuspost.rows.RowTransaction;
 import org.crocuspost.rows.RowWatch;
@@ -61,7 +61,7 @@
 
 	private final DispatchSettings settings;
 
-	private final TrafficMeter traffic;
+	private final TrafficCounters traffic;
 
 	private final TrafficLog trafficLog;
 
@@ -96,7 +96,7 @@
 	private boolean resigning;
 
 	Leader(RowStore store, LeaderRecord record, long version, OperatorView operator, DispatchSettings settings,
-			LeaderMetrics metrics, TrafficMeter traffic, EventLoop loop, Clock clock, Timer timer,
+			LeaderMetrics metrics, TrafficCounters traffic, EventLoop loop, Clock clock, Timer timer,
 			Runnable onLeadershipLost) {
 		this.store = store;
 		this.record = record;
--- a/src/main/java/org/crocuspost/lead/LeaderElector.java
+++ b/src/main/java/org/crocuspost/lead/LeaderElector.java
@@ -6,7 +6,7 @@
 import org.crocuspost.dispatch.DispatchSettings;
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
-import org.crocuspost.net.TrafficMeter;
+import org.crocuspost.net.TrafficCounters;
 import org.crocuspost.rows.RowCommit;
 import org.crocuspost.rows.RowStore;
 import org.crocuspost.rows.RowTransaction;
@@ -35,7 +35,7 @@
 
 	private final LeaderMetrics metrics;
 
-	private final TrafficMeter traffic;
+	private final TrafficCounters traffic;
 
 	private final EventLoop loop;
 
@@ -68,7 +68,7 @@
 	 * @param timer the timer of the event loop
 	 */
 	public LeaderElector(String name, RowStore store, RowWatch ledgerWatch, OperatorView operator,
-			DispatchSettings settings, LeaderMetrics metrics, TrafficMeter traffic, EventLoop loop, Clock clock,
+			DispatchSettings settings, LeaderMetrics metrics, TrafficCounters traffic, EventLoop loop, Clock clock,
 			Timer timer) {
 		this.name = name;
 		this.store = store;
--- a/src/main/java/org/crocuspost/lead/TrafficLog.java
+++ b/src/main/java/org/crocuspost/lead/TrafficLog.java
@@ -8,7 +8,7 @@
 
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
-import org.crocuspost.net.TrafficMeter;
+import org.crocuspost.net.TrafficCounters;
 import org.crocuspost.time.Clock;
 
 /**
@@ -19,15 +19,15 @@
 
 	private static final Duration INTERVAL = Duration.ofSeconds(5);
 
-	private final TrafficMeter meter;
+	private final TrafficCounters meter;
 
 	private final Clock clock;
 
-	private Map<String, TrafficMeter.Totals> reported;
+	private Map<String, TrafficCounters.Totals> reported;
 
 	private long reportedNanos;
 
-	TrafficLog(TrafficMeter meter, Clock clock) {
+	TrafficLog(TrafficCounters meter, Clock clock) {
 		this.meter = meter;
 		this.clock = clock;
 		this.reported = meter.totals();
@@ -44,9 +44,9 @@
 		}
 		List<Field> fields = new ArrayList<>();
 		fields.add(Field.of("millis", Duration.ofNanos(now - this.reportedNanos).toMillis()));
-		Map<String, TrafficMeter.Totals> totals = this.meter.totals();
+		Map<String, TrafficCounters.Totals> totals = this.meter.totals();
 		new TreeMap<>(totals).forEach((kind, total) -> {
-			TrafficMeter.Totals since = total.minus(this.reported.getOrDefault(kind, TrafficMeter.Totals.ZERO));
+			TrafficCounters.Totals since = total.minus(this.reported.getOrDefault(kind, TrafficCounters.Totals.ZERO));
 			fields.add(Field.of(kind + " sent", since.sentBytes()));
 			fields.add(Field.of(kind + " received", since.receivedBytes()));
 		});
--- a/src/main/java/org/crocuspost/net/TrafficMeter.java
+++ b/src/main/java/org/crocuspost/net/TrafficCounters.java
@@ -15,7 +15,7 @@
  * Counts the bytes that a process sends and receives, by kind of traffic. Headers of HTTP
  * and of the network are not included. Must be used on the event loop only.
  */
-public final class TrafficMeter {
+public final class TrafficCounters {
 
 	private final Counter counter;
 
@@ -25,7 +25,7 @@
 	 * Creates a meter and registers its metric.
 	 * @param registry the metrics registry of the process
 	 */
-	public TrafficMeter(PrometheusRegistry registry) {
+	public TrafficCounters(PrometheusRegistry registry) {
 		this.counter = Counter.builder()
 			.name("crocuspost_traffic_bytes_total")
 			.help("Bytes of messages, by kind of traffic and direction.")
--- a/src/main/java/org/crocuspost/platform/hosted/AgentProgram.java
+++ b/src/main/java/org/crocuspost/platform/hosted/AgentProgram.java
@@ -18,7 +18,7 @@
 import org.crocuspost.lead.Tables;
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
-import org.crocuspost.net.TrafficMeter;
+import org.crocuspost.net.TrafficCounters;
 import org.crocuspost.platform.http.HttpCaller;
 import org.crocuspost.rows.InstrumentedRowStore;
 import org.crocuspost.rows.RowStore;
@@ -66,7 +66,7 @@
 		this.loop = loop;
 		this.timer = new ExecutorTimer(loop);
 		this.store = new InstrumentedRowStore(new HostedRowStore(new HttpCaller(loop, STORE_CONNECTIONS),
-				settings.storeAddress(), new TrafficMeter(this.registry)), clock, this.registry);
+				settings.storeAddress(), new TrafficCounters(this.registry)), clock, this.registry);
 		this.agent = new HostAgent(new HostAgentSettings(settings.name(), settings.limits().leaseDuration()),
 				new HostMetrics(this.registry),
 				new HostedWorkerCalls(new HttpCaller(loop, WORKER_CONNECTIONS), settings.workerAddress().orElseThrow()),
--- a/src/main/java/org/crocuspost/platform/hosted/EntryProgram.java
+++ b/src/main/java/org/crocuspost/platform/hosted/EntryProgram.java
@@ -20,7 +20,7 @@
 import org.crocuspost.lead.Tables;
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
-import org.crocuspost.net.TrafficMeter;
+import org.crocuspost.net.TrafficCounters;
 import org.crocuspost.platform.http.HttpCaller;
 import org.crocuspost.rows.CircuitBreakingRowStore;
 import org.crocuspost.rows.InstrumentedRowStore;
@@ -86,7 +86,7 @@
 		this.settings = settings;
 		this.loop = loop;
 		Timer timer = new ExecutorTimer(loop);
-		TrafficMeter traffic = new TrafficMeter(this.registry);
+		TrafficCounters traffic = new TrafficCounters(this.registry);
 		RowStore store = new InstrumentedRowStore(
 				new HostedRowStore(new HttpCaller(loop, STORE_CONNECTIONS), settings.storeAddress(), traffic), clock,
 				this.registry);
--- a/src/main/java/org/crocuspost/platform/hosted/HostedRowStore.java
+++ b/src/main/java/org/crocuspost/platform/hosted/HostedRowStore.java
@@ -18,7 +18,7 @@
 import org.crocuspost.error.ErrorCode;
 import org.crocuspost.error.Failure;
 import org.crocuspost.json.JsonTrees;
-import org.crocuspost.net.TrafficMeter;
+import org.crocuspost.net.TrafficCounters;
 import org.crocuspost.platform.http.HttpCaller;
 import org.crocuspost.platform.http.HttpOutcome;
 import org.crocuspost.platform.http.HttpOutcome.Answered;
@@ -60,7 +60,7 @@
 
 	private final InetSocketAddress address;
 
-	private final TrafficMeter traffic;
+	private final TrafficCounters traffic;
 
 	/**
 	 * Creates the adapter.
@@ -68,7 +68,7 @@
 	 * @param address the address of the store
 	 * @param traffic counts the bytes of the calls
 	 */
-	public HostedRowStore(HttpCaller caller, InetSocketAddress address, TrafficMeter traffic) {
+	public HostedRowStore(HttpCaller caller, InetSocketAddress address, TrafficCounters traffic) {
 		this.caller = caller;
 		this.address = address;
 		this.traffic = traffic;
--- /dev/null
+++ b/src/test/java/org/crocuspost/dispatch/MixedLoadSimulation.java
@@ -0,0 +1,533 @@
+package org.crocuspost.dispatch;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import org.crocuspost.host.PaceController;
+import org.crocuspost.host.PaceSettings;
+import org.crocuspost.job.JobProgress;
+import org.crocuspost.job.JobSpecification;
+import org.crocuspost.job.JobState;
+import org.crocuspost.job.JobSubmission;
+import org.crocuspost.job.Queue;
+import org.crocuspost.job.QueueConfiguration;
+import org.crocuspost.job.StepSpecification;
+import org.crocuspost.job.TaskKey;
+import org.crocuspost.job.TaskProgress;
+import org.crocuspost.time.VirtualTime;
+import org.crocuspost.wire.EndedTask;
+import org.crocuspost.wire.HostReport;
+import org.crocuspost.wire.RunningTask;
+import org.crocuspost.wire.StartOrder;
+import org.crocuspost.wire.StopOrder;
+import org.crocuspost.wire.TaskTraits;
+import org.crocuspost.wire.WorkerDescription;
+
+/**
+ * Plays services, short jobs and fillers on simulated workers, with the real dispatcher
+ * and the real pace control, on virtual time.
+ *
+ * <p>
+ * Load pattern: services reserve four fifths of the capacity and use half of what they
+ * reserve. Fillers need a third of the capacity; 55% of their images raise the tail
+ * latency of services many times as much as the others. The report of a load covers the
+ * last half second and reaches the leader at intervals.
+ */
+final class MixedLoadSimulation {
+
+	private static final Duration TICK = Duration.ofMillis(50);
+
+	private static final int REPORT_TICKS = 4;
+
+	private static final Duration START_UP = Duration.ofMillis(100);
+
+	private static final double LOAD_SMOOTHING = 0.15;
+
+	private static final double TAIL_MILLIS = 150;
+
+	private static final String SHORT_QUEUE = "short";
+
+	private static final String FILLER_QUEUE = "filler";
+
+	private static final String SERVICE_QUEUE = "lasting";
+
+	private static final List<Queue> QUEUES = List.of(
+			new Queue(SHORT_QUEUE, "host", "/short/", "service", 0, 2, 1.5, Duration.ofMillis(300), false),
+			new Queue(FILLER_QUEUE, "host", "/filler/", "service", 2, 3, 2, Duration.ofSeconds(1), false),
+			new Queue(SERVICE_QUEUE, "host", "/lasting/", "service", 0, 2, 2.2, Duration.ofMillis(2_500), false));
+
+	private final VirtualTime time = new VirtualTime(Instant.parse("2026-12-01T00:00:00Z"));
+
+	private final ImagePressure imagePressure = new ImagePressure();
+
+	private final Dispatcher dispatcher;
+
+	private final ReportProcessor reports;
+
+	private final SplittableRandom random;
+
+	private final Map<String, SimulatedHost> hosts = new LinkedHashMap<>();
+
+	private final Map<String, Double> imageWeights = new HashMap<>();
+
+	private final Map<String, SubmittedJob> jobs = new LinkedHashMap<>();
+
+	private final Load load;
+
+	private long startedRuns;
+
+	private long startedFillers;
+
+	private long earlyStops;
+
+	private long missedTargetTicks;
+
+	private long serviceTicks;
+
+	MixedLoadSimulation(long seed, Load load) {
+		this.random = new SplittableRandom(seed);
+		this.load = load;
+		this.dispatcher = new Dispatcher(new DispatchSettings(Duration.ofSeconds(6), Duration.ofMinutes(3), 1.5),
+				new DefaultPlacementPolicy(this.imagePressure), this.time, new Listener());
+		this.dispatcher.configure(new QueueConfiguration(1, QUEUES, List.of(), 1_000));
+		this.reports = new ReportProcessor(this.dispatcher, this.imagePressure);
+		for (int number = 0; number < 30; number++) {
+			boolean heavy = number < 17;
+			this.imageWeights.put("image-" + number,
+					heavy ? 15 + 25 * this.random.nextDouble() : 0.5 + 2 * this.random.nextDouble());
+		}
+		for (int number = 0; number < load.hosts(); number++) {
+			SimulatedHost host = new SimulatedHost("host-" + number, (number % 3 == 2) ? 48_000 : 32_000);
+			this.hosts.put(host.name, host);
+		}
+	}
+
+	/**
+	 * Plays the load.
+	 * @param duration the duration of the load; services start 10 s before it
+	 * @return the result
+	 */
+	Result run(Duration duration) {
+		int services = (int) Math.round(this.load.hosts() * 16 / 80.0);
+		for (int number = 0; number < services; number++) {
+			submitService();
+		}
+		play(Duration.ofSeconds(10), false);
+		play(duration, true);
+		play(Duration.ofSeconds(10), false);
+		return result();
+	}
+
+	private void play(Duration duration, boolean traffic) {
+		for (long tick = 0; tick < duration.dividedBy(TICK); tick++) {
+			double seconds = TICK.toMillis() / 1_000.0;
+			if (traffic) {
+				for (double due = this.load.shortPerSecond() * seconds; due > this.random.nextDouble(); due--) {
+					submitShort();
+				}
+				for (double due = this.load.fillersPerSecond() * seconds; due > this.random.nextDouble(); due--) {
+					submitFiller();
+				}
+			}
+			this.time.advance(TICK);
+			int phase = 0;
+			for (SimulatedHost host : this.hosts.values()) {
+				host.advance(seconds);
+				if (host.hasNewEnds || (tick + phase++) % REPORT_TICKS == 0) {
+					host.report();
+				}
+			}
+			schedule();
+			this.jobs.values().forEach(SubmittedJob::noticeEnd);
+		}
+	}
+
+	private void schedule() {
+		this.dispatcher.schedule();
+		while (this.dispatcher.hasChanges()) {
+			DispatchBatch batch = this.dispatcher.takeBatch(90);
+			this.dispatcher.recorded(batch, true)
+				.forEach((host, orders) -> orders.forEach(this.hosts.get(host)::start));
+		}
+	}
+
+	private double vary(double mean, double spread, double most) {
+		double factor = 1 + spread * 2 * (this.random.nextDouble() - 0.5);
+		return Math.min(most, mean * factor);
+	}
+
+	private void submit(String queue, List<StepSpecification> steps, double workSeconds) {
+		String id = String.format("%016x", this.random.nextLong());
+		JobSubmission submission = new JobSubmission(id, queue, 0,
+				new JobSpecification("text", steps, 1, false, 0, 0));
+		this.jobs.put(id, new SubmittedJob(submission, this.time.nanoTime(), workSeconds));
+		this.dispatcher.submitted(submission, Optional.empty());
+	}
+
+	private static StepSpecification step(int tasks, double milliCores, double memory, Duration estimate,
+			List<Integer> predecessors, boolean checkpointing, int perWorker, String image, int tailTarget,
+			boolean filler) {
+		return new StepSpecification(tasks, (int) milliCores, (int) memory, 0, estimate, predecessors, checkpointing,
+				false, false, "", "", perWorker, false, tailTarget > 0, image, Duration.ofMillis(tailTarget), filler,
+				-1);
+	}
+
+	private void submitService() {
+		int width = (int) vary(24, 0.4, 48);
+		submit(SERVICE_QUEUE,
+				List.of(step(width, vary(6_400, 0.25, 10_000), 13_000, Duration.ZERO, List.of(), false,
+						this.random.nextBoolean() ? 2 : 0, "service", (int) TAIL_MILLIS, false)),
+				0);
+	}
+
+	private void submitShort() {
+		List<StepSpecification> steps = new ArrayList<>();
+		double milliCores = vary(1_300, 0.45, 3_900);
+		for (int number = 0; number < (this.random.nextInt(10) < 6 ? 2 : 1); number++) {
+			steps.add(step(1 + this.random.nextInt(15), milliCores, 2_600, Duration.ofMillis(1_100),
+					(number == 0) ? List.of() : List.of(0), false, 0, "", 0, false));
+		}
+		submit(SHORT_QUEUE, steps, 1.14);
+	}
+
+	private void submitFiller() {
+		List<StepSpecification> steps = new ArrayList<>();
+		double milliCores = vary(3_500, 0.3, 7_000);
+		double work = vary(2.43, 0.5, 6);
+		for (int number = 0; number < 2; number++) {
+			steps.add(step(Math.max(1, (int) vary(27, 0.6, 110)), milliCores, 6_400,
+					Duration.ofMillis((long) (work * 1_000 * (0.7 + 0.6 * this.random.nextDouble()))),
+					(number == 0) ? List.of() : List.of(0), this.random.nextInt(100) < 85, 0,
+					"image-" + this.random.nextInt(30), 0, true));
+		}
+		submit(FILLER_QUEUE, steps, work);
+	}
+
+	private Result result() {
+		Map<String, Double> owed = new HashMap<>();
+		Map<String, Double> earned = new HashMap<>();
+		for (SubmittedJob job : this.jobs.values()) {
+			String queue = job.submission.queue();
+			if (!queue.equals(SERVICE_QUEUE)) {
+				owed.merge(queue, job.worth(), Double::sum);
+				earned.merge(queue, job.credit(), Double::sum);
+			}
+		}
+		return new Result(earned.get(SHORT_QUEUE) / owed.get(SHORT_QUEUE),
+				earned.get(FILLER_QUEUE) / owed.get(FILLER_QUEUE),
+				this.earlyStops / (double) Math.max(1, this.startedFillers),
+				this.missedTargetTicks / (double) Math.max(1, this.serviceTicks), this.startedRuns,
+				this.startedFillers);
+	}
+
+	/**
+	 * Size of the load.
+	 *
+	 * @param hosts the number of hosts
+	 * @param shortPerSecond the number of short jobs that arrive in a second
+	 * @param fillersPerSecond the number of jobs of fillers that arrive in a second
+	 */
+	record Load(int hosts, double shortPerSecond, double fillersPerSecond) {
+
+		static final Load LARGE = new Load(80, 8.2, 2.4);
+
+		Load scaled(double factor) {
+			return new Load(this.hosts, this.shortPerSecond * factor, this.fillersPerSecond * factor);
+		}
+
+	}
+
+	/**
+	 * Result of a play.
+	 *
+	 * @param shortJobs the share of the credit that short jobs earned
+	 * @param fillers the share of the credit that jobs of fillers earned
+	 * @param earlyStops the share of the starts of fillers that were stopped within two
+	 * seconds
+	 * @param missedTargets the share of the time in which services missed their target
+	 * @param runs the number of started runs
+	 * @param fillerRuns the number of started runs of fillers
+	 */
+	record Result(double shortJobs, double fillers, double earlyStops, double missedTargets, long runs,
+			long fillerRuns) {
+	}
+
+	private final class SubmittedJob {
+
+		private final JobSubmission submission;
+
+		private final long submittedNanos;
+
+		private final double workSeconds;
+
+		private long endedNanos;
+
+		private SubmittedJob(JobSubmission submission, long submittedNanos, double workSeconds) {
+			this.submission = submission;
+			this.submittedNanos = submittedNanos;
+			this.workSeconds = workSeconds;
+		}
+
+		private void noticeEnd() {
+			if (this.endedNanos == 0) {
+				MixedLoadSimulation.this.dispatcher.job(this.submission.id())
+					.filter((job) -> job.state() == JobState.COMPLETED)
+					.ifPresent((job) -> this.endedNanos = MixedLoadSimulation.this.time.nanoTime());
+			}
+		}
+
+		private double worth() {
+			double size = 0;
+			for (StepSpecification step : this.submission.specification().steps()) {
+				size += step.taskCount() * step.milliCores() / 1_000.0 * this.workSeconds;
+			}
+			double mean = this.submission.queue().equals(SHORT_QUEUE) ? 19 : 400;
+			return Math.min(4, 0.3 + 0.7 * size / mean);
+		}
+
+		private double credit() {
+			if (this.endedNanos == 0) {
+				return 0;
+			}
+			Queue queue = QUEUES.stream()
+				.filter((candidate) -> candidate.name().equals(this.submission.queue()))
+				.findFirst()
+				.orElseThrow();
+			double chain = this.workSeconds * this.submission.specification().steps().size();
+			double objective = queue.stretch() * chain + queue.targetLatency().toMillis() / 1_000.0;
+			double taken = (this.endedNanos - this.submittedNanos) / 1e9;
+			double share = (taken <= objective) ? 1 : (taken <= 3 * objective) ? 0.15 : 0;
+			return worth() * share;
+		}
+
+	}
+
+	private final class SimulatedRun {
+
+		private final StartOrder order;
+
+		private final TaskKey key;
+
+		private final double workSeconds;
+
+		private double doneSeconds;
+
+		private int pace = 100;
+
+		private double load;
+
+		private final long startedNanos = MixedLoadSimulation.this.time.nanoTime();
+
+		private SimulatedRun(StartOrder order) {
+			this.order = order;
+			this.key = TaskNames.key(order.getTask());
+			SubmittedJob job = MixedLoadSimulation.this.jobs.get(this.key.job());
+			this.workSeconds = job.workSeconds
+					* (0.85 + 0.3 * (Math.floorMod(this.key.hashCode(), 100) / 100.0));
+			this.doneSeconds = order.getCheckpoint().isEmpty() ? 0 : Double.parseDouble(order.getCheckpoint());
+		}
+
+		private boolean service() {
+			return this.order.getTraits().getTailTarget() > 0;
+		}
+
+		private boolean filler() {
+			return this.order.getTraits().getFiller();
+		}
+
+		private boolean working() {
+			return MixedLoadSimulation.this.time.nanoTime() - this.startedNanos > START_UP.toNanos();
+		}
+
+		private boolean checkpointing() {
+			return MixedLoadSimulation.this.jobs.get(this.key.job()).submission.specification()
+				.steps()
+				.get(this.key.step())
+				.checkpointing();
+		}
+
+		private RunningTask listed() {
+			return RunningTask.newBuilder()
+				.setTask(this.order.getTask())
+				.setRun(this.order.getRun())
+				.setPace(this.pace)
+				.setProgress(service() ? 100 : (int) Math.min(100, 100 * this.doneSeconds / this.workSeconds))
+				.setLoad((int) this.load)
+				.build();
+		}
+
+	}
+
+	private final class SimulatedHost {
+
+		private final String name;
+
+		private final int milliCores;
+
+		private final Map<TaskKey, SimulatedRun> running = new LinkedHashMap<>();
+
+		private final List<EndedTask> ended = new ArrayList<>();
+
+		private final PaceController paceController = new PaceController(PaceSettings.DEFAULT);
+
+		private final double phase;
+
+		private long ends;
+
+		private long handledOrder;
+
+		private boolean hasNewEnds;
+
+		private SimulatedHost(String name, int milliCores) {
+			this.name = name;
+			this.milliCores = milliCores;
+			this.phase = MixedLoadSimulation.this.random.nextDouble();
+		}
+
+		private void start(StartOrder order) {
+			this.handledOrder++;
+			SimulatedRun run = new SimulatedRun(order);
+			this.running.put(run.key, run);
+			MixedLoadSimulation.this.startedRuns++;
+			MixedLoadSimulation.this.startedFillers += run.filler() ? 1 : 0;
+		}
+
+		private void advance(double seconds) {
+			double used = 0;
+			double wanted = 0;
+			double pressure = 0.25
+					* (1 + 0.5 * Math.sin(2 * Math.PI * (MixedLoadSimulation.this.time.nanoTime() / 20e9 + this.phase)));
+			for (SimulatedRun run : this.running.values()) {
+				if (run.filler()) {
+					double share = run.order.getMilliCores() * run.pace / 100.0;
+					wanted += share;
+				}
+				else {
+					used += run.order.getMilliCores() * (run.service() ? 0.48 : 1);
+				}
+			}
+			double room = Math.min(1, (this.milliCores - used) / Math.max(1, wanted));
+			for (SimulatedRun run : this.running.values()) {
+				if (run.filler() && run.working()) {
+					double cpu = fillerMilliCores(run) * run.pace / 100.0 * room;
+					run.load += LOAD_SMOOTHING * (cpu - run.load);
+					pressure += MixedLoadSimulation.this.imageWeights.get(image(run)) * cpu / this.milliCores;
+				}
+			}
+			for (SimulatedRun run : List.copyOf(this.running.values())) {
+				if (run.service()) {
+					run.load += LOAD_SMOOTHING * (pressure * TAIL_MILLIS - run.load);
+					MixedLoadSimulation.this.serviceTicks++;
+					MixedLoadSimulation.this.missedTargetTicks += (pressure > 1) ? 1 : 0;
+				}
+				else if (run.working()) {
+					run.doneSeconds += seconds * (run.filler() ? run.pace / 100.0 * room : 1);
+					if (run.doneSeconds >= run.workSeconds) {
+						end(run, "done");
+					}
+				}
+			}
+			adjustPaces();
+		}
+
+		private double fillerMilliCores(SimulatedRun run) {
+			return run.order.getMilliCores();
+		}
+
+		private String image(SimulatedRun run) {
+			return run.order.getTraits().getImage();
+		}
+
+		private void adjustPaces() {
+			List<PaceController.ObservedRun> observed = new ArrayList<>();
+			this.running.values().forEach((run) -> {
+				TaskTraits traits = run.order.getTraits();
+				observed.add(new PaceController.ObservedRun(run.listed(), traits, run.pace));
+			});
+			this.paceController.update(observed, MixedLoadSimulation.this.time.nanoTime())
+				.forEach((change) -> this.running.get(TaskNames.key(change.run().running().getTask())).pace = change
+					.pace());
+		}
+
+		private void end(SimulatedRun run, String kind) {
+			this.running.remove(run.key);
+			this.hasNewEnds = true;
+			this.ended.add(EndedTask.newBuilder()
+				.setNumber(++this.ends)
+				.setTask(run.order.getTask())
+				.setRun(run.order.getRun())
+				.setKind(kind)
+				.setCheckpoint(run.checkpointing() ? String.valueOf(run.doneSeconds) : "")
+				.build());
+		}
+
+		private void stop(StopOrder order) {
+			SimulatedRun run = this.running.get(TaskNames.key(order.getTask()));
+			if (run != null && run.order.getRun() == order.getRun()) {
+				long age = MixedLoadSimulation.this.time.nanoTime() - run.startedNanos;
+				MixedLoadSimulation.this.earlyStops += (run.filler() && age < 2e9) ? 1 : 0;
+				end(run, "stopped");
+			}
+		}
+
+		private void report() {
+			this.hasNewEnds = false;
+			HostReport.Builder report = HostReport.newBuilder()
+				.setHost(this.name)
+				.setLife("life")
+				.setLeaseStamp(1)
+				.setWorkerAnswers(true)
+				.setHandledOrder(this.handledOrder)
+				.setWorker(WorkerDescription.newBuilder()
+					.setId("worker-" + this.name)
+					.setBorn(1)
+					.setService("service")
+					.setFailureDomain("domain")
+					.setMilliCores(this.milliCores)
+					.setMemoryMegabytes(this.milliCores * 4))
+				.addAllEnded(this.ended);
+			this.running.values().forEach((run) -> report.addRunning(run.listed()));
+			ReportProcessor.Response response = MixedLoadSimulation.this.reports.reported(report.build(), true);
+			long recorded = response.recordedEnds();
+			this.ended.removeIf((end) -> end.getNumber() <= recorded);
+			response.stops().forEach(this::stop);
+		}
+
+	}
+
+	private static final class Listener implements DispatchListener {
+
+		@Override
+		public void jobSeen(JobProgress job) {
+		}
+
+		@Override
+		public void jobEnded(JobProgress job, String reason) {
+		}
+
+		@Override
+		public void placed(TaskProgress task, long waitedMillis) {
+		}
+
+		@Override
+		public void runEnded(TaskProgress task, int run, String host, String outcome) {
+		}
+
+		@Override
+		public void runLost(TaskProgress task, int run, String host, String reason, Evidence evidence) {
+		}
+
+		@Override
+		public void hostChanged(String host, String assessment, String detail) {
+		}
+
+	}
+
+}
--- a/src/test/java/org/crocuspost/lead/LeaderElectorTests.java
+++ b/src/test/java/org/crocuspost/lead/LeaderElectorTests.java
@@ -11,7 +11,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.crocuspost.dispatch.DispatchSettings;
 import org.crocuspost.job.QueueConfiguration;
-import org.crocuspost.net.TrafficMeter;
+import org.crocuspost.net.TrafficCounters;
 import org.crocuspost.rows.MemoryRowStore;
 import org.crocuspost.rows.RowTransaction;
 import org.crocuspost.rows.RowWatch;
@@ -55,7 +55,7 @@
 				}, this.time, this.time);
 		this.elector = new LeaderElector(NAME, this.store, ledgerWatch, new EmptyOperatorView(),
 				new DispatchSettings(Duration.ofSeconds(6), Duration.ofMinutes(2), 1.5),
-				new LeaderMetrics(new PrometheusRegistry()), new TrafficMeter(new PrometheusRegistry()), this.loop,
+				new LeaderMetrics(new PrometheusRegistry()), new TrafficCounters(new PrometheusRegistry()), this.loop,
 				this.time, this.time);
 		ledgerWatch.start();
 		this.elector.start();
--- a/src/test/java/org/crocuspost/lead/LeaderTests.java
+++ b/src/test/java/org/crocuspost/lead/LeaderTests.java
@@ -21,7 +21,7 @@
 import org.crocuspost.job.QueueConfiguration;
 import org.crocuspost.job.StepSpecification;
 import org.crocuspost.job.SubmissionCodec;
-import org.crocuspost.net.TrafficMeter;
+import org.crocuspost.net.TrafficCounters;
 import org.crocuspost.rows.MemoryRowStore;
 import org.crocuspost.rows.MemoryRowStore.Fault;
 import org.crocuspost.rows.RowChanges;
@@ -72,7 +72,7 @@
 		writeRow(Tables.LEDGER, Tables.LEADER_KEY, RECORD.write());
 		new Leader(this.store, RECORD, this.store.rows.row(Tables.LEDGER, Tables.LEADER_KEY).version(),
 				new EmptyOperatorView(), new DispatchSettings(Duration.ofSeconds(6), Duration.ofMinutes(2), 1.5),
-				new LeaderMetrics(new PrometheusRegistry()), new TrafficMeter(new PrometheusRegistry()), this.loop,
+				new LeaderMetrics(new PrometheusRegistry()), new TrafficCounters(new PrometheusRegistry()), this.loop,
 				this.time, this.time, () -> {
 				});
 	}
