Finish begun jobs first, and stop throwing away the starts of fillers

Change: rank by the work left in relation to value within in-time, late and too late jobs; a slow filler is stopped after 1 s unless a worker is free; the budget is forgotten with the runs that it was reduced for; one trial of an unknown image at a time; light fillers go beside services.

--- a/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
+++ b/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
@@ -46,6 +46,24 @@
 	 */
 	private static final double COLD_START_PENALTY = 2;
 
+	/**
+	 * Smallest increase that is reported for a known image, since 0 means that the image
+	 * is unknown.
+	 */
+	private static final double MINIMUM_KNOWN_INCREASE = 0.01;
+
+	/**
+	 * Expected increase of the pressure up to which a filler runs beside services even
+	 * while other workers are free.
+	 */
+	private static final double LIGHT_INCREASE = 0.25;
+
+	/**
+	 * Maximum number of fillers of an unknown image that run beside services at the same
+	 * time. A step of 100 tasks would otherwise press on 100 services at once.
+	 */
+	private static final int MAXIMUM_TRIALS = 1;
+
 	private final ImagePressure imagePressure;
 
 	/**
@@ -61,8 +79,9 @@
 		StepSpecification step = task.step();
 		CandidateHost best = null;
 		double bestScore = 0;
+		boolean mayTry = step.filler() && trials(step.image(), candidates) < MAXIMUM_TRIALS;
 		for (CandidateHost candidate : candidates) {
-			if (!PlacementPolicy.feasible(task.key(), step, candidate) || !suitable(step, candidate)) {
+			if (!PlacementPolicy.feasible(task.key(), step, candidate) || !suitable(step, candidate, mayTry)) {
 				continue;
 			}
 			double score = score(step, candidate);
@@ -92,14 +111,33 @@
 	@Override
 	public double addedPressure(StepSpecification step, WorkerDescription worker) {
 		double share = step.milliCores() / (double) Math.max(1, worker.getMilliCores());
-		return this.imagePressure.expectedIncrease(step.image(), share).orElse(0);
+		OptionalDouble increase = this.imagePressure.expectedIncrease(step.image(), share);
+		return increase.isPresent() ? Math.max(MINIMUM_KNOWN_INCREASE, increase.getAsDouble()) : 0;
 	}
 
 	private static double contention(CandidateHost candidate) {
 		return candidate.fillers() + candidate.host().pressure();
 	}
 
-	private boolean suitable(StepSpecification step, CandidateHost candidate) {
+	/**
+	 * Returns how many fillers of an unknown image run beside services, to find out how
+	 * much they press on them.
+	 * @param image the image
+	 * @param candidates the hosts
+	 * @return the number; 0 if the image is known
+	 */
+	private int trials(String image, Collection<CandidateHost> candidates) {
+		if (this.imagePressure.expectedIncrease(image, 1).isPresent()) {
+			return 0;
+		}
+		int count = 0;
+		for (CandidateHost candidate : candidates) {
+			count += candidate.host().runsService() ? candidate.host().fillersOf(image) : 0;
+		}
+		return count;
+	}
+
+	private boolean suitable(StepSpecification step, CandidateHost candidate, boolean mayTry) {
 		if (!step.filler()) {
 			return true;
 		}
@@ -107,15 +145,15 @@
 			return false;
 		}
 		return !candidate.host().runsService()
-				|| (!candidate.isBackingOff(step.image()) && withinPressureLimit(step, candidate));
+				|| (!candidate.isBackingOff(step.image()) && withinPressureLimit(step, candidate, mayTry));
 	}
 
-	// Allows only one filler at a time while its image is unknown. The effect of the
+	// Allows only one filler on a worker while its image is unknown. The effect of the
 	// filler is visible within a second.
-	private boolean withinPressureLimit(StepSpecification step, CandidateHost candidate) {
+	private boolean withinPressureLimit(StepSpecification step, CandidateHost candidate, boolean mayTry) {
 		OptionalDouble increase = expectedIncrease(step, candidate);
 		if (increase.isEmpty()) {
-			return candidate.fillers() == 0 && candidate.host().pressure() < MAXIMUM_PRESSURE;
+			return mayTry && candidate.fillers() == 0 && candidate.host().pressure() < MAXIMUM_PRESSURE;
 		}
 		double expected = candidate.host().pressure() + candidate.pendingIncrease() + increase.getAsDouble();
 		return expected <= MAXIMUM_PRESSURE;
@@ -126,13 +164,19 @@
 				step.milliCores() / (double) candidate.capacityMilliCores());
 	}
 
-	private static double score(StepSpecification step, CandidateHost candidate) {
+	private boolean isLight(StepSpecification step, CandidateHost candidate) {
+		OptionalDouble increase = expectedIncrease(step, candidate);
+		return increase.isPresent() && increase.getAsDouble() <= LIGHT_INCREASE;
+	}
+
+	private double score(StepSpecification step, CandidateHost candidate) {
 		double capacity = candidate.capacityMilliCores();
 		boolean withService = candidate.host().runsService();
 		double score;
 		if (step.filler()) {
+			double preference = isLight(step, candidate) ? SERVICE_WEIGHT : -SERVICE_WEIGHT;
 			score = candidate.freeFillerMilliCores() / capacity - candidate.host().pressure()
-					- (withService ? SERVICE_WEIGHT : 0);
+					+ (withService ? preference : 0);
 		}
 		else if (step.lasting()) {
 			score = (withService ? SERVICE_WEIGHT : 0) - candidate.freeMilliCores() / capacity;
--- a/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
@@ -42,6 +42,13 @@
 	 */
 	static final int MINIMUM_FILLER_PACE = 45;
 
+	/**
+	 * Time for which a filler must have been slow before it is stopped although no worker
+	 * without services is free. The pace control corrects a wrong pace within two of its
+	 * intervals.
+	 */
+	static final Duration SLOW_FILLER_TIMEOUT = Duration.ofMillis(1_000);
+
 	/**
 	 * Time for which no filler of the same image is placed on a worker that runs a
 	 * service after one was stopped there for its low pace. The load of a service changes
--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -50,6 +50,8 @@
 
 	private final Set<String> earlyCancellations = new LinkedHashSet<>();
 
+	private final MeanJobWork meanWork = new MeanJobWork();
+
 	private final PendingChanges changes = new PendingChanges();
 
 	private final EndedJobs endedJobs;
@@ -106,6 +108,7 @@
 		stored.ifPresent(job::restore);
 		TrackedJob tracked = new TrackedJob(job, this.clock.nanoTime());
 		this.jobs.put(submission.id(), tracked);
+		this.meanWork.add(submission.queue(), WaitingOrder.totalWork(submission.specification()));
 		if (job.state().terminal()) {
 			addEnded(job);
 		}
@@ -255,7 +258,8 @@
 			}
 			Optional<Queue> queue = this.configuration.findByName(tracked.job().submission().queue());
 			if (queue.isPresent()) {
-				tracked.rank(WaitingOrder.rank(tracked.job(), queue.get(), tracked.firstSeenNanos(), now));
+				tracked.rank(WaitingOrder.rank(tracked.job(), queue.get(), tracked.firstSeenNanos(), now,
+						this.meanWork.mean(queue.get().name())));
 				waiting.add(tracked);
 			}
 		}
--- a/src/main/java/org/crocuspost/dispatch/HostState.java
+++ b/src/main/java/org/crocuspost/dispatch/HostState.java
@@ -335,6 +335,15 @@
 		return count;
 	}
 
+	int fillersOf(String image) {
+		int count = 0;
+		for (Placement placement : this.placements.values()) {
+			StepSpecification step = placement.task().step();
+			count += (step.filler() && step.image().equals(image)) ? 1 : 0;
+		}
+		return count;
+	}
+
 	/**
 	 * Adds the expected pressure of a new filler until the reports show it.
 	 * @param increase the expected increase of the pressure
--- a/src/main/java/org/crocuspost/dispatch/Placement.java
+++ b/src/main/java/org/crocuspost/dispatch/Placement.java
@@ -1,5 +1,7 @@
 package org.crocuspost.dispatch;
 
+import java.time.Duration;
+
 import org.crocuspost.job.TaskProgress;
 import org.crocuspost.wire.RunningTask;
 import org.jspecify.annotations.Nullable;
@@ -53,6 +55,8 @@
 
 	private @Nullable RunningTask report;
 
+	private long slowSinceNanos;
+
 	Placement(TaskProgress task, Phase phase, long nowNanos) {
 		this.task = task;
 		this.run = task.run();
@@ -69,6 +73,10 @@
 
 	void reported(RunningTask running, long nowNanos) {
 		this.phase = Phase.REPORTED;
+		boolean wasSlow = this.report != null && this.report.getPace() < DispatchSettings.MINIMUM_FILLER_PACE;
+		if (!wasSlow) {
+			this.slowSinceNanos = nowNanos;
+		}
 		this.report = running;
 		// A run that is deliberately throttled is not considered stalled.
 		if (running.getProgress() != this.progress || running.getPace() < ReportProcessor.STALL_MINIMUM_PACE) {
@@ -110,6 +118,17 @@
 		return this.progressNanos;
 	}
 
+	/**
+	 * Returns whether the run has been slow for some time.
+	 * @param duration the time
+	 * @param nowNanos the current time
+	 * @return true if all reports within the time showed a low pace
+	 */
+	boolean slowFor(Duration duration, long nowNanos) {
+		return this.report != null && this.report.getPace() < DispatchSettings.MINIMUM_FILLER_PACE
+				&& nowNanos - this.slowSinceNanos >= duration.toNanos();
+	}
+
 	@Nullable RunningTask report() {
 		return this.report;
 	}
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -358,7 +358,7 @@
 			Placement placement = host.placements().get(key);
 			boolean wanted = placement != null && placement.run() == running.getRun() && placement.current()
 					&& this.dispatcher.job(key.job()).filter((job) -> !job.state().terminal()).isPresent();
-			boolean tooSlow = wanted && shouldResumeElsewhere(host, placement);
+			boolean tooSlow = wanted && shouldResumeElsewhere(host, placement, now);
 			if (tooSlow) {
 				host.backOff(placement.task().step().image(), now);
 			}
@@ -383,12 +383,13 @@
 
 	// Returns whether a checkpointing filler should resume elsewhere, because it gets
 	// only a low pace next to the services on its worker. Its progress is kept.
-	private boolean shouldResumeElsewhere(HostState host, Placement placement) {
+	private boolean shouldResumeElsewhere(HostState host, Placement placement, long now) {
 		RunningTask report = placement.report();
 		return report != null && placement.task().step().filler() && placement.task().step().checkpointing()
 				&& host.runsService() && report.getPace() < DispatchSettings.MINIMUM_FILLER_PACE
 				&& (hasFreeWorker(host, placement.task().step())
-						|| !this.dispatcher.hasSpareCapacity(host.worker().getService()));
+						|| (placement.slowFor(DispatchSettings.SLOW_FILLER_TIMEOUT, now)
+								&& !this.dispatcher.hasSpareCapacity(host.worker().getService())));
 	}
 
 	/**
--- a/src/main/java/org/crocuspost/dispatch/WaitingOrder.java
+++ b/src/main/java/org/crocuspost/dispatch/WaitingOrder.java
@@ -7,6 +7,8 @@
 import org.crocuspost.job.JobSpecification;
 import org.crocuspost.job.Queue;
 import org.crocuspost.job.StepSpecification;
+import org.crocuspost.job.TaskProgress;
+import org.crocuspost.job.TaskStatus;
 
 /**
  * Defines the order in which waiting jobs get workers.
@@ -14,14 +16,38 @@
  * <p>
  * The order matters when more work arrives for some seconds than the workers can run.
  * Long-running services go first, since their users cannot be served without them. Jobs
- * that can still meet their objective follow, by priority and then by their deadline.
- * Jobs that can no longer meet their objective go last, by priority and then the smallest
- * first: a worker given to one of them makes another job late as well.
+ * that can still meet their objective follow, then those that are late but still of use,
+ * then all others.
+ *
+ * <p>
+ * Within these groups and their priority, jobs are ordered by the work that is left of
+ * them in relation to their value, so that jobs that were begun are finished before
+ * others begin. Example: ten jobs of 50 tasks wait for workers that run 50 tasks in the
+ * time of one objective. Ordered by deadline, each new job takes the workers from the one
+ * before, which is late soon, and nearly all tasks are done for jobs that end late. In
+ * this order one job after the other is done in time. The value grows with the size of a
+ * job, so that large jobs are not put off by every small one.
  */
 final class WaitingOrder {
 
 	private static final double NANOS_PER_MILLI = 1_000_000;
 
+	private static final double MILLIS = 1_000;
+
+	private static final int LASTING = 0;
+
+	private static final int IN_TIME = 1;
+
+	private static final int LATE = 2;
+
+	private static final int LATE_BEYOND_USE = 3;
+
+	/**
+	 * Multiple of the objective up to which a late job is of use to its caller, according
+	 * to the documentation of the platform.
+	 */
+	private static final int MAXIMUM_LATENESS = 3;
+
 	/**
 	 * Minimum ratio of the time left until the objective to the estimated remaining run
 	 * time at which a job still counts as in time. Below 1 because steps that have
@@ -101,29 +127,60 @@
 	 * @param firstSeenNanos when the leader first processed the job, in nanoseconds of
 	 * the process clock
 	 * @param nowNanos the current time of the same clock
+	 * @param meanWork the mean work of the jobs of the queue, in core-seconds
 	 * @return the rank
 	 */
-	static Rank rank(JobProgress job, Queue queue, long firstSeenNanos, long nowNanos) {
+	static Rank rank(JobProgress job, Queue queue, long firstSeenNanos, long nowNanos, double meanWork) {
 		JobSpecification specification = job.submission().specification();
 		if (specification.longRunning()) {
-			return new Rank(0, queue.priority(), firstSeenNanos / NANOS_PER_MILLI);
+			return new Rank(LASTING, queue.priority(), firstSeenNanos / NANOS_PER_MILLI);
 		}
 		long objectiveNanos = objective(queue, specification).toNanos();
 		long remainingNanos = firstSeenNanos + objectiveNanos - nowNanos;
-		boolean late = remainingNanos < remainingCriticalPath(job).toNanos() * MINIMUM_TIME_SHARE;
-		return late ? new Rank(2, queue.priority(), job.unfinishedTaskCount())
-				: new Rank(1, queue.priority(), (firstSeenNanos + objectiveNanos) / NANOS_PER_MILLI);
+		long chainNanos = (long) (remainingCriticalPath(job).toNanos() * MINIMUM_TIME_SHARE);
+		int group = LATE_BEYOND_USE;
+		if (remainingNanos >= chainNanos) {
+			group = IN_TIME;
+		}
+		else if (remainingNanos + (MAXIMUM_LATENESS - 1) * objectiveNanos >= chainNanos) {
+			group = LATE;
+		}
+		return new Rank(group, queue.priority(), remainingWork(job) / (totalWork(specification) + meanWork));
+	}
+
+	/**
+	 * Returns the estimated work of a job.
+	 * @param specification the specification of the job
+	 * @return the work of one occurrence, in core-seconds
+	 */
+	static double totalWork(JobSpecification specification) {
+		double total = 0;
+		for (StepSpecification step : specification.steps()) {
+			total += step.taskCount() * work(step);
+		}
+		return total;
+	}
+
+	private static double remainingWork(JobProgress job) {
+		double remaining = 0;
+		for (TaskProgress task : job.allTasks()) {
+			remaining += (task.status() == TaskStatus.DONE) ? 0 : work(task.step());
+		}
+		return remaining;
+	}
+
+	private static double work(StepSpecification step) {
+		return step.milliCores() / MILLIS * estimate(step).toMillis() / MILLIS;
 	}
 
 	/**
 	 * Rank of a job among the waiting jobs.
 	 *
-	 * @param group 0 for long-running services, 1 for jobs in time, 2 for late jobs
+	 * @param group the group of the job; the smallest goes first
 	 * @param priority the priority of the queue; 0 goes first
 	 * @param order the order within the group and priority; the smallest goes first. For
 	 * services, the time in milliseconds at which the leader first processed the job; for
-	 * jobs in time, the time in milliseconds at which the job should be done; for late
-	 * jobs, the number of remaining tasks
+	 * other jobs, the remaining work in relation to the value of the job
 	 */
 	record Rank(int group, int priority, double order) implements Comparable<Rank> {
 
--- a/src/main/java/org/crocuspost/host/PaceController.java
+++ b/src/main/java/org/crocuspost/host/PaceController.java
@@ -4,8 +4,11 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.crocuspost.wire.RunningTask;
+import org.crocuspost.wire.TaskName;
 import org.crocuspost.wire.TaskTraits;
 
 /**
@@ -82,6 +85,8 @@
 
 	private boolean started;
 
+	private Set<RunningRun> slowedRuns = Set.of();
+
 	/**
 	 * Creates a controller for one worker.
 	 * @param settings the thresholds
@@ -119,7 +124,11 @@
 			this.basePressure += BASE_SMOOTHING * (Math.min(pressure, this.settings.target()) - this.basePressure);
 			return List.of();
 		}
+		resetBudgetIfSlowedRunsAreGone(fillers);
 		updateBudget(pressure, used, wanted, nowNanos);
+		if (this.changedNanos == nowNanos && this.budget < used) {
+			this.slowedRuns = fillers.stream().map(RunningRun::of).collect(Collectors.toSet());
+		}
 		return distribute(fillers, this.budget);
 	}
 
@@ -128,6 +137,19 @@
 		return (expected > 0) ? Math.max(MINIMUM_RISE, expected) : DEFAULT_RISE;
 	}
 
+	/**
+	 * Forgets what was observed of runs that have ended. A budget that was reduced for a
+	 * demanding filler would otherwise slow down the light ones that follow it, for the
+	 * seconds that it takes to grow back.
+	 * @param fillers the fillers in progress
+	 */
+	private void resetBudgetIfSlowedRunsAreGone(List<ObservedRun> fillers) {
+		if (!this.slowedRuns.isEmpty() && fillers.stream().map(RunningRun::of).noneMatch(this.slowedRuns::contains)) {
+			this.slowedRuns = Set.of();
+			this.budget = Math.max(this.budget, this.settings.target() - this.basePressure);
+		}
+	}
+
 	private void updateBudget(double pressure, double used, double wanted, long nowNanos) {
 		if (!this.started) {
 			this.started = true;
@@ -187,6 +209,20 @@
 	public record ObservedRun(RunningTask running, TaskTraits traits, int pace) {
 	}
 
+	/**
+	 * Identity of a run.
+	 *
+	 * @param task the task
+	 * @param run the number of the run
+	 */
+	private record RunningRun(TaskName task, int run) {
+
+		private static RunningRun of(ObservedRun observed) {
+			return new RunningRun(observed.running().getTask(), observed.running().getRun());
+		}
+
+	}
+
 	/**
 	 * A pace to order.
 	 *
