Let a restarted agent refuse former leaders

Cause (docs/design/PROGRAMS.md, Limits; one of the accidents that operators told of): an agent without a memory obeys the first leader that greets it. A former leader that is cut off from the store, or was suspended, could extend the lease of a host that its successor had already given up.

Change: the agent reads the epoch from the leader's row before it accepts leaders; without an answer of the store it starts all the same, logged.

--- a/src/main/java/org/crocuspost/host/HostEvent.java
+++ b/src/main/java/org/crocuspost/host/HostEvent.java
@@ -24,6 +24,12 @@
 	 */
 	WORKER_LISTED,
 
+	/**
+	 * The store did not show the epoch of the leader at the start; the agent obeys the
+	 * first leader that connects until a newer one does.
+	 */
+	EPOCH_UNKNOWN,
+
 	/**
 	 * A connection of a leader is closed because of a network error or a message that
 	 * cannot be processed.
--- a/src/main/java/org/crocuspost/hostlink/LeaderPort.java
+++ b/src/main/java/org/crocuspost/hostlink/LeaderPort.java
@@ -60,6 +60,16 @@
 		return (InetSocketAddress) bootstrap.bind(address).syncUninterruptibly().channel().localAddress();
 	}
 
+	/**
+	 * Refuses leaders of earlier epochs, as after a hello of this epoch. An agent that
+	 * restarts would otherwise obey a former leader that has not noticed its successor,
+	 * until the successor connects.
+	 * @param newestEpoch the epoch that the store shows
+	 */
+	public void requireEpoch(long newestEpoch) {
+		this.epoch = Math.max(this.epoch, newestEpoch);
+	}
+
 	/**
 	 * Sends a report if a leader is connected. A leader that reads changes receives only
 	 * what has changed since the previous report on its connection.
--- a/src/main/java/org/crocuspost/platform/hosted/AgentProgram.java
+++ b/src/main/java/org/crocuspost/platform/hosted/AgentProgram.java
@@ -4,17 +4,21 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 
 import io.netty.channel.EventLoop;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.vavr.control.Either;
 import org.crocuspost.daemon.DaemonCommand;
 import org.crocuspost.dispatch.Departure;
+import org.crocuspost.error.Failure;
 import org.crocuspost.host.HostAgent;
 import org.crocuspost.host.HostAgentSettings;
 import org.crocuspost.host.HostEvent;
 import org.crocuspost.host.HostMetrics;
 import org.crocuspost.host.WorkerAnnouncement;
 import org.crocuspost.hostlink.LeaderPort;
+import org.crocuspost.lead.LeaderRecord;
 import org.crocuspost.lead.Tables;
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
@@ -23,6 +27,7 @@
 import org.crocuspost.rows.InstrumentedRowStore;
 import org.crocuspost.rows.RowStore;
 import org.crocuspost.rows.RowTransaction;
+import org.crocuspost.rows.StoredRow;
 import org.crocuspost.time.Clock;
 import org.crocuspost.time.ExecutorTimer;
 import org.crocuspost.time.Timer;
@@ -78,6 +83,7 @@
 
 	void start() {
 		InetSocketAddress internal = new InetSocketAddress(this.settings.ip(), this.settings.internalPort());
+		readEpoch();
 		this.leaderPort[0].bind(this.loop, internal);
 		this.loop.execute(() -> {
 			this.agent.start();
@@ -88,6 +94,24 @@
 		DaemonCommand.logReady(Field.of("name", this.settings.name()), DaemonCommand.addressField("leader", internal));
 	}
 
+	/**
+	 * Reads the epoch of the leader before any leader may connect. If the store does not
+	 * answer, the agent starts without it: its tasks would lose their lease otherwise.
+	 */
+	private void readEpoch() {
+		CompletableFuture<Either<Failure, StoredRow>> row = new CompletableFuture<>();
+		this.loop.execute(() -> this.store.read(Tables.LEDGER, Tables.LEADER_KEY, row::complete));
+		try {
+			long epoch = row.join()
+				.map((leader) -> LeaderRecord.read(leader.value()).epoch())
+				.getOrElseThrow((failure) -> new IllegalArgumentException(failure.message()));
+			this.leaderPort[0].requireEpoch(epoch);
+		}
+		catch (IllegalArgumentException ex) {
+			EventLog.warn(HostEvent.EPOCH_UNKNOWN, Field.of("reason", String.valueOf(ex.getMessage())));
+		}
+	}
+
 	/**
 	 * Writes the address of this agent to the store, from which the leader reads it.
 	 */
