--- a/src/main/java/org/crocuspost/dispatch/DispatchListener.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchListener.java
@@ -49,6 +49,16 @@
 	 */
 	void runLost(TaskProgress task, int run, String host, String reason, Evidence evidence);
 
+	/**
+	 * Called when the leader decides to stop a run whose job goes on.
+	 * @param task the task
+	 * @param run the number of the run
+	 * @param host the host
+	 * @param reason why the run is stopped
+	 * @param evidence the information on which the decision is based
+	 */
+	void runStopped(TaskProgress task, int run, String host, String reason, StopEvidence evidence);
+
 	/**
 	 * Called when the leader's assessment of a host changes.
 	 * @param host the host
--- a/src/main/java/org/crocuspost/dispatch/Placement.java
+++ b/src/main/java/org/crocuspost/dispatch/Placement.java
@@ -57,11 +57,16 @@
 
 	private long slowSinceNanos;
 
+	private final long placedNanos;
+
+	private boolean stopOrdered;
+
 	Placement(TaskProgress task, Phase phase, long nowNanos) {
 		this.task = task;
 		this.run = task.run();
 		this.phase = phase;
 		this.phaseSinceNanos = nowNanos;
+		this.placedNanos = nowNanos;
 		this.progressNanos = nowNanos;
 	}
 
@@ -94,6 +99,20 @@
 		return this.task.run() == this.run && this.task.status() == org.crocuspost.job.TaskStatus.PLACED;
 	}
 
+	/**
+	 * Records that a stop of the run was ordered.
+	 * @return whether this is the first order
+	 */
+	boolean markStopOrdered() {
+		boolean first = !this.stopOrdered;
+		this.stopOrdered = true;
+		return first;
+	}
+
+	Duration age(long nowNanos) {
+		return Duration.ofNanos(nowNanos - this.placedNanos);
+	}
+
 	TaskProgress task() {
 		return this.task;
 	}
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -354,21 +354,50 @@
 		List<RunningTask> reportedRuns = new ArrayList<>(report.getRunningList());
 		reportedRuns.addAll(report.getPendingList());
 		for (RunningTask running : reportedRuns) {
-			TaskKey key = TaskNames.key(running.getTask());
-			Placement placement = host.placements().get(key);
-			boolean wanted = placement != null && placement.run() == running.getRun() && placement.current()
-					&& this.dispatcher.job(key.job()).filter((job) -> !job.state().terminal()).isPresent();
-			boolean tooSlow = wanted && shouldResumeElsewhere(host, placement, now);
-			if (tooSlow) {
-				host.backOff(placement.task().step().image(), now);
-			}
-			if (!wanted || stalled(host, placement, now) || tooSlow) {
-				stops.add(StopOrder.newBuilder().setTask(running.getTask()).setRun(running.getRun()).build());
+			String reason = stopReason(host, running, now);
+			if (!reason.isEmpty()) {
+				stops.add(StopOrder.newBuilder()
+					.setTask(running.getTask())
+					.setRun(running.getRun())
+					.setReason(reason)
+					.build());
 			}
 		}
 		return stops;
 	}
 
+	/**
+	 * Returns why a reported run is stopped.
+	 * @param host the host
+	 * @param running the run
+	 * @param now the current time
+	 * @return the reason; empty if the run continues
+	 */
+	private String stopReason(HostState host, RunningTask running, long now) {
+		TaskKey key = TaskNames.key(running.getTask());
+		Placement placement = host.placements().get(key);
+		if (placement == null || placement.run() != running.getRun() || !placement.current()) {
+			return "not assigned to this host";
+		}
+		if (this.dispatcher.job(key.job()).filter((job) -> !job.state().terminal()).isEmpty()) {
+			return "the job has ended";
+		}
+		String reason = "";
+		if (stalled(host, placement, now)) {
+			reason = "stalled";
+		}
+		else if (shouldResumeElsewhere(host, placement, now)) {
+			host.backOff(placement.task().step().image(), now);
+			reason = "slow beside services";
+		}
+		if (!reason.isEmpty() && placement.markStopOrdered()) {
+			this.dispatcher.listener()
+				.runStopped(placement.task(), placement.run(), host.name(), reason,
+						new StopEvidence(running.getPace(), host.pressure(), placement.age(now)));
+		}
+		return reason;
+	}
+
 	private boolean hasFreeWorker(HostState host, StepSpecification step) {
 		for (HostState other : this.dispatcher.hosts()) {
 			if (other != host && this.dispatcher.schedulable(other) && !other.runsService()
@@ -402,7 +431,11 @@
 		for (Placement placement : this.dispatcher.host(name).placements().values()) {
 			TaskKey key = placement.task().key();
 			if (this.dispatcher.job(key.job()).filter((job) -> !job.state().terminal()).isEmpty()) {
-				stops.add(StopOrder.newBuilder().setTask(TaskNames.name(key)).setRun(placement.run()).build());
+				stops.add(StopOrder.newBuilder()
+					.setTask(TaskNames.name(key))
+					.setRun(placement.run())
+					.setReason("the job has ended")
+					.build());
 			}
 		}
 		return stops;
--- a/src/main/java/org/crocuspost/host/HostAgent.java
+++ b/src/main/java/org/crocuspost/host/HostAgent.java
@@ -602,7 +602,7 @@
 	}
 
 	private void handleStopOrder(StopOrder order) {
-		stop(new RunKey(TaskNames.key(order.getTask()), order.getRun()));
+		stop(new RunKey(TaskNames.key(order.getTask()), order.getRun()), order.getReason());
 	}
 
 	/**
@@ -612,12 +612,12 @@
 	private void retryStops() {
 		List.copyOf(this.pending.entrySet()).forEach((entry) -> {
 			if (entry.getValue().unresolved) {
-				stop(entry.getKey());
+				stop(entry.getKey(), "the outcome of its start is unknown");
 			}
 		});
 	}
 
-	private void stop(RunKey key) {
+	private void stop(RunKey key, String reason) {
 		WorkerAnnouncement target = this.announcement;
 		long now = this.clock.nanoTime();
 		Long sentNanos = this.stopsSentNanos.get(key);
@@ -630,7 +630,7 @@
 		}
 		this.stopsSentNanos.put(key, now);
 		EventLog.info(HostEvent.STOP_ORDERED, Field.of("job", key.task().job()), Field.of("task", key.task()),
-				Field.of("run", key.run()));
+				Field.of("run", key.run()), Field.of("reason", reason));
 		long usedFence = this.fence;
 		this.worker.stop(target, usedFence, key.task(), key.run(), (outcome) -> {
 			raiseFenceIfRejected(outcome, usedFence);
--- a/src/main/java/org/crocuspost/lead/DecisionLog.java
+++ b/src/main/java/org/crocuspost/lead/DecisionLog.java
@@ -1,7 +1,10 @@
 package org.crocuspost.lead;
 
+import java.time.Duration;
+
 import org.crocuspost.dispatch.DispatchListener;
 import org.crocuspost.dispatch.Evidence;
+import org.crocuspost.dispatch.StopEvidence;
 import org.crocuspost.job.JobProgress;
 import org.crocuspost.job.TaskProgress;
 import org.crocuspost.log.EventLog;
@@ -12,6 +15,11 @@
  */
 final class DecisionLog implements DispatchListener {
 
+	/**
+	 * Age below which a stopped run was placed wrongly.
+	 */
+	private static final Duration EARLY_STOP = Duration.ofSeconds(2);
+
 	private final LeaderMetrics metrics;
 
 	DecisionLog(LeaderMetrics metrics) {
@@ -55,6 +63,16 @@
 				Field.of("evidenceAgeMillis", evidence.age().toMillis()));
 	}
 
+	@Override
+	public void runStopped(TaskProgress task, int run, String host, String reason, StopEvidence evidence) {
+		boolean early = evidence.age().compareTo(EARLY_STOP) < 0;
+		this.metrics.runStopped(reason, early);
+		EventLog.info(LeadEvent.RUN_STOPPED, Field.of("job", task.key().job()), Field.of("task", task.key()),
+				Field.of("run", run), Field.of("host", host), Field.of("reason", reason),
+				Field.of("pace", evidence.pace()), Field.of("pressure", evidence.pressure()),
+				Field.of("ageMillis", evidence.age().toMillis()));
+	}
+
 	@Override
 	public void hostChanged(String host, String state, String detail) {
 		this.metrics.hostChanged(state);
--- a/src/main/java/org/crocuspost/lead/LeadEvent.java
+++ b/src/main/java/org/crocuspost/lead/LeadEvent.java
@@ -67,6 +67,11 @@
 	 */
 	RUN_ENDED,
 
+	/**
+	 * A run is stopped although its job goes on; its task starts again.
+	 */
+	RUN_STOPPED,
+
 	/**
 	 * A run was given up without a report of its end from its worker; its task starts
 	 * again.
--- a/src/main/java/org/crocuspost/lead/LeaderMetrics.java
+++ b/src/main/java/org/crocuspost/lead/LeaderMetrics.java
@@ -16,6 +16,8 @@
 
 	private final Counter runsEnded;
 
+	private final Counter runsStopped;
+
 	private final Counter hostChanges;
 
 	private final Histogram placementSeconds;
@@ -37,6 +39,11 @@
 			.help("Runs of tasks that ended, were refused or were lost, by outcome.")
 			.labelNames("outcome")
 			.register(registry);
+		this.runsStopped = Counter.builder()
+			.name("crocuspost_runs_stopped_total")
+			.help("Runs that the leader stopped although their job went on, by reason and whether within two seconds.")
+			.labelNames("reason", "early")
+			.register(registry);
 		this.hostChanges = Counter.builder()
 			.name("crocuspost_host_changes_total")
 			.help("Changes of what the leader believes of hosts, by belief.")
@@ -62,6 +69,10 @@
 		this.runsEnded.labelValues(outcome).inc();
 	}
 
+	void runStopped(String reason, boolean early) {
+		this.runsStopped.labelValues(reason, String.valueOf(early)).inc();
+	}
+
 	void hostChanged(String state) {
 		this.hostChanges.labelValues(state).inc();
 	}
--- a/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
@@ -365,6 +365,10 @@
 			DispatchFixture.this.lostRuns.add(new LostRun(reason, evidence));
 		}
 
+		@Override
+		public void runStopped(TaskProgress task, int run, String host, String reason, StopEvidence evidence) {
+		}
+
 		@Override
 		public void hostChanged(String host, String assessment, String detail) {
 			DispatchFixture.this.hostAssessments.add(assessment);
--- a/src/test/java/org/crocuspost/dispatch/MixedLoadSimulation.java
+++ b/src/test/java/org/crocuspost/dispatch/MixedLoadSimulation.java
@@ -534,6 +534,10 @@
 		public void runLost(TaskProgress task, int run, String host, String reason, Evidence evidence) {
 		}
 
+		@Override
+		public void runStopped(TaskProgress task, int run, String host, String reason, StopEvidence evidence) {
+		}
+
 		@Override
 		public void hostChanged(String host, String assessment, String detail) {
 		}
