Learn the pressure of images with caution, since missed targets cost more

An image was known after two reports, which show a part of its effect; its whole step then went beside services at once. The effect of an image changes within seconds, so estimates that fall as fast as they rise are too low half of the time.

--- a/src/main/java/org/crocuspost/dispatch/ImagePressure.java
+++ b/src/main/java/org/crocuspost/dispatch/ImagePressure.java
@@ -24,10 +24,17 @@
 public final class ImagePressure {
 
 	/**
-	 * Fraction of the error that one report corrects. Below 1 because the reports overlap
-	 * and lag by half a second.
+	 * Fraction of the error that one report corrects if the pressure is higher than
+	 * expected. Below 1 because the reports overlap and lag by half a second.
 	 */
-	private static final double LEARNING_RATE = 0.3;
+	private static final double RAISING_RATE = 0.5;
+
+	/**
+	 * Fraction of the error that one report corrects if the pressure is lower than
+	 * expected. Smaller, because a service that misses its target costs several times
+	 * what a filler that waits does, and the effect of an image changes within seconds.
+	 */
+	private static final double LOWERING_RATE = 0.15;
 
 	/**
 	 * Pressure assumed on a host without fillers until a report shows it.
@@ -54,9 +61,10 @@
 	private static final double REGULARIZATION = 0.002;
 
 	/**
-	 * Number of reports after which the weight of an image is used.
+	 * Number of reports after which the weight of an image is used. The first ones show
+	 * only a part of the effect, since a report covers the last half second.
 	 */
-	private static final int MINIMUM_SAMPLES = 2;
+	private static final int MINIMUM_SAMPLES = 6;
 
 	/**
 	 * Maximum number of stored images, so that they fit into a row of the store.
@@ -97,7 +105,7 @@
 		}
 		double error = pressure - expected;
 		for (Map.Entry<String, Double> entry : shares.entrySet()) {
-			double correction = LEARNING_RATE * error * entry.getValue() / squaredNorm;
+			double correction = ((error > 0) ? RAISING_RATE : LOWERING_RATE) * error * entry.getValue() / squaredNorm;
 			double next = this.weights.getOrDefault(entry.getKey(), 0.0) + correction;
 			this.weights.put(entry.getKey(), Math.max(0, Math.min(MAXIMUM_WEIGHT, next)));
 			this.samples.merge(entry.getKey(), 1, Integer::sum);
--- a/src/test/java/org/crocuspost/dispatch/MixedLoadTests.java
+++ b/src/test/java/org/crocuspost/dispatch/MixedLoadTests.java
@@ -39,6 +39,15 @@
 		assertThat(mean(play(1, 6, Load.LARGE), Result::earlyStops)).isLessThan(0.05);
 	}
 
+	/**
+	 * Time in which a service misses its target because of a filler counts four times
+	 * against it. Fillers may cost services one twentieth of their worth.
+	 */
+	@Test
+	void fillersCostServicesLittle() {
+		assertThat(mean(play(31, 6, Load.LARGE), Result::missedTargets) * 4).isLessThan(0.05);
+	}
+
 	/**
 	 * Under a load that exceeds the workers, jobs must be finished one after the other:
 	 * if each new job delays the ones before it, nearly all are late.
