--- a/src/test/java/org/crocuspost/lead/FencedWriterTests.java
+++ b/src/test/java/org/crocuspost/lead/FencedWriterTests.java
@@ -88,6 +88,20 @@
 		assertThat(this.appliedTransactions).isEqualTo(2);
 	}
 
+	/**
+	 * The monotonic clock of a suspended leader stands still. It must not go on extending
+	 * leases as if it had been confirmed a moment ago.
+	 */
+	@Test
+	void timeOfASuspensionCountsSinceTheLastConfirmation() {
+		write("key");
+		assertThat(this.writer.confirmationAge()).isZero();
+		this.time.shiftWallClock(Duration.ofSeconds(20));
+		assertThat(this.writer.confirmationAge()).isGreaterThan(LeadershipTimings.LEASE_EXTENSION_WITHOUT_STORE);
+		write("other");
+		assertThat(this.writer.confirmationAge()).isZero();
+	}
+
 	@Test
 	void formerLeaderCannotWrite() {
 		createWriter(2);
--- a/src/test/java/org/crocuspost/rows/RowWatchTests.java
+++ b/src/test/java/org/crocuspost/rows/RowWatchTests.java
@@ -54,6 +54,19 @@
 		assertThat(this.watch.age()).isLessThan(MAXIMUM_WAIT.plusMillis(200));
 	}
 
+	/**
+	 * A process that was suspended must not take the rows of that moment for new ones.
+	 */
+	@Test
+	void ageIncludesASuspension() {
+		this.watch.start();
+		this.time.advance(Duration.ofSeconds(5));
+		this.time.shiftWallClock(Duration.ofSeconds(6));
+		assertThat(this.watch.age()).isGreaterThanOrEqualTo(Duration.ofSeconds(6));
+		this.time.advance(Duration.ofSeconds(3));
+		assertThat(this.watch.age()).isLessThan(MAXIMUM_WAIT.plusMillis(200));
+	}
+
 	@Test
 	void ageIsSmallImmediatelyAfterTheStoreAnswersAgain() {
 		this.watch.start();
