Keep a gang's trial and a long list of traits from misleading placement and pace

Change: the pressure is set aside when a run is placed; pending starts keep their traits.

Tests: FillerPlacementTests.trialOfAGangThatDoesNotFitSetsAsideNoPressure and HostAgentTests.traitsOfAPendingStartAreKeptWhenOldOnesAreRemoved pass with the change; they were not run on the code before it. 102 tests of dispatch and host pass.

--- a/src/main/java/org/crocuspost/dispatch/CandidateHost.java
+++ b/src/main/java/org/crocuspost/dispatch/CandidateHost.java
@@ -87,12 +87,12 @@
 	}
 
 	/**
-	 * Adds the expected pressure of a filler that has just been placed on the worker.
+	 * Adds the expected pressure of a filler that this pass has placed on the worker,
+	 * perhaps only in the trial of a gang.
 	 * @param increase the expected increase of the pressure
 	 */
 	void addExpectedIncrease(double increase) {
 		this.pendingIncrease += increase;
-		this.host.addExpectedIncrease(increase);
 	}
 
 	/**
--- a/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
+++ b/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
@@ -91,7 +91,7 @@
 			}
 		}
 		if (best != null && step.filler() && best.host().runsService()) {
-			best.addExpectedIncrease(expectedIncrease(step, best).orElse(MAXIMUM_PRESSURE));
+			best.addExpectedIncrease(reservedPressure(step, best.host().worker()));
 		}
 		return best;
 	}
@@ -115,6 +115,12 @@
 		return increase.isPresent() ? Math.max(MINIMUM_KNOWN_INCREASE, increase.getAsDouble()) : 0;
 	}
 
+	@Override
+	public double reservedPressure(StepSpecification step, WorkerDescription worker) {
+		double share = step.milliCores() / (double) Math.max(1, worker.getMilliCores());
+		return this.imagePressure.expectedIncrease(step.image(), share).orElse(MAXIMUM_PRESSURE);
+	}
+
 	private static double contention(CandidateHost candidate) {
 		return candidate.fillers() + candidate.host().pressure();
 	}
--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -333,6 +333,9 @@
 	private void place(TrackedJob tracked, TaskProgress task, CandidateHost candidate, int run) {
 		HostState host = candidate.host();
 		long now = this.clock.nanoTime();
+		if (task.step().filler() && host.runsService()) {
+			host.addExpectedIncrease(this.policy.reservedPressure(task.step(), host.worker()));
+		}
 		task.assign(run, host.name(), host.worker().getId(), host.worker().getBorn());
 		host.placements().put(task.key(), new Placement(task, Placement.Phase.RECORDING, now));
 		if (tracked.job().markActive()) {
--- a/src/main/java/org/crocuspost/dispatch/PlacementPolicy.java
+++ b/src/main/java/org/crocuspost/dispatch/PlacementPolicy.java
@@ -42,6 +42,17 @@
 		return 0;
 	}
 
+	/**
+	 * Returns the pressure to set aside on a worker for a filler that is placed beside
+	 * services, until reports show what it really is.
+	 * @param step the step of the filler
+	 * @param worker the worker
+	 * @return the expected increase; a cautious one if the image is unknown
+	 */
+	default double reservedPressure(StepSpecification step, WorkerDescription worker) {
+		return 0;
+	}
+
 	/**
 	 * Returns whether a worker satisfies the constraints of a step and has enough free
 	 * resources for one of its tasks.
--- a/src/main/java/org/crocuspost/host/HostAgent.java
+++ b/src/main/java/org/crocuspost/host/HostAgent.java
@@ -3,12 +3,15 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 
 import io.vavr.control.Either;
 import org.crocuspost.dispatch.Departure;
@@ -512,8 +515,9 @@
 		message.getStopsList().forEach(this::handleStopOrder);
 		message.getStartsList().forEach(this::handleStartOrder);
 		if (this.traits.size() > HostAgentSettings.MAXIMUM_REMEMBERED_RUNS) {
-			this.traits.keySet()
-				.retainAll(this.running.stream().map(RunKey::of).collect(java.util.stream.Collectors.toSet()));
+			Set<RunKey> current = this.running.stream().map(RunKey::of).collect(Collectors.toCollection(HashSet::new));
+			current.addAll(this.pending.keySet());
+			this.traits.keySet().retainAll(current);
 		}
 		sendWantedReport();
 	}
--- a/src/test/java/org/crocuspost/dispatch/FillerPlacementTests.java
+++ b/src/test/java/org/crocuspost/dispatch/FillerPlacementTests.java
@@ -212,6 +212,22 @@
 			.hasSize(2);
 	}
 
+	/**
+	 * A gang that does not fit must not leave behind the pressure of its trial: no filler
+	 * could be placed there any more.
+	 */
+	@Test
+	void trialOfAGangThatDoesNotFitSetsAsideNoPressure() {
+		trainPressureModel();
+		this.fixture.worker("serving", 16_000);
+		this.fixture.submit("service", new StepBuilder().tasks(1).milliCores(3_200).service().build());
+		this.fixture.runSchedulingRound();
+		this.fixture.submit("gang", new StepBuilder().tasks(20).milliCores(3_500).gang().filler("light").build());
+		this.fixture.runSchedulingRound();
+		assertThat(this.fixture.task("gang", 0, 0).everAssigned()).isFalse();
+		assertThat(this.fixture.dispatcher.host("serving").unreportedIncrease()).isZero();
+	}
+
 	@Test
 	void nextLeaderKnowsTheImages() {
 		trainPressureModel();
--- a/src/test/java/org/crocuspost/host/HostAgentTests.java
+++ b/src/test/java/org/crocuspost/host/HostAgentTests.java
@@ -375,6 +375,33 @@
 		assertThat(this.worker.leases).hasSizeGreaterThan(before);
 	}
 
+	/**
+	 * Without its traits a filler runs at full pace beside services.
+	 */
+	@Test
+	void traitsOfAPendingStartAreKeptWhenOldOnesAreRemoved() {
+		startAgent();
+		RunningTask service = run(1, 900);
+		LeaderMessage.Builder message = grantAndStart("worker", 1).toBuilder();
+		message.setStarts(0, message.getStarts(0).toBuilder().setTraits(TaskTraits.newBuilder().setFiller(true)));
+		message.addTraits(TraitsOfRun.newBuilder()
+			.setTask(service.getTask())
+			.setRun(1)
+			.setTraits(TaskTraits.newBuilder().setTailTarget(100)));
+		this.worker.running = List.of(service);
+		this.time.advance(Duration.ofSeconds(1));
+		this.agent.messageReceived(message.build());
+		LeaderMessage.Builder others = LeaderMessage.newBuilder().setWorkerBorn(1);
+		IntStream.range(100, 1_200)
+			.forEach(
+					(number) -> others.addTraits(TraitsOfRun.newBuilder().setTask(run(number, 0).getTask()).setRun(1)));
+		this.agent.messageReceived(others.build());
+		this.worker.running = List.of(service,
+				RunningTask.newBuilder().setTask(TaskNames.name(TASK)).setRun(1).setLoad(1_000).build());
+		this.time.advance(Duration.ofSeconds(3));
+		assertThat(this.worker.paced).contains(TASK);
+	}
+
 	/**
 	 * Worker whose answers are set by a test.
 	 */
@@ -408,6 +435,8 @@
 
 		private boolean paceFails;
 
+		private final List<TaskKey> paced = new ArrayList<>();
+
 		private List<EndedTask> ended = List.of();
 
 		private long clockMillis() {
@@ -454,6 +483,7 @@
 			if (this.paceFails) {
 				throw new IllegalStateException("scripted");
 			}
+			this.paced.add(task);
 			answer.accept(new OrderOutcome(OrderOutcome.Kind.OBEYED, ""));
 		}
 
