Answer callers before half of their time has passed

The header that says how long a caller waits was not read. A body that could not be read left the request counted as in flight until the stop.

Change: after 0.4 of the caller's time, or 1.2 s without the header, the caller gets its final answer: may have run for a submission or a cancellation, not run for a question. A later answer of the store is logged.

Before: JobServiceTests.aCallerIsAnsweredBeforeHalfOfItsTimeHasPassed has no counterpart, and no timer existed.

--- a/src/main/java/org/crocuspost/ingress/IngressEvent.java
+++ b/src/main/java/org/crocuspost/ingress/IngressEvent.java
@@ -28,6 +28,11 @@
 	 */
 	JOB_WITHDRAWN,
 
+	/**
+	 * The store has answered after the caller got its final answer.
+	 */
+	ANSWER_TOO_LATE,
+
 	/**
 	 * A stored progress row of a job cannot be parsed and was ignored.
 	 */
--- a/src/main/java/org/crocuspost/ingress/JobRequest.java
+++ b/src/main/java/org/crocuspost/ingress/JobRequest.java
@@ -1,5 +1,7 @@
 package org.crocuspost.ingress;
 
+import java.time.Duration;
+import java.util.Optional;
 import java.util.function.Supplier;
 
 import io.vavr.control.Either;
@@ -13,9 +15,10 @@
  * @param path the path without a query
  * @param specification parses the job specification in the body; a left value describes
  * the error
+ * @param timeRemaining how long the caller waits for the answer; empty if it does not say
  */
 public record JobRequest(Method method, String host, String path,
-		Supplier<Either<String, JobSpecification>> specification) {
+		Supplier<Either<String, JobSpecification>> specification, Optional<Duration> timeRemaining) {
 
 	private static final int ID_DIGITS = 16;
 
--- a/src/main/java/org/crocuspost/ingress/JobService.java
+++ b/src/main/java/org/crocuspost/ingress/JobService.java
@@ -22,7 +22,9 @@
 import org.crocuspost.rows.RowStore;
 import org.crocuspost.rows.RowTransaction;
 import org.crocuspost.rows.StoredRow;
+import org.crocuspost.time.Cancellable;
 import org.crocuspost.time.Clock;
+import org.crocuspost.time.Timer;
 
 /**
  * Carries out callers' requests. A job or a cancellation is stored before the caller
@@ -49,6 +51,17 @@
 	 */
 	private static final Duration MAXIMUM_CONFIGURATION_AGE = Duration.ofMillis(1_900);
 
+	/**
+	 * Share of the caller's time after which it gets its final answer even if the store
+	 * has not answered. The rest is enough for the caller to ask another entry process.
+	 */
+	private static final double ANSWER_TIME_SHARE = 0.4;
+
+	/**
+	 * Time after which a caller that does not say how long it waits gets its answer.
+	 */
+	private static final Duration DEFAULT_ANSWER_TIME = Duration.ofMillis(1_200);
+
 	private final RowStore store;
 
 	private final OperatorView operator;
@@ -59,6 +72,8 @@
 
 	private final Clock clock;
 
+	private final Timer timer;
+
 	/**
 	 * Creates a service.
 	 * @param store the store
@@ -66,14 +81,16 @@
 	 * @param directory the states of jobs
 	 * @param metrics the metrics of requests
 	 * @param clock the clock of the process
+	 * @param timer the timer of the event loop
 	 */
 	public JobService(RowStore store, OperatorView operator, JobDirectory directory, IngressMetrics metrics,
-			Clock clock) {
+			Clock clock, Timer timer) {
 		this.store = store;
 		this.operator = operator;
 		this.directory = directory;
 		this.metrics = metrics;
 		this.clock = clock;
+		this.timer = timer;
 	}
 
 	/**
@@ -83,10 +100,21 @@
 	 */
 	public void handle(JobRequest request, Consumer<JobAnswer> answer) {
 		long started = this.clock.nanoTime();
-		process(request, (result) -> {
+		FinalAnswer finalAnswer = new FinalAnswer(request, (result) -> {
 			this.metrics.recordRequest(request.method(), result, this.clock.nanoTime() - started);
 			answer.accept(result);
 		});
+		Duration answerTime = request.timeRemaining()
+			.map((time) -> Duration.ofMillis((long) (time.toMillis() * ANSWER_TIME_SHARE)))
+			.orElse(DEFAULT_ANSWER_TIME);
+		finalAnswer.timeout = this.timer.schedule(answerTime, () -> finalAnswer.accept(timedOut(request)));
+		process(request, finalAnswer);
+	}
+
+	private static JobAnswer timedOut(JobRequest request) {
+		boolean writes = request.method() == JobRequest.Method.SUBMIT || request.method() == JobRequest.Method.CANCEL;
+		return new JobAnswer.Refused(writes ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN, false,
+				"the platform's store has not answered in time", Optional.of(STORE_RETRY_AFTER));
 	}
 
 	private void process(JobRequest request, Consumer<JobAnswer> answer) {
@@ -315,4 +343,37 @@
 		});
 	}
 
+	/**
+	 * Passes on the first of two answers: the real one or that of the timeout.
+	 */
+	private static final class FinalAnswer implements Consumer<JobAnswer> {
+
+		private final JobRequest request;
+
+		private final Consumer<JobAnswer> target;
+
+		private Cancellable timeout = () -> {
+		};
+
+		private boolean given;
+
+		private FinalAnswer(JobRequest request, Consumer<JobAnswer> target) {
+			this.request = request;
+			this.target = target;
+		}
+
+		@Override
+		public void accept(JobAnswer result) {
+			if (this.given) {
+				EventLog.info(IngressEvent.ANSWER_TOO_LATE, Field.of("path", this.request.path()),
+						Field.of("method", this.request.method()), Field.of("answer", result));
+				return;
+			}
+			this.given = true;
+			this.timeout.cancel();
+			this.target.accept(result);
+		}
+
+	}
+
 }
--- a/src/main/java/org/crocuspost/platform/hosted/EntryProgram.java
+++ b/src/main/java/org/crocuspost/platform/hosted/EntryProgram.java
@@ -105,7 +105,7 @@
 				new LeaderMetrics(this.registry), traffic, loop, clock, timer);
 		electorReference.set(this.leaderElector);
 		this.jobService = new JobService(protectedStore, this.operator, directory, new IngressMetrics(this.registry),
-				clock);
+				clock, timer);
 		timer.repeat(Duration.ofMillis(100), this::updateReadiness);
 	}
 
--- a/src/main/java/org/crocuspost/platform/hosted/JobHttpHandler.java
+++ b/src/main/java/org/crocuspost/platform/hosted/JobHttpHandler.java
@@ -1,5 +1,7 @@
 package org.crocuspost.platform.hosted;
 
+import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 
@@ -39,6 +41,11 @@
 
 	private static final int MAXIMUM_BODY_BYTES = 262_144;
 
+	/**
+	 * Header in which callers say how many milliseconds they wait for the answer.
+	 */
+	private static final String TIME_REMAINING_HEADER = "X-Crocuspost-Time-Remaining";
+
 	private static final byte[] NO_BODY = {};
 
 	private final JobService jobService;
@@ -62,6 +69,7 @@
 				.getBody(MAXIMUM_BODY_BYTES)
 				.map((body) -> body.getBytes())
 				.onError(RequestBodyTooLargeException.class, (error) -> respond(context, TOO_LARGE, "{}"))
+				.onError((error) -> respond(context, BAD_REQUEST, JsonErrors.body("the body could not be read")))
 				.then((body) -> dispatch(context, method, body));
 		}
 		else {
@@ -71,7 +79,8 @@
 
 	private void dispatch(Context context, JobRequest.Method method, byte[] body) {
 		Supplier<Either<String, JobSpecification>> specification = () -> JobDecoder.decode(body);
-		JobRequest request = new JobRequest(method, host(context), path(context), specification);
+		JobRequest request = new JobRequest(method, host(context), path(context), specification,
+				timeRemaining(context));
 		Promise
 			.<JobAnswer>async(
 					(downstream) -> this.loop.execute(() -> this.jobService.handle(request, downstream::success)))
@@ -88,6 +97,20 @@
 		return method.isDelete() ? JobRequest.Method.CANCEL : JobRequest.Method.OTHER;
 	}
 
+	private static Optional<Duration> timeRemaining(Context context) {
+		String text = context.getRequest().getHeaders().get(TIME_REMAINING_HEADER);
+		try {
+			return Optional.ofNullable(text)
+				.map(Long::parseLong)
+				.filter((millis) -> millis > 0)
+				.map(Duration::ofMillis);
+		}
+		catch (NumberFormatException ex) {
+			// The default applies, as without the header.
+			return Optional.empty();
+		}
+	}
+
 	private static String host(Context context) {
 		String host = context.getRequest().getHeaders().get("Host");
 		if (host == null) {
--- a/src/test/java/org/crocuspost/ingress/JobServiceTests.java
+++ b/src/test/java/org/crocuspost/ingress/JobServiceTests.java
@@ -6,9 +6,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.vavr.control.Either;
+import org.crocuspost.error.Failure;
 import org.crocuspost.error.Verdict;
 import org.crocuspost.job.JobSpecification;
 import org.crocuspost.job.JobState;
@@ -19,10 +21,16 @@
 import org.crocuspost.lead.Tables;
 import org.crocuspost.rows.MemoryRowStore;
 import org.crocuspost.rows.MemoryRowStore.Fault;
+import org.crocuspost.rows.RowChanges;
+import org.crocuspost.rows.RowCommit;
+import org.crocuspost.rows.RowPage;
+import org.crocuspost.rows.RowStore;
 import org.crocuspost.rows.RowTransaction;
 import org.crocuspost.rows.StoredRow;
 import org.crocuspost.time.VirtualTime;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -40,15 +48,21 @@
 	private final JobDirectory directory = new JobDirectory((row) -> {
 	});
 
+	private final VirtualTime time = new VirtualTime(Instant.EPOCH);
+
 	private final JobService service = new JobService(this.store, this.operator, this.directory,
-			new IngressMetrics(new PrometheusRegistry()), new VirtualTime(Instant.EPOCH));
+			new IngressMetrics(new PrometheusRegistry()), this.time, this.time);
 
-	private JobAnswer send(JobRequest.Method method, String path) {
-		List<JobAnswer> answers = new ArrayList<>();
+	private static JobSpecification specification() {
 		StepSpecification step = new StepSpecification(1, 100, 100, 0, Duration.ZERO, List.of(), false, false, false,
 				"", "", 0, false, false, "", Duration.ZERO, false, -1);
-		this.service.handle(new JobRequest(method, "host", path,
-				() -> Either.right(new JobSpecification("text", List.of(step), 1, false, 0, 0))), answers::add);
+		return new JobSpecification("text", List.of(step), 1, false, 0, 0);
+	}
+
+	private JobAnswer send(JobRequest.Method method, String path) {
+		List<JobAnswer> answers = new ArrayList<>();
+		this.service.handle(new JobRequest(method, "host", path, () -> Either.right(specification()), Optional.empty()),
+				answers::add);
 		assertThat(answers).hasSize(1);
 		return answers.get(0);
 	}
@@ -183,11 +197,62 @@
 		assertThat(send(JobRequest.Method.SHOW, "/queue/")).isEqualTo(new JobAnswer.Pending(0));
 	}
 
+	/**
+	 * A caller must learn early enough that it has to ask another entry process, and must
+	 * not be told that its job has not run while the store may still carry out the write.
+	 */
+	@ParameterizedTest
+	@EnumSource(value = JobRequest.Method.class, names = { "SUBMIT", "SHOW", "CANCEL" })
+	void aCallerIsAnsweredBeforeHalfOfItsTimeHasPassed(JobRequest.Method method) {
+		List<JobAnswer> answers = new ArrayList<>();
+		List<Runnable> withheld = new ArrayList<>();
+		JobService slow = new JobService(new SilentStore(withheld), this.operator, this.directory,
+				new IngressMetrics(new PrometheusRegistry()), this.time, this.time);
+		slow.handle(new JobRequest(method, "host", "/queue/" + ID, () -> Either.right(specification()),
+				Optional.of(Duration.ofMillis(1_600))), answers::add);
+		this.time.advance(Duration.ofMillis(500));
+		assertThat(answers).isEmpty();
+		this.time.advance(Duration.ofMillis(299));
+		Verdict expected = (method == JobRequest.Method.SHOW) ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
+		assertThat(answers).hasSize(1)
+			.first()
+			.isInstanceOfSatisfying(JobAnswer.Refused.class,
+					(refused) -> assertThat(refused.verdict()).isEqualTo(expected));
+		List.copyOf(withheld).forEach(Runnable::run);
+		assertThat(answers).hasSize(1);
+	}
+
 	@Test
 	void aJobWithAMalformedIdIsRejected() {
 		assertThat(send(JobRequest.Method.SUBMIT, "/queue/xyz")).isInstanceOf(JobAnswer.Malformed.class);
 	}
 
+	/**
+	 * Store that answers only when the test says so.
+	 */
+	private record SilentStore(List<Runnable> withheld) implements RowStore {
+
+		@Override
+		public void commit(RowTransaction transaction, Consumer<Either<Failure, RowCommit>> answer) {
+			this.withheld.add(() -> answer.accept(Either.right(new RowCommit(true, 1, List.of()))));
+		}
+
+		@Override
+		public void read(String table, String key, Consumer<Either<Failure, StoredRow>> answer) {
+			this.withheld.add(() -> answer.accept(Either.right(new StoredRow(key, StoredRow.ABSENT, ""))));
+		}
+
+		@Override
+		public void scan(String table, String fromKey, Consumer<Either<Failure, RowPage>> answer) {
+		}
+
+		@Override
+		public void changes(String table, long afterVersion, Duration maximumWait,
+				Consumer<Either<Failure, RowChanges>> answer) {
+		}
+
+	}
+
 	private static final class FixedOperator implements OperatorView {
 
 		private Duration age = Duration.ZERO;
