--- a/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
@@ -342,33 +342,13 @@
 
 	}
 
-	private final class RecordingListener implements DispatchListener {
-
-		@Override
-		public void jobSeen(JobProgress job) {
-		}
-
-		@Override
-		public void jobEnded(JobProgress job, String reason) {
-		}
-
-		@Override
-		public void placed(TaskProgress task, long waitedMillis) {
-		}
-
-		@Override
-		public void runEnded(TaskProgress task, int run, String host, String outcome) {
-		}
+	private final class RecordingListener extends SilentDispatchListener {
 
 		@Override
 		public void runLost(TaskProgress task, int run, String host, String reason, Evidence evidence) {
 			DispatchFixture.this.lostRuns.add(new LostRun(reason, evidence));
 		}
 
-		@Override
-		public void runStopped(TaskProgress task, int run, String host, String reason, StopEvidence evidence) {
-		}
-
 		@Override
 		public void hostChanged(String host, String assessment, String detail) {
 			DispatchFixture.this.hostAssessments.add(assessment);
--- a/src/test/java/org/crocuspost/dispatch/MixedLoadSimulation.java
+++ b/src/test/java/org/crocuspost/dispatch/MixedLoadSimulation.java
@@ -13,7 +13,6 @@
 
 import org.crocuspost.host.PaceController;
 import org.crocuspost.host.PaceSettings;
-import org.crocuspost.job.JobProgress;
 import org.crocuspost.job.JobSpecification;
 import org.crocuspost.job.JobState;
 import org.crocuspost.job.JobSubmission;
@@ -21,7 +20,6 @@
 import org.crocuspost.job.QueueConfiguration;
 import org.crocuspost.job.StepSpecification;
 import org.crocuspost.job.TaskKey;
-import org.crocuspost.job.TaskProgress;
 import org.crocuspost.time.VirtualTime;
 import org.crocuspost.wire.EndedTask;
 import org.crocuspost.wire.HostReport;
@@ -94,7 +92,7 @@
 		this.random = new SplittableRandom(seed);
 		this.load = load;
 		this.dispatcher = new Dispatcher(new DispatchSettings(Duration.ofSeconds(6), Duration.ofMinutes(3), 1.5),
-				new DefaultPlacementPolicy(this.imagePressure), this.time, new Listener());
+				new DefaultPlacementPolicy(this.imagePressure), this.time, new SilentDispatchListener());
 		this.dispatcher.configure(new QueueConfiguration(1, QUEUES, List.of(), 1_000));
 		this.reports = new ReportProcessor(this.dispatcher, this.imagePressure);
 		for (int number = 0; number < 30; number++) {
@@ -521,36 +519,4 @@
 
 	}
 
-	private static final class Listener implements DispatchListener {
-
-		@Override
-		public void jobSeen(JobProgress job) {
-		}
-
-		@Override
-		public void jobEnded(JobProgress job, String reason) {
-		}
-
-		@Override
-		public void placed(TaskProgress task, long waitedMillis) {
-		}
-
-		@Override
-		public void runEnded(TaskProgress task, int run, String host, String outcome) {
-		}
-
-		@Override
-		public void runLost(TaskProgress task, int run, String host, String reason, Evidence evidence) {
-		}
-
-		@Override
-		public void runStopped(TaskProgress task, int run, String host, String reason, StopEvidence evidence) {
-		}
-
-		@Override
-		public void hostChanged(String host, String assessment, String detail) {
-		}
-
-	}
-
 }
--- /dev/null
+++ b/src/test/java/org/crocuspost/dispatch/SilentDispatchListener.java
@@ -0,0 +1,39 @@
+package org.crocuspost.dispatch;
+
+import org.crocuspost.job.JobProgress;
+import org.crocuspost.job.TaskProgress;
+
+/**
+ * Ignores all decisions.
+ */
+class SilentDispatchListener implements DispatchListener {
+
+	@Override
+	public void jobSeen(JobProgress job) {
+	}
+
+	@Override
+	public void jobEnded(JobProgress job, String reason) {
+	}
+
+	@Override
+	public void placed(TaskProgress task, long waitedMillis) {
+	}
+
+	@Override
+	public void runEnded(TaskProgress task, int run, String host, String outcome) {
+	}
+
+	@Override
+	public void runLost(TaskProgress task, int run, String host, String reason, Evidence evidence) {
+	}
+
+	@Override
+	public void runStopped(TaskProgress task, int run, String host, String reason, StopEvidence evidence) {
+	}
+
+	@Override
+	public void hostChanged(String host, String assessment, String detail) {
+	}
+
+}
