Split the sending of reports from the agent, and skip jobs that are not kept

A changed job that is not kept any more is skipped when a batch is taken: not reachable as read (its rows are reduced only when nothing waits), but an exception there would stop the leader from recording anything. 121 tests of dispatch, host and hostlink pass; no decision changes.

--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -352,8 +352,7 @@
 	 * @return the batch
 	 */
 	public DispatchBatch takeBatch(int limit) {
-		DispatchBatch changed = this.changes.take(limit, (id) -> this.jobs.get(id).job().summary().write(),
-				this::taskRow);
+		DispatchBatch changed = this.changes.take(limit, this::jobRow, this::taskRow);
 		long nowMillis = this.clock.millis();
 		if (!this.endedJobs.isDue(nowMillis)) {
 			return changed;
@@ -363,6 +362,11 @@
 				this.endedJobs.next(remaining, nowMillis, jobsWithRuns()));
 	}
 
+	private String jobRow(String id) {
+		TrackedJob tracked = this.jobs.get(id);
+		return (tracked != null) ? tracked.job().summary().write() : "";
+	}
+
 	private String taskRow(TaskKey key) {
 		TrackedJob tracked = this.jobs.get(key.job());
 		// The tasks of an ended job never start again.
--- a/src/main/java/org/crocuspost/dispatch/PendingChanges.java
+++ b/src/main/java/org/crocuspost/dispatch/PendingChanges.java
@@ -56,7 +56,8 @@
 	 * Takes the next changes. Ends are included only once all changes of tasks are: the
 	 * acknowledgement of an end must not precede its record.
 	 * @param limit the maximum number of rows
-	 * @param jobRow returns the stored form of a job
+	 * @param jobRow returns the stored form of a job, or an empty text if the job is not
+	 * kept any more
 	 * @param taskRow returns the stored form of a task, or an empty text if the task does
 	 * not have to be recorded any more
 	 * @return a batch without cleanup
@@ -69,7 +70,10 @@
 		int jobLimit = Math.max(limit / 2, limit - this.tasks.size());
 		for (Iterator<String> iterator = this.jobs.iterator(); iterator.hasNext() && jobRows.size() < jobLimit;) {
 			String job = iterator.next();
-			jobRows.put(job, jobRow.apply(job));
+			String row = jobRow.apply(job);
+			if (!row.isEmpty()) {
+				jobRows.put(job, row);
+			}
 			iterator.remove();
 		}
 		int taskLimit = limit - jobRows.size();
--- a/src/main/java/org/crocuspost/host/HostAgent.java
+++ b/src/main/java/org/crocuspost/host/HostAgent.java
@@ -21,7 +21,6 @@
 import org.crocuspost.job.TaskKey;
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
-import org.crocuspost.time.Cancellable;
 import org.crocuspost.time.Clock;
 import org.crocuspost.time.Timer;
 import org.crocuspost.wire.EndedTask;
@@ -34,7 +33,6 @@
 import org.crocuspost.wire.StopOrder;
 import org.crocuspost.wire.TaskTraits;
 import org.crocuspost.wire.TraitsOfRun;
-import org.crocuspost.wire.WorkerDescription;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -122,12 +120,7 @@
 
 	private PaceController paceController = new PaceController(PaceSettings.DEFAULT);
 
-	private final ReportPacer reportPacer = new ReportPacer();
-
-	private boolean reportWanted;
-
-	private Cancellable scheduledReport = () -> {
-	};
+	private final ReportSender reports;
 
 	/**
 	 * Creates an agent. It is idle until {@link #start()} is called.
@@ -154,6 +147,7 @@
 		this.fence = clock.instant().toEpochMilli();
 		this.incarnation = settings.host() + "-" + this.fence;
 		this.leader = leaderPort.apply(this);
+		this.reports = new ReportSender(this.leader, this::takeReport, clock, timer);
 	}
 
 	/**
@@ -196,7 +190,7 @@
 			hold(++this.holdGeneration);
 		}
 		else if (received.draining() && !current.draining()) {
-			report();
+			this.reports.request();
 		}
 	}
 
@@ -279,7 +273,7 @@
 		this.pending.clear();
 		this.departureRecorder.accept(
 				new Departure(departing.id(), departing.born(), this.clock.instant().toEpochMilli(), this.incarnation));
-		report();
+		this.reports.request();
 	}
 
 	private void hold(long generation) {
@@ -344,7 +338,7 @@
 		});
 		removeSettledStarts(askedNanos);
 		adjustPaces(target);
-		report();
+		this.reports.request();
 	}
 
 	/**
@@ -407,7 +401,7 @@
 					Field.of("worker", this.announcement.id()));
 		}
 		if (!responsive) {
-			report();
+			this.reports.request();
 		}
 		retryStops();
 	}
@@ -417,31 +411,10 @@
 				&& this.clock.nanoTime() - this.answeredNanos < HostAgentSettings.WORKER_TIMEOUT.toNanos();
 	}
 
-	/**
-	 * Sends a report as soon as the pace of the leader allows it.
-	 */
-	private void report() {
-		if (!this.leader.connected()) {
-			return;
-		}
-		long now = this.clock.nanoTime();
-		Duration delay = this.leader.answersReports() ? this.reportPacer.delay(now) : Duration.ZERO;
-		if (delay.compareTo(Duration.ZERO) <= 0) {
-			this.reportWanted = false;
-			this.reportPacer.reportSent(now);
-			this.leader.send(composeReport());
-			this.refused.clear();
-			return;
-		}
-		this.reportWanted = true;
-		this.scheduledReport.cancel();
-		this.scheduledReport = this.timer.schedule(delay, this::sendWantedReport);
-	}
-
-	private void sendWantedReport() {
-		if (this.reportWanted) {
-			report();
-		}
+	private HostReport takeReport() {
+		HostReport report = composeReport();
+		this.refused.clear();
+		return report;
 	}
 
 	HostReport composeReport() {
@@ -456,7 +429,7 @@
 		// Empty lists would mean that nothing runs on the worker, so the report does not
 		// name the worker until its lists have been read.
 		if (this.announcement != null && (this.answered || this.workerLeft)) {
-			report.setWorker(describe(this.announcement));
+			report.setWorker(this.announcement.describe(this.workerLeft));
 		}
 		for (RunningTask run : this.running) {
 			report.addRunning(run.toBuilder().setPace(this.paces.getOrDefault(RunKey.of(run), FULL_PACE)));
@@ -466,30 +439,12 @@
 		return report.addAllRefused(this.refused).build();
 	}
 
-	private WorkerDescription describe(WorkerAnnouncement current) {
-		return WorkerDescription.newBuilder()
-			.setId(current.id())
-			.setBorn(current.born())
-			.setService(current.service())
-			.setFailureDomain(current.failureDomain())
-			.setDraining(current.draining())
-			.setRemainingMillis(current.remainingMillis())
-			.setColdMillis(current.coldMillis())
-			.setMilliCores(current.milliCores())
-			.setMemoryMegabytes(current.memoryMegabytes())
-			.setAccelerators(current.accelerators())
-			.addAllLabels(current.labels())
-			.setLeft(this.workerLeft)
-			.build();
-	}
-
 	@Override
 	public void helloReceived(LeaderHello hello) {
 		EventLog.info(HostEvent.LEADER_CONNECTED, Field.of("leader", hello.getLeader()),
 				Field.of("epoch", hello.getEpoch()));
 		this.handledOrder = 0;
-		this.reportPacer.reset();
-		report();
+		this.reports.connected();
 	}
 
 	@Override
@@ -505,7 +460,7 @@
 	@Override
 	public void messageReceived(LeaderMessage message) {
 		this.handledOrder = Math.max(this.handledOrder, message.getOrder());
-		this.reportPacer.reportAnswered(message.getAnsweredReport());
+		this.reports.answered(message.getAnsweredReport());
 		if (this.announcement != null && this.announcement.born() == message.getWorkerBorn()) {
 			updateLease(message);
 		}
@@ -519,7 +474,7 @@
 			current.addAll(this.pending.keySet());
 			this.traits.keySet().retainAll(current);
 		}
-		sendWantedReport();
+		this.reports.sendRequested();
 	}
 
 	/**
@@ -543,7 +498,7 @@
 		String refusalReason = refusalReason(order, target);
 		if (target == null || !refusalReason.isEmpty()) {
 			refuse(key, refusalReason);
-			report();
+			this.reports.request();
 			return;
 		}
 		this.traits.put(key, order.getTraits());
@@ -592,7 +547,7 @@
 			default -> {
 				this.pending.remove(key);
 				refuse(key, outcome.reason());
-				report();
+				this.reports.request();
 			}
 		}
 	}
--- a/src/main/java/org/crocuspost/host/WorkerAnnouncement.java
+++ b/src/main/java/org/crocuspost/host/WorkerAnnouncement.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Objects;
 
+import org.crocuspost.wire.WorkerDescription;
+
 /**
  * Announcement by which a worker describes itself to the agent.
  *
@@ -41,4 +43,26 @@
 		return this.id.equals(other.id) && this.born == other.born;
 	}
 
+	/**
+	 * Returns what the leader must know of the worker.
+	 * @param left whether the worker has ended for good
+	 * @return the description
+	 */
+	WorkerDescription describe(boolean left) {
+		return WorkerDescription.newBuilder()
+			.setId(this.id)
+			.setBorn(this.born)
+			.setService(this.service)
+			.setFailureDomain(this.failureDomain)
+			.setDraining(this.draining)
+			.setRemainingMillis(this.remainingMillis)
+			.setColdMillis(this.coldMillis)
+			.setMilliCores(this.milliCores)
+			.setMemoryMegabytes(this.memoryMegabytes)
+			.setAccelerators(this.accelerators)
+			.addAllLabels(this.labels)
+			.setLeft(left)
+			.build();
+	}
+
 }
