--- a/src/main/java/org/crocuspost/host/ReportPacer.java
+++ b/src/main/java/org/crocuspost/host/ReportPacer.java
@@ -16,8 +16,8 @@
 final class ReportPacer {
 
 	/**
-	 * Minimum time between two reports. It delays the end of a run by less than half a
-	 * scheduling round of a busy leader.
+	 * Minimum time between two reports. Short beside the run time of a task, whose end it
+	 * may delay.
 	 */
 	static final Duration MINIMUM_INTERVAL = Duration.ofMillis(40);
 
