--- a/src/main/java/org/crocuspost/dispatch/ImagePressure.java
+++ b/src/main/java/org/crocuspost/dispatch/ImagePressure.java
@@ -27,14 +27,14 @@
 	 * Fraction of the error that one report corrects if the pressure is higher than
 	 * expected. Below 1 because the reports overlap and lag by half a second.
 	 */
-	private static final double RAISING_RATE = 0.4;
+	private static final double RAISING_RATE = 0.5;
 
 	/**
 	 * Fraction of the error that one report corrects if the pressure is lower than
 	 * expected. Smaller, because a service that misses its target costs several times
 	 * what a filler that waits does, and the effect of an image changes within seconds.
 	 */
-	private static final double LOWERING_RATE = 0.25;
+	private static final double LOWERING_RATE = 0.15;
 
 	/**
 	 * Pressure assumed on a host without fillers until a report shows it.
@@ -64,7 +64,7 @@
 	 * Number of reports after which the weight of an image is used. The first ones show
 	 * only a part of the effect, since a report covers the last half second.
 	 */
-	private static final int MINIMUM_SAMPLES = 4;
+	private static final int MINIMUM_SAMPLES = 6;
 
 	/**
 	 * Maximum number of stored images, so that they fit into a row of the store.
