Log and count crashes of workers with the tasks that had just started

Change: worker-crashed names the worker, its successor, the number of lost runs and the tasks that were not known to have run for half a second, which may have caused it. run-lost says for how long a run was seen running. A list that a silent worker repeats does not count as an observation, nor does a start that was refused. crocuspost_worker_crashes_total counts. No decision changes. Tests: WorkerCrashTests (5), DispatcherTests and LostRunTests pass.

--- a/src/main/java/org/crocuspost/dispatch/DispatchListener.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchListener.java
@@ -1,5 +1,7 @@
 package org.crocuspost.dispatch;
 
+import java.time.Duration;
+
 import org.crocuspost.job.JobProgress;
 import org.crocuspost.job.TaskProgress;
 
@@ -46,8 +48,17 @@
 	 * @param host the host
 	 * @param reason why the run was declared lost
 	 * @param evidence the information on which the decision is based
+	 * @param observedRunTime for how long the run is known to have run
+	 */
+	void runLost(TaskProgress task, int run, String host, String reason, Evidence evidence, Duration observedRunTime);
+
+	/**
+	 * Called when a worker has crashed with runs that this leader assigned to it or
+	 * inherited.
+	 * @param host the host
+	 * @param crash the crash
 	 */
-	void runLost(TaskProgress task, int run, String host, String reason, Evidence evidence);
+	void workerCrashed(String host, WorkerCrash crash);
 
 	/**
 	 * Called when the leader decides to stop a run whose job goes on.
--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -1,5 +1,6 @@
 package org.crocuspost.dispatch;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -153,7 +154,7 @@
 			task.loseRun();
 			this.changes.taskChanged(task.key());
 			this.listener.runLost(task, task.run(), host.name(), ReportProcessor.WORKER_LEFT,
-					Evidence.of(departure.get(), this.clock.millis()));
+					Evidence.of(departure.get(), this.clock.millis()), Duration.ZERO);
 			return;
 		}
 		host.placements().put(task.key(), new Placement(task, Placement.Phase.INHERITED, this.clock.nanoTime()));
--- a/src/main/java/org/crocuspost/dispatch/Placement.java
+++ b/src/main/java/org/crocuspost/dispatch/Placement.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 
 import org.crocuspost.job.TaskProgress;
+import org.crocuspost.wire.HostReport;
+import org.crocuspost.wire.RefusedStart;
 import org.crocuspost.wire.RunningTask;
 import org.jspecify.annotations.Nullable;
 
@@ -61,6 +63,12 @@
 
 	private boolean stopOrdered;
 
+	private boolean listed;
+
+	private long firstListedNanos;
+
+	private long lastListedNanos;
+
 	Placement(TaskProgress task, Phase phase, long nowNanos) {
 		this.task = task;
 		this.run = task.run();
@@ -90,6 +98,28 @@
 		}
 	}
 
+	/**
+	 * Records that the worker listed the run as running.
+	 * @param listedNanos when the worker returned the list, in nanoseconds of this
+	 * process's clock
+	 */
+	void listedRunning(long listedNanos) {
+		if (!this.listed) {
+			this.listed = true;
+			this.firstListedNanos = listedNanos;
+		}
+		this.lastListedNanos = Math.max(this.lastListedNanos, listedNanos);
+	}
+
+	/**
+	 * Returns for how long the run is known to have run, from the first list that
+	 * contained it to the last one.
+	 * @return the time; zero if this leader has seen it in one list or in none
+	 */
+	Duration observedRunTime() {
+		return this.listed ? Duration.ofNanos(this.lastListedNanos - this.firstListedNanos) : Duration.ZERO;
+	}
+
 	/**
 	 * Returns whether this is the current run of the task: it was not replaced and has
 	 * not ended.
@@ -99,6 +129,27 @@
 		return this.task.run() == this.run && this.task.status() == org.crocuspost.job.TaskStatus.PLACED;
 	}
 
+	/**
+	 * Returns whether the agent may have passed the start order on to the worker.
+	 * @param report a report of the agent
+	 * @param formerAgentIncarnation the incarnation of the agent that sent the previous
+	 * report
+	 * @return false if the order was not sent, not read or refused
+	 */
+	boolean mayHaveStarted(HostReport report, String formerAgentIncarnation) {
+		return switch (this.phase) {
+			case RECORDING -> false;
+			case ORDERED ->
+				(report.getHandledOrder() >= this.orderNumber || !report.getLife().equals(formerAgentIncarnation))
+						&& report.getRefusedList().stream().noneMatch((refused) -> refersTo(refused));
+			case INHERITED, REPORTED -> true;
+		};
+	}
+
+	private boolean refersTo(RefusedStart refused) {
+		return refused.getRun() == this.run && TaskNames.key(refused.getTask()).equals(this.task.key());
+	}
+
 	/**
 	 * Records that a stop of the run was ordered.
 	 * @return whether this is the first order
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -23,6 +23,7 @@
 import org.crocuspost.wire.StopOrder;
 import org.crocuspost.wire.TraitsOfRun;
 import org.crocuspost.wire.WorkerDescription;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Reconciles the leader's working copy with the reports of the hosts.
@@ -44,6 +45,12 @@
 	 */
 	static final int STALL_MINIMUM_PACE = 50;
 
+	/**
+	 * Time within which a run is known to have run below which it may have caused the
+	 * crash of its worker.
+	 */
+	static final Duration RECENT_START = Duration.ofMillis(500);
+
 	static final String WORKER_LEFT = "worker left";
 
 	private static final String LEASE_LAPSED = "lease lapsed";
@@ -109,7 +116,11 @@
 		WorkerDescription next = report.getWorker();
 		WorkerDescription known = host.worker();
 		if (!host.sameWorker(next)) {
+			WorkerCrash crash = crash(host, report);
 			loseRuns(host, "worker restarted", next, listedRuns(report), Evidence.of(report));
+			if (crash != null) {
+				this.dispatcher.listener().workerCrashed(host.name(), crash);
+			}
 			host.resetForNewWorker();
 			this.dispatcher.listener()
 				.hostChanged(host.name(), "worker seen", "worker " + next.getId() + " started at " + next.getBorn()
@@ -124,6 +135,34 @@
 		}
 	}
 
+	/**
+	 * Returns what is known of the crash of the worker that preceded the reported one.
+	 * @param host the host, before the state of the former worker is discarded
+	 * @param report the first report of the new worker
+	 * @return the crash; null if no worker with runs has crashed
+	 */
+	private static @Nullable WorkerCrash crash(HostState host, HostReport report) {
+		if (host.worker().getDraining() || host.worker().getLeft()) {
+			return null;
+		}
+		List<Placement> lost = host.placements()
+			.values()
+			.stream()
+			.filter((placement) -> placement.mayHaveStarted(report, host.agentIncarnation())
+					&& placement.task().workerStartMillis() != report.getWorker().getBorn())
+			.toList();
+		if (lost.isEmpty()) {
+			return null;
+		}
+		TaskProgress first = lost.get(0).task();
+		return new WorkerCrash(first.worker(), first.workerStartMillis(), report.getWorker().getId(), lost.size(),
+				lost.stream()
+					.filter((placement) -> placement.observedRunTime().compareTo(RECENT_START) < 0)
+					.map((placement) -> placement.task().key())
+					.toList(),
+				Duration.ofMillis(report.getListsAgeMillis()));
+	}
+
 	/**
 	 * Declares the runs of a worker lost after its agent has recorded the end of the
 	 * worker.
@@ -206,7 +245,8 @@
 		if (placement.current()) {
 			task.loseRun();
 			this.dispatcher.markChanged(task.key());
-			this.dispatcher.listener().runLost(task, placement.run(), host.name(), reason, evidence);
+			this.dispatcher.listener()
+				.runLost(task, placement.run(), host.name(), reason, evidence, placement.observedRunTime());
 		}
 	}
 
@@ -296,6 +336,7 @@
 		Map<String, Double> shares = new HashMap<>();
 		List<RunningTask> reportedRuns = new ArrayList<>(report.getRunningList());
 		reportedRuns.addAll(report.getPendingList());
+		recordListedRuns(host, report, now);
 		for (RunningTask running : reportedRuns) {
 			TaskKey key = TaskNames.key(running.getTask());
 			Placement placement = host.placements().get(key);
@@ -326,6 +367,16 @@
 		}
 	}
 
+	private static void recordListedRuns(HostState host, HostReport report, long now) {
+		long listedNanos = now - Duration.ofMillis(report.getListsAgeMillis()).toNanos();
+		for (RunningTask running : report.getRunningList()) {
+			Placement placement = host.placements().get(TaskNames.key(running.getTask()));
+			if (placement != null && placement.run() == running.getRun()) {
+				placement.listedRunning(listedNanos);
+			}
+		}
+	}
+
 	private static double pressure(StepSpecification step, RunningTask running) {
 		return step.tailTarget().isZero() ? 0 : running.getLoad() / (double) step.tailTarget().toMillis();
 	}
--- a/src/main/java/org/crocuspost/lead/DecisionLog.java
+++ b/src/main/java/org/crocuspost/lead/DecisionLog.java
@@ -5,6 +5,7 @@
 import org.crocuspost.dispatch.DispatchListener;
 import org.crocuspost.dispatch.Evidence;
 import org.crocuspost.dispatch.StopEvidence;
+import org.crocuspost.dispatch.WorkerCrash;
 import org.crocuspost.job.JobProgress;
 import org.crocuspost.job.TaskProgress;
 import org.crocuspost.log.EventLog;
@@ -20,6 +21,11 @@
 	 */
 	private static final Duration EARLY_STOP = Duration.ofSeconds(2);
 
+	/**
+	 * Maximum number of tasks that one line names.
+	 */
+	private static final int MAXIMUM_LISTED_TASKS = 12;
+
 	private final LeaderMetrics metrics;
 
 	DecisionLog(LeaderMetrics metrics) {
@@ -55,12 +61,24 @@
 	}
 
 	@Override
-	public void runLost(TaskProgress task, int run, String host, String reason, Evidence evidence) {
+	public void runLost(TaskProgress task, int run, String host, String reason, Evidence evidence,
+			Duration observedRunTime) {
 		this.metrics.runEnded(reason);
 		EventLog.warn(LeadEvent.RUN_LOST, Field.of("job", task.key().job()), Field.of("task", task.key()),
 				Field.of("run", run), Field.of("host", host), Field.of("outcome", reason),
 				Field.of("agent", evidence.agentIncarnation()),
-				Field.of("evidenceAgeMillis", evidence.age().toMillis()));
+				Field.of("evidenceAgeMillis", evidence.age().toMillis()),
+				Field.of("observedRunMillis", observedRunTime.toMillis()));
+	}
+
+	@Override
+	public void workerCrashed(String host, WorkerCrash crash) {
+		this.metrics.workerCrashed();
+		EventLog.warn(LeadEvent.WORKER_CRASHED, Field.of("host", host), Field.of("worker", crash.worker()),
+				Field.of("born", crash.startMillis()), Field.of("successor", crash.successor()),
+				Field.of("runs", crash.runs()), Field.of("recentStarts", crash.recentStarts().size()),
+				Field.of("tasks", crash.recentStarts().stream().limit(MAXIMUM_LISTED_TASKS).toList()),
+				Field.of("evidenceAgeMillis", crash.evidenceAge().toMillis()));
 	}
 
 	@Override
--- a/src/main/java/org/crocuspost/lead/LeadEvent.java
+++ b/src/main/java/org/crocuspost/lead/LeadEvent.java
@@ -78,6 +78,11 @@
 	 */
 	RUN_LOST,
 
+	/**
+	 * A worker has crashed. The line names the tasks that were started shortly before.
+	 */
+	WORKER_CRASHED,
+
 	/**
 	 * The leader's view of the state of a host has changed.
 	 */
--- a/src/main/java/org/crocuspost/lead/LeaderMetrics.java
+++ b/src/main/java/org/crocuspost/lead/LeaderMetrics.java
@@ -20,6 +20,8 @@
 
 	private final Counter hostChanges;
 
+	private final Counter workerCrashes;
+
 	private final Histogram placementSeconds;
 
 	private final Gauge leader;
@@ -49,6 +51,10 @@
 			.help("Changes of what the leader believes of hosts, by belief.")
 			.labelNames("belief")
 			.register(registry);
+		this.workerCrashes = Counter.builder()
+			.name("crocuspost_worker_crashes_total")
+			.help("Workers that crashed while tasks were assigned to them.")
+			.register(registry);
 		this.placementSeconds = Histogram.builder()
 			.name("crocuspost_placement_wait_seconds")
 			.help("Time from the leader's first sight of a job to the assignment of a task of it, in seconds.")
@@ -77,6 +83,10 @@
 		this.hostChanges.labelValues(state).inc();
 	}
 
+	void workerCrashed() {
+		this.workerCrashes.inc();
+	}
+
 	void placed(long waitedMillis) {
 		this.placementSeconds.observe(waitedMillis / (double) TimeUnit.SECONDS.toMillis(1));
 	}
--- a/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
@@ -51,6 +51,8 @@
 
 	final List<LostRun> lostRuns = new ArrayList<>();
 
+	final List<WorkerCrash> crashes = new ArrayList<>();
+
 	final List<String> hostAssessments = new ArrayList<>();
 
 	Dispatcher dispatcher = newDispatcher();
@@ -345,10 +347,16 @@
 	private final class RecordingListener extends SilentDispatchListener {
 
 		@Override
-		public void runLost(TaskProgress task, int run, String host, String reason, Evidence evidence) {
+		public void runLost(TaskProgress task, int run, String host, String reason, Evidence evidence,
+				Duration observedRunTime) {
 			DispatchFixture.this.lostRuns.add(new LostRun(reason, evidence));
 		}
 
+		@Override
+		public void workerCrashed(String host, WorkerCrash crash) {
+			DispatchFixture.this.crashes.add(crash);
+		}
+
 		@Override
 		public void hostChanged(String host, String assessment, String detail) {
 			DispatchFixture.this.hostAssessments.add(assessment);
--- a/src/test/java/org/crocuspost/dispatch/SilentDispatchListener.java
+++ b/src/test/java/org/crocuspost/dispatch/SilentDispatchListener.java
@@ -1,5 +1,7 @@
 package org.crocuspost.dispatch;
 
+import java.time.Duration;
+
 import org.crocuspost.job.JobProgress;
 import org.crocuspost.job.TaskProgress;
 
@@ -25,7 +27,12 @@
 	}
 
 	@Override
-	public void runLost(TaskProgress task, int run, String host, String reason, Evidence evidence) {
+	public void runLost(TaskProgress task, int run, String host, String reason, Evidence evidence,
+			Duration observedRunTime) {
+	}
+
+	@Override
+	public void workerCrashed(String host, WorkerCrash crash) {
 	}
 
 	@Override
--- /dev/null
+++ b/src/test/java/org/crocuspost/dispatch/WorkerCrashTests.java
@@ -0,0 +1,108 @@
+package org.crocuspost.dispatch;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.crocuspost.dispatch.DispatchFixture.SimulatedWorker;
+import org.crocuspost.job.TaskKey;
+import org.crocuspost.wire.RefusedStart;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests what the leader concludes about the cause of a worker's crash.
+ */
+class WorkerCrashTests {
+
+	private static final String LONG_RUNNING = "0123456789abcdef";
+
+	private static final String STARTED_LAST = "fedcba9876543210";
+
+	private final DispatchFixture fixture = new DispatchFixture();
+
+	private SimulatedWorker startOneTaskAfterTheOther() {
+		SimulatedWorker worker = this.fixture.worker("host", 4_000);
+		this.fixture.submit(LONG_RUNNING, DispatchFixture.step(1, 1_000));
+		this.fixture.runSchedulingRound();
+		this.fixture.report(worker);
+		this.fixture.time.advance(Duration.ofSeconds(1));
+		this.fixture.report(worker);
+		this.fixture.submit(STARTED_LAST, DispatchFixture.step(1, 1_000));
+		this.fixture.runSchedulingRound();
+		return worker;
+	}
+
+	private void crash(SimulatedWorker worker) {
+		worker.restart();
+		this.fixture.report(worker);
+	}
+
+	@Test
+	void namesTasksThatWereStartedShortlyBeforeCrash() {
+		SimulatedWorker worker = startOneTaskAfterTheOther();
+		crash(worker);
+		assertThat(this.fixture.crashes).singleElement().satisfies((crash) -> {
+			assertThat(crash.runs()).isEqualTo(2);
+			assertThat(crash.recentStarts()).containsExactly(new TaskKey(STARTED_LAST, 0, 0, 0));
+		});
+	}
+
+	/**
+	 * The lists of a worker that does not answer are repeated in each report, and say
+	 * nothing about its runs.
+	 */
+	@Test
+	void repeatedListOfSilentWorkerDoesNotShowThatRunGoesOn() {
+		SimulatedWorker worker = startOneTaskAfterTheOther();
+		this.fixture.report(worker);
+		this.fixture.time.advance(Duration.ofSeconds(2));
+		this.fixture.reports
+			.reported(worker.report().toBuilder().setWorkerAnswers(false).setListsAgeMillis(2_000).build(), true);
+		crash(worker);
+		assertThat(this.fixture.crashes).singleElement()
+			.extracting(WorkerCrash::recentStarts)
+			.isEqualTo(List.of(new TaskKey(STARTED_LAST, 0, 0, 0)));
+	}
+
+	@Test
+	void doesNotCountRefusedStart() {
+		SimulatedWorker worker = startOneTaskAfterTheOther();
+		TaskKey refused = new TaskKey(STARTED_LAST, 0, 0, 0);
+		worker.running.remove(refused);
+		worker.restart();
+		this.fixture.reports.reported(worker.report()
+			.toBuilder()
+			.addRefused(RefusedStart.newBuilder()
+				.setTask(TaskNames.name(refused))
+				.setRun(1)
+				.setReason("the worker's life is uncertain"))
+			.build(), true);
+		assertThat(this.fixture.crashes).singleElement().satisfies((crash) -> {
+			assertThat(crash.runs()).isEqualTo(1);
+			assertThat(crash.recentStarts()).isEmpty();
+		});
+	}
+
+	@Test
+	void workerThatHasDrainedOrLeftHasNotCrashed() {
+		SimulatedWorker worker = startOneTaskAfterTheOther();
+		worker.description = worker.description.toBuilder().setDraining(true).build();
+		this.fixture.report(worker);
+		worker.description = worker.description.toBuilder().setDraining(false).build();
+		crash(worker);
+		assertThat(this.fixture.crashes).isEmpty();
+	}
+
+	@Test
+	void newLeaderNoticesCrashOfWorkerThatOnlyItsPredecessorHasSeen() {
+		SimulatedWorker worker = startOneTaskAfterTheOther();
+		this.fixture.takeOver();
+		crash(worker);
+		assertThat(this.fixture.crashes).singleElement().satisfies((crash) -> {
+			assertThat(crash.startMillis()).isEqualTo(1);
+			assertThat(crash.runs()).isEqualTo(2);
+		});
+	}
+
+}
