Add failing tests for a task that crashes each worker that starts it

CrashLoopSimulation plays the real dispatcher and report processor against workers that crash at the start of certain tasks, with leaders and agents replaced, hosts cut off and workers that crash for other reasons.

--- /dev/null
+++ b/src/test/java/org/crocuspost/dispatch/TaskThatCrashesWorkersTests.java
@@ -0,0 +1,237 @@
+package org.crocuspost.dispatch;
+
+import java.time.Duration;
+import java.util.Random;
+import java.util.stream.IntStream;
+
+import org.crocuspost.dispatch.DispatchFixture.StepBuilder;
+import org.crocuspost.job.JobState;
+import org.crocuspost.job.StepSpecification;
+import org.crocuspost.job.TaskKey;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a task that crashes each worker that starts it: it must be given up
+ * before it is started three times after its third crash, and the tasks beside it must be
+ * done. Each test asserts that workers did crash.
+ */
+@Tag("known-red")
+class TaskThatCrashesWorkersTests {
+
+	private static final String DEADLY = "00000000000dead0";
+
+	private static final Duration DOWN_TIME = Duration.ofMillis(3_100);
+
+	private static String innocent(int number) {
+		return String.format("1000000000%06x", number);
+	}
+
+	private static CrashLoopSimulation simulation(long seed) {
+		return new CrashLoopSimulation(seed, 8, DOWN_TIME, true);
+	}
+
+	private static void submitInnocents(CrashLoopSimulation simulation, int first, int count) {
+		for (int number = first; number < first + count; number++) {
+			simulation.submit(innocent(number), DispatchFixture.step(5, 500));
+		}
+	}
+
+	private static void assertInnocentsDone(CrashLoopSimulation simulation, int count) {
+		IntStream.range(0, count)
+			.forEach((number) -> assertThat(simulation.state(innocent(number))).as(innocent(number))
+				.isEqualTo(JobState.COMPLETED));
+	}
+
+	private static void assertGivenUp(CrashLoopSimulation simulation) {
+		assertThat(simulation.crashes()).isGreaterThanOrEqualTo(2);
+		assertThat(simulation.mostStartsAfterThirdCrash()).isLessThan(3);
+		assertThat(simulation.state(DEADLY)).isEqualTo(JobState.FAILED);
+	}
+
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
+	void isGivenUpWhileTasksBesideItAreDone(long seed) {
+		CrashLoopSimulation simulation = simulation(seed);
+		submitInnocents(simulation, 0, 20);
+		simulation.submitDeadly(DEADLY, DispatchFixture.step(6, 500), 2);
+		for (int second = 0; second < 20; second++) {
+			submitInnocents(simulation, 20 + second * 3, 3);
+			simulation.run(Duration.ofSeconds(1));
+		}
+		simulation.run(Duration.ofSeconds(20));
+		assertGivenUp(simulation);
+		assertInnocentsDone(simulation, 80);
+	}
+
+	/**
+	 * Each leader is lost while a worker is down, before any report of its successor.
+	 */
+	@Test
+	void crashesCountAcrossLeaders() {
+		CrashLoopSimulation simulation = simulation(1);
+		submitInnocents(simulation, 0, 5);
+		simulation.submitDeadly(DEADLY, DispatchFixture.step(1, 500), 0);
+		int crashes = 0;
+		for (int step = 0; step < 1_200; step++) {
+			simulation.step();
+			if (simulation.crashes() > crashes) {
+				crashes = simulation.crashes();
+				simulation.replaceLeader();
+			}
+		}
+		assertGivenUp(simulation);
+		assertInnocentsDone(simulation, 5);
+	}
+
+	@Test
+	void crashesCountAcrossAgents() {
+		CrashLoopSimulation simulation = simulation(1);
+		submitInnocents(simulation, 0, 5);
+		simulation.submitDeadly(DEADLY, DispatchFixture.step(1, 500), 0);
+		int crashes = 0;
+		for (int step = 0; step < 1_200; step++) {
+			simulation.step();
+			if (simulation.crashes() > crashes) {
+				crashes = simulation.crashes();
+				IntStream.range(0, 8).forEach(simulation::replaceAgent);
+			}
+		}
+		assertGivenUp(simulation);
+		assertInnocentsDone(simulation, 5);
+	}
+
+	/**
+	 * The runs of a worker that is down for longer than its lease are given up before its
+	 * successor shows that it has crashed.
+	 */
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void isGivenUpIfWorkersAreDownForLongerThanTheirLease(boolean newIdentity) {
+		CrashLoopSimulation simulation = new CrashLoopSimulation(1, 8, Duration.ofSeconds(9), newIdentity);
+		submitInnocents(simulation, 0, 5);
+		simulation.submitDeadly(DEADLY, DispatchFixture.step(1, 500), 0);
+		simulation.run(Duration.ofSeconds(120));
+		assertGivenUp(simulation);
+		assertInnocentsDone(simulation, 5);
+	}
+
+	@Test
+	void taskOfServiceIsGivenUp() {
+		CrashLoopSimulation simulation = simulation(1);
+		submitInnocents(simulation, 0, 5);
+		simulation.submitDeadly(DEADLY, new StepBuilder().tasks(3).milliCores(500).service().build(), 1);
+		simulation.run(Duration.ofSeconds(60));
+		assertGivenUp(simulation);
+		assertInnocentsDone(simulation, 5);
+	}
+
+	@Test
+	void gangIsGivenUp() {
+		CrashLoopSimulation simulation = simulation(1);
+		submitInnocents(simulation, 0, 5);
+		simulation.submitDeadly(DEADLY, new StepBuilder().tasks(3).milliCores(500).gang().build(), 1);
+		simulation.run(Duration.ofSeconds(60));
+		assertGivenUp(simulation);
+		assertInnocentsDone(simulation, 5);
+	}
+
+	/**
+	 * All tasks of a wide job are deadly: without a limit, each round crashes a worker
+	 * for each of them.
+	 */
+	@Test
+	void wideJobOfDeadlyTasksDoesNotKeepAllWorkersDown() {
+		CrashLoopSimulation simulation = simulation(1);
+		StepSpecification step = DispatchFixture.step(6, 500);
+		simulation.submitDeadly(DEADLY, step, 0, 1, 2, 3, 4, 5);
+		submitInnocents(simulation, 0, 20);
+		simulation.run(Duration.ofSeconds(40));
+		assertGivenUp(simulation);
+		assertInnocentsDone(simulation, 20);
+		assertThat(simulation.crashes()).isLessThanOrEqualTo(2 * step.taskCount());
+	}
+
+	/**
+	 * Workers crash for reasons of their own, again and again; no task is the cause.
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5 })
+	void noTaskIsGivenUpWhereWorkersCrashOfThemselves(long seed) {
+		CrashLoopSimulation simulation = simulation(seed);
+		Random random = new Random(seed);
+		for (int second = 0; second < 20; second++) {
+			submitInnocents(simulation, second * 3, 3);
+			simulation.run(Duration.ofSeconds(1));
+			if (second % 2 == 0) {
+				simulation.crash(random.nextInt(8));
+			}
+		}
+		simulation.run(Duration.ofSeconds(30));
+		assertThat(simulation.crashes()).isGreaterThanOrEqualTo(5);
+		assertInnocentsDone(simulation, 60);
+	}
+
+	/**
+	 * A host that is only cut off for longer than a lease has not crashed.
+	 */
+	@Test
+	void taskOfHostsThatAreOftenCutOffIsNotGivenUp() {
+		CrashLoopSimulation simulation = new CrashLoopSimulation(1, 1, DOWN_TIME, true);
+		simulation.submit(innocent(0), new StepBuilder().tasks(1).milliCores(500).service().build());
+		simulation.step();
+		for (int cut = 0; cut < 5; cut++) {
+			simulation.cut(0, Duration.ofSeconds(8));
+			simulation.run(Duration.ofSeconds(9));
+		}
+		assertThat(simulation.state(innocent(0))).isEqualTo(JobState.ACTIVE);
+		assertThat(simulation.starts(new TaskKey(innocent(0), 0, 0, 0))).isGreaterThanOrEqualTo(3);
+	}
+
+	/**
+	 * Several deadly jobs, crashes of other causes, cuts, and changes of leaders and
+	 * agents overlap.
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20 })
+	void budgetHoldsUnderOverlappingFaults(long seed) {
+		CrashLoopSimulation simulation = new CrashLoopSimulation(seed, 8, DOWN_TIME, seed % 2 == 0);
+		Random random = new Random(seed);
+		for (int number = 0; number < 4; number++) {
+			simulation.submitDeadly(deadly(number), DispatchFixture.step(3, 500), random.nextInt(3));
+		}
+		for (int step = 0; step < 600; step++) {
+			if (step % 20 == 0 && step < 400) {
+				submitInnocents(simulation, step / 20 * 2, 2);
+			}
+			simulation.step();
+			if (random.nextInt(60) == 0) {
+				simulation.replaceLeader();
+			}
+			if (random.nextInt(20) == 0) {
+				simulation.replaceAgent(random.nextInt(8));
+			}
+			if (random.nextInt(150) == 0) {
+				simulation.cut(random.nextInt(8), Duration.ofMillis(random.nextInt(9_000)));
+			}
+			if (random.nextInt(150) == 0) {
+				simulation.crash(random.nextInt(8));
+			}
+		}
+		simulation.run(Duration.ofSeconds(60));
+		assertThat(simulation.crashes()).isGreaterThanOrEqualTo(6);
+		assertThat(simulation.mostStartsAfterThirdCrash()).isLessThan(3);
+		IntStream.range(0, 4)
+			.forEach((number) -> assertThat(simulation.state(deadly(number))).isEqualTo(JobState.FAILED));
+		assertInnocentsDone(simulation, 40);
+	}
+
+	private static String deadly(int number) {
+		return "00000000000dead" + number;
+	}
+
+}
