Judge stalled tasks by the worker's lists, not by repeated reports

Cause: an agent repeats the last lists of a worker that does not answer. The leader measured the time without progress up to the report, not up to the list, and counted pending starts as listed. Change: progress is judged from when the worker returned the list, for listed runs only. Before: LostRunTests.doesNotConsiderRunsOfSilentWorkerStalled and doesNotConsiderPendingStartStalled fail. After: they pass, as does the rest of the package.

--- a/src/main/java/org/crocuspost/dispatch/Placement.java
+++ b/src/main/java/org/crocuspost/dispatch/Placement.java
@@ -75,7 +75,6 @@
 		this.phase = phase;
 		this.phaseSinceNanos = nowNanos;
 		this.placedNanos = nowNanos;
-		this.progressNanos = nowNanos;
 	}
 
 	void ordered(long number, long nowNanos) {
@@ -91,24 +90,33 @@
 			this.slowSinceNanos = nowNanos;
 		}
 		this.report = running;
-		// A run that is deliberately throttled is not considered stalled.
-		if (running.getProgress() != this.progress || running.getPace() < ReportProcessor.STALL_MINIMUM_PACE) {
-			this.progress = running.getProgress();
-			this.progressNanos = nowNanos;
-		}
 	}
 
 	/**
 	 * Records that the worker listed the run as running.
+	 * @param running the entry of the list
 	 * @param listedNanos when the worker returned the list, in nanoseconds of this
 	 * process's clock
 	 */
-	void listedRunning(long listedNanos) {
+	void listedRunning(RunningTask running, long listedNanos) {
 		if (!this.listed) {
 			this.listed = true;
 			this.firstListedNanos = listedNanos;
 		}
 		this.lastListedNanos = Math.max(this.lastListedNanos, listedNanos);
+		// A run that is deliberately throttled is not considered stalled.
+		if (running.getProgress() != this.progress || running.getPace() < ReportProcessor.STALL_MINIMUM_PACE) {
+			this.progress = running.getProgress();
+			this.progressNanos = listedNanos;
+		}
+	}
+
+	/**
+	 * Returns for how long the worker is known to have listed the run without progress.
+	 * @return the time; zero if the worker has not listed the run
+	 */
+	Duration timeWithoutProgress() {
+		return this.listed ? Duration.ofNanos(this.lastListedNanos - this.progressNanos) : Duration.ZERO;
 	}
 
 	/**
@@ -193,10 +201,6 @@
 		return this.phaseSinceNanos;
 	}
 
-	long progressNanos() {
-		return this.progressNanos;
-	}
-
 	/**
 	 * Returns whether the run has been slow for some time.
 	 * @param duration the time
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -352,7 +352,7 @@
 		for (RunningTask running : report.getRunningList()) {
 			Placement placement = host.placements().get(TaskNames.key(running.getTask()));
 			if (placement != null && placement.run() == running.getRun()) {
-				placement.listedRunning(listedNanos);
+				placement.listedRunning(running, listedNanos);
 				this.crashAttribution.clearIfOutlived(placement);
 			}
 		}
@@ -504,7 +504,7 @@
 		StepSpecification step = placement.task().step();
 		RunningTask report = placement.report();
 		if (step.lasting() || step.gang() || report == null || report.getPace() < STALL_MINIMUM_PACE
-				|| now - placement.progressNanos() < STALL_TIMEOUT.toNanos()) {
+				|| placement.timeWithoutProgress().compareTo(STALL_TIMEOUT) < 0) {
 			return false;
 		}
 		if (host.quarantined(now)) {
@@ -513,7 +513,7 @@
 		host.quarantine(now);
 		this.dispatcher.listener()
 			.hostChanged(host.name(), "suspected", "task " + placement.task().key() + " made no progress beyond "
-					+ report.getProgress() + "% for " + (now - placement.progressNanos()) / 1_000_000 + " ms");
+					+ report.getProgress() + "% for " + placement.timeWithoutProgress().toMillis() + " ms");
 		return true;
 	}
 
--- a/src/test/java/org/crocuspost/dispatch/LostRunTests.java
+++ b/src/test/java/org/crocuspost/dispatch/LostRunTests.java
@@ -179,6 +179,49 @@
 		assertThat(this.fixture.hostAssessments).containsOnlyOnce("suspected");
 	}
 
+	/**
+	 * The agent of a worker that does not answer repeats its last lists, in which no run
+	 * makes progress.
+	 */
+	@Test
+	void doesNotConsiderRunsOfSilentWorkerStalled() {
+		SimulatedWorker worker = this.fixture.worker("one", 1_000);
+		this.fixture.submit("0123456789abcdef", DispatchFixture.step(1, 1_000));
+		this.fixture.runSchedulingRound();
+		this.fixture.report(worker);
+		for (int seconds = 1; seconds < 6; seconds++) {
+			this.fixture.time.advance(Duration.ofSeconds(1));
+			HostReport silent = worker.report()
+				.toBuilder()
+				.setWorkerAnswers(false)
+				.setListsAgeMillis(seconds * 1_000)
+				.build();
+			assertThat(this.fixture.reports.reported(silent, true).stops()).isEmpty();
+		}
+		assertThat(this.fixture.hostAssessments).doesNotContain("suspected");
+	}
+
+	/**
+	 * A start without an answer is pending until the worker lists the run or confirms its
+	 * stop, and makes no progress until then.
+	 */
+	@Test
+	void doesNotConsiderPendingStartStalled() {
+		SimulatedWorker worker = this.fixture.worker("one", 1_000);
+		this.fixture.submit("0123456789abcdef", DispatchFixture.step(1, 1_000));
+		this.fixture.runSchedulingRound();
+		HostReport listed = worker.report();
+		HostReport pending = listed.toBuilder().clearRunning().addAllPending(listed.getRunningList()).build();
+		this.fixture.reports.reported(pending, true);
+		this.fixture.time.advance(ReportProcessor.STALL_TIMEOUT.plusSeconds(1));
+		assertThat(this.fixture.reports.reported(pending, true).stops()).isEmpty();
+		this.fixture.reports.reported(listed, true);
+		this.fixture.time.advance(ReportProcessor.STALL_TIMEOUT.minusMillis(100));
+		assertThat(this.fixture.reports.reported(listed, true).stops()).isEmpty();
+		this.fixture.time.advance(Duration.ofMillis(100));
+		assertThat(this.fixture.reports.reported(listed, true).stops()).hasSize(1);
+	}
+
 	@Test
 	void passesEvidenceForLostRunToListener() {
 		SimulatedWorker worker = this.fixture.worker("host", 4_000);
