Start nothing on a worker that has shrunk below what runs there

Cause, by reading: capacity was checked at the decision alone. The order went out after the record, and an agent that had been paused carried out what it read first, on a capacity from before. Change: the leader checks again when the record is confirmed. The agent refuses an order that does not fit beside the runs that it started and the worker still lists, stopping ones included; it refuses all while the last announcement is older than two intervals and half a second, by both clocks, and then reports no capacity. A change of capacity is logged and reported at once. HostAgentTests has three new tests; one older test now announces the worker again after four silent seconds, as a live worker does, and checks the same. Known limit: the agent does not know the size of runs that an earlier incarnation of it started; the leader does. A crash is not counted any more for runs of ended jobs that a new leader finds in their rows.

--- a/src/main/java/org/crocuspost/dispatch/CrashAttribution.java
+++ b/src/main/java/org/crocuspost/dispatch/CrashAttribution.java
@@ -4,7 +4,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
+import org.crocuspost.job.JobProgress;
 import org.crocuspost.job.JobState;
 import org.crocuspost.job.TaskKey;
 import org.crocuspost.job.TaskProgress;
@@ -29,8 +31,8 @@
 	}
 
 	/**
-	 * Returns the runs that the former worker of a host may have been running when it
-	 * crashed.
+	 * Returns the runs of active jobs that the former worker of a host may have been
+	 * running when it crashed.
 	 * @param host the host, before the state of the former worker is discarded
 	 * @param report the first report of the new worker
 	 * @return the runs; empty if the former worker had announced its end
@@ -44,7 +46,7 @@
 			.values()
 			.stream()
 			.filter((placement) -> placement.current() && placement.mayHaveStarted(report, host.agentIncarnation())
-					&& !runsOn(placement, report)
+					&& !runsOn(placement, report) && activeJob(placement.task()).isPresent()
 					&& runsOfSuccessor.getOrDefault(placement.task().key(), 0) != placement.run())
 			.toList();
 	}
@@ -160,6 +162,10 @@
 		}
 	}
 
+	private Optional<JobProgress> activeJob(TaskProgress task) {
+		return this.dispatcher.job(task.key().job()).filter((job) -> !job.state().terminal());
+	}
+
 	private void countCrash(TaskProgress task) {
 		task.countCrash();
 		this.dispatcher.markChanged(task.key());
@@ -169,10 +175,8 @@
 		if (task.crashes() < DispatchSettings.MAXIMUM_CRASHES) {
 			return;
 		}
-		this.dispatcher.job(task.key().job())
-			.filter((job) -> !job.state().terminal())
-			.ifPresent((job) -> this.dispatcher.endJob(job, JobState.FAILED,
-					task.crashes() + " workers crashed after they had started task " + task.key()));
+		activeJob(task).ifPresent((job) -> this.dispatcher.endJob(job, JobState.FAILED,
+				task.crashes() + " workers crashed after they had started task " + task.key()));
 	}
 
 }
--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -423,7 +423,7 @@
 				continue;
 			}
 			if (!mayStart || tracked.job().state().terminal() || !host.available()
-					|| placement.task().workerStartMillis() != host.worker().getBorn()
+					|| placement.task().workerStartMillis() != host.worker().getBorn() || host.overCapacity()
 					|| this.evacuated.contains(host.worker().getFailureDomain())) {
 				cancelUnsentStart(host, placement);
 				continue;
--- a/src/main/java/org/crocuspost/dispatch/HostState.java
+++ b/src/main/java/org/crocuspost/dispatch/HostState.java
@@ -170,6 +170,15 @@
 		return free;
 	}
 
+	/**
+	 * Returns whether the assigned runs need more than the worker has, because it has
+	 * shrunk.
+	 * @return true if nothing may start
+	 */
+	boolean overCapacity() {
+		return freeMilliCores() < 0 || freeMemoryMegabytes() < 0 || freeAccelerators() < 0;
+	}
+
 	/**
 	 * Returns the processor capacity that further fillers can use, given the assumed use
 	 * of the other tasks.
--- a/src/main/java/org/crocuspost/host/HostAgent.java
+++ b/src/main/java/org/crocuspost/host/HostAgent.java
@@ -11,14 +11,12 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import java.util.stream.Collectors;
 
 import io.vavr.control.Either;
 import org.crocuspost.dispatch.Departure;
 import org.crocuspost.dispatch.TaskNames;
 import org.crocuspost.hostlink.LeaderPort;
 import org.crocuspost.hostlink.LeaderPortListener;
-import org.crocuspost.job.TaskKey;
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
 import org.crocuspost.time.Clock;
@@ -122,6 +120,8 @@
 
 	private final ReportSender reports;
 
+	private final CapacityGuard capacityGuard;
+
 	/**
 	 * Creates an agent. It is idle until {@link #start()} is called.
 	 * @param settings the settings
@@ -147,6 +147,7 @@
 		this.fence = clock.instant().toEpochMilli();
 		this.incarnation = settings.host() + "-" + this.fence;
 		this.leader = leaderPort.apply(this);
+		this.capacityGuard = new CapacityGuard(clock, settings.announcementInterval());
 		this.reports = new ReportSender(this.leader, this::takeReport, clock, timer);
 	}
 
@@ -186,10 +187,18 @@
 					Field.of("remainingMillis", received.remainingMillis()));
 		}
 		this.announcement = received;
+		this.capacityGuard.announced();
 		if (newIncarnation) {
 			hold(++this.holdGeneration);
+			return;
+		}
+		if (!received.sameCapacity(current)) {
+			EventLog.info(HostEvent.CAPACITY_CHANGED, Field.of("worker", received.id()),
+					Field.of("milliCores", received.milliCores()), Field.of("formerMilliCores", current.milliCores()),
+					Field.of("memoryMegabytes", received.memoryMegabytes()),
+					Field.of("accelerators", received.accelerators()), Field.of("running", this.running.size()));
 		}
-		else if (received.draining() && !current.draining()) {
+		if (received.draining() != current.draining() || !received.sameCapacity(current)) {
 			this.reports.request();
 		}
 	}
@@ -429,7 +438,7 @@
 		// Empty lists would mean that nothing runs on the worker, so the report does not
 		// name the worker until its lists have been read.
 		if (this.announcement != null && (this.answered || this.workerLeft)) {
-			report.setWorker(this.announcement.describe(this.workerLeft));
+			report.setWorker(this.capacityGuard.describe(this.announcement.describe(this.workerLeft)));
 		}
 		for (RunningTask run : this.running) {
 			report.addRunning(run.toBuilder().setPace(this.paces.getOrDefault(RunKey.of(run), FULL_PACE)));
@@ -470,9 +479,7 @@
 		message.getStopsList().forEach(this::handleStopOrder);
 		message.getStartsList().forEach(this::handleStartOrder);
 		if (this.traits.size() > HostAgentSettings.MAXIMUM_REMEMBERED_RUNS) {
-			Set<RunKey> current = this.running.stream().map(RunKey::of).collect(Collectors.toCollection(HashSet::new));
-			current.addAll(this.pending.keySet());
-			this.traits.keySet().retainAll(current);
+			this.traits.keySet().retainAll(presentRuns());
 		}
 		this.reports.sendRequested();
 	}
@@ -493,7 +500,7 @@
 	}
 
 	private void handleStartOrder(StartOrder order) {
-		RunKey key = new RunKey(TaskNames.key(order.getTask()), order.getRun());
+		RunKey key = RunKey.of(order);
 		WorkerAnnouncement target = this.announcement;
 		String refusalReason = refusalReason(order, target);
 		if (target == null || !refusalReason.isEmpty()) {
@@ -502,6 +509,7 @@
 			return;
 		}
 		this.traits.put(key, order.getTraits());
+		this.capacityGuard.started(order);
 		PendingStart start = new PendingStart(
 				RunningTask.newBuilder().setTask(order.getTask()).setRun(order.getRun()).setPace(FULL_PACE).build());
 		this.pending.put(key, start);
@@ -527,7 +535,14 @@
 			return "the worker's life is uncertain";
 		}
 		boolean lease = this.leaseUntilMillis - this.workerClockMillis > HostAgentSettings.MINIMUM_LEASE.toMillis();
-		return (lease && workerResponsive()) ? "" : "no lease";
+		return (lease && workerResponsive()) ? this.capacityGuard.refusalReason(order, target, presentRuns())
+				: "no lease";
+	}
+
+	private Set<RunKey> presentRuns() {
+		Set<RunKey> present = new HashSet<>(this.pending.keySet());
+		this.running.forEach((run) -> present.add(RunKey.of(run)));
+		return present;
 	}
 
 	private void handleStartOutcome(WorkerAnnouncement target, RunKey key, PendingStart start, OrderOutcome outcome) {
@@ -606,20 +621,6 @@
 
 	private static final int FULL_PACE = 100;
 
-	/**
-	 * Identifies a run.
-	 *
-	 * @param task the task
-	 * @param run the number of the run
-	 */
-	private record RunKey(TaskKey task, int run) {
-
-		private static RunKey of(RunningTask running) {
-			return new RunKey(TaskNames.key(running.getTask()), running.getRun());
-		}
-
-	}
-
 	/**
 	 * Holds a start order whose run does not appear in the worker's lists yet.
 	 */
--- a/src/main/java/org/crocuspost/host/HostAgentSettings.java
+++ b/src/main/java/org/crocuspost/host/HostAgentSettings.java
@@ -8,8 +8,9 @@
  *
  * @param host the name of the host
  * @param leaseDuration duration of a lease, counted from the lease stamp of a report
+ * @param announcementInterval interval at which the worker announces itself
  */
-public record HostAgentSettings(String host, Duration leaseDuration) {
+public record HostAgentSettings(String host, Duration leaseDuration, Duration announcementInterval) {
 
 	/**
 	 * Interval at which the agent checks whether the worker still answers, and stops the
@@ -90,6 +91,7 @@
 	public HostAgentSettings {
 		Objects.requireNonNull(host, "host");
 		Objects.requireNonNull(leaseDuration, "leaseDuration");
+		Objects.requireNonNull(announcementInterval, "announcementInterval");
 	}
 
 }
--- a/src/main/java/org/crocuspost/host/HostEvent.java
+++ b/src/main/java/org/crocuspost/host/HostEvent.java
@@ -36,6 +36,11 @@
 	 */
 	CONNECTION_FAILED,
 
+	/**
+	 * The worker announces another capacity than before.
+	 */
+	CAPACITY_CHANGED,
+
 	/**
 	 * The worker is draining before its departure.
 	 */
--- a/src/main/java/org/crocuspost/host/WorkerAnnouncement.java
+++ b/src/main/java/org/crocuspost/host/WorkerAnnouncement.java
@@ -43,6 +43,16 @@
 		return this.id.equals(other.id) && this.born == other.born;
 	}
 
+	/**
+	 * Returns whether another announcement states the same capacity.
+	 * @param other the other announcement
+	 * @return true if no resource differs
+	 */
+	boolean sameCapacity(WorkerAnnouncement other) {
+		return this.milliCores == other.milliCores && this.memoryMegabytes == other.memoryMegabytes
+				&& this.accelerators == other.accelerators;
+	}
+
 	/**
 	 * Returns what the leader must know of the worker.
 	 * @param left whether the worker has ended for good
--- a/src/main/java/org/crocuspost/platform/hosted/AgentProgram.java
+++ b/src/main/java/org/crocuspost/platform/hosted/AgentProgram.java
@@ -72,7 +72,8 @@
 		this.timer = new ExecutorTimer(loop);
 		this.store = new InstrumentedRowStore(new HostedRowStore(new HttpCaller(loop, STORE_CONNECTIONS),
 				settings.storeAddress(), new TrafficCounters(this.registry)), clock, this.registry);
-		this.agent = new HostAgent(new HostAgentSettings(settings.name(), settings.limits().leaseDuration()),
+		this.agent = new HostAgent(
+				new HostAgentSettings(settings.name(), settings.limits().leaseDuration(), settings.heartbeatInterval()),
 				new HostMetrics(this.registry),
 				new HostedWorkerCalls(new HttpCaller(loop, WORKER_CONNECTIONS), settings.workerAddress().orElseThrow()),
 				(listener) -> {
--- a/src/test/java/org/crocuspost/host/HostAgentTests.java
+++ b/src/test/java/org/crocuspost/host/HostAgentTests.java
@@ -38,7 +38,8 @@
 
 	private final List<Departure> departures = new ArrayList<>();
 
-	private final HostAgent agent = new HostAgent(new HostAgentSettings("host", Duration.ofSeconds(6)),
+	private final HostAgent agent = new HostAgent(
+			new HostAgentSettings("host", Duration.ofSeconds(6), Duration.ofSeconds(1)),
 			new HostMetrics(new PrometheusRegistry()), this.worker, LeaderPort::new, this.departures::add, this.time,
 			this.time);
 
@@ -261,6 +262,7 @@
 		this.agent.departureAnnounced("worker");
 		this.time.advance(Duration.ofSeconds(3));
 		assertThat(this.agent.composeReport().getWorker().getLeft()).isFalse();
+		this.agent.workerAnnounced(announcement("worker", 2, 2));
 		this.agent.messageReceived(grantAndStart("worker", 2));
 		assertThat(this.worker.starts).hasSize(1);
 	}
@@ -348,6 +350,76 @@
 		assertThat(this.worker.fences.get(this.worker.fences.size() - 1)).isGreaterThan(before);
 	}
 
+	private static WorkerAnnouncement withCapacity(WorkerAnnouncement announcement, int milliCores) {
+		return new WorkerAnnouncement(announcement.id(), announcement.born(), announcement.service(),
+				announcement.failureDomain(), announcement.draining(), 0, 0, milliCores, announcement.memoryMegabytes(),
+				0, List.of(), announcement.sequence());
+	}
+
+	private LeaderMessage startOf(int number, int milliCores) {
+		return LeaderMessage.newBuilder()
+			.setWorkerBorn(1)
+			.setLeaseStamp(this.worker.clockMillis())
+			.setOrder(number)
+			.addStarts(StartOrder.newBuilder()
+				.setTask(run(number, 0).getTask())
+				.setRun(1)
+				.setMilliCores(milliCores)
+				.setWorker("worker")
+				.setWorkerBorn(1))
+			.build();
+	}
+
+	/**
+	 * The leader has sent the orders before it heard that the worker has shrunk. A run
+	 * that is being stopped uses its capacity until its end is listed.
+	 */
+	@Test
+	void orderThatNoLongerFitsIntoTheWorkerIsRefused() {
+		startAgent();
+		this.agent.messageReceived(startOf(1, 1_000));
+		this.worker.running = List.of(run(1, 0));
+		this.time.advance(Duration.ofSeconds(1));
+		this.agent.workerAnnounced(withCapacity(announcement("worker", 1, 2), 2_000));
+		this.agent.messageReceived(startOf(2, 1_500));
+		this.agent.messageReceived(startOf(3, 1_000));
+		this.agent.messageReceived(startOf(4, 1_000));
+		assertThat(this.worker.starts).extracting(TaskKey::index).containsExactly(1, 3);
+		this.worker.running = List.of(run(3, 0));
+		this.worker.ended = List.of(end(1));
+		this.time.advance(Duration.ofSeconds(1));
+		this.agent.workerAnnounced(withCapacity(announcement("worker", 1, 3), 2_000));
+		this.agent.messageReceived(startOf(4, 1_000));
+		assertThat(this.worker.starts).extracting(TaskKey::index).containsExactly(1, 3, 4);
+	}
+
+	@Test
+	void changedCapacityIsReported() {
+		startAgent();
+		this.agent.workerAnnounced(withCapacity(announcement("worker", 1, 2), 500));
+		assertThat(this.agent.composeReport().getWorker().getMilliCores()).isEqualTo(500);
+	}
+
+	/**
+	 * The worker may have shrunk while the agent was paused. Orders from before are read
+	 * first.
+	 */
+	@Test
+	void nothingStartsWhileTheAnnouncedCapacityIsOutOfDate() {
+		startAgent();
+		this.time.advance(Duration.ofSeconds(2));
+		this.agent.messageReceived(startOf(1, 1_000));
+		assertThat(this.worker.starts).isEmpty();
+		assertThat(this.agent.composeReport().getWorker().getMilliCores()).isZero();
+		this.agent.workerAnnounced(announcement("worker", 1, 2));
+		assertThat(this.agent.composeReport().getWorker().getMilliCores()).isEqualTo(4_000);
+		this.agent.messageReceived(startOf(2, 1_000));
+		assertThat(this.worker.starts).hasSize(1);
+		this.time.shiftWallClock(Duration.ofSeconds(10));
+		this.agent.messageReceived(startOf(3, 1_000));
+		assertThat(this.worker.starts).hasSize(1);
+	}
+
 	/**
 	 * Without further calls, all runs of the worker would end with their lease.
 	 */
