Count a suspension into the age of a worker's lists

Cause: the agent measured the age of its worker's lists by the monotonic clock, which stands still while the host is suspended. Its first report afterwards presented lists from before as new: a run counted as having outlived its probation although its worker may have crashed meanwhile, and the worker as answering. Change: both clocks count, as for other permissions. Departures keep the monotonic clock, since a wall clock that is set forward must not end a worker. Before: HostAgentTests.ageOfTheListsIncludesASuspension fails; after: passes. 'explain job' shows worker-crashed of the hosts of a job's tasks.

--- a/src/main/java/org/crocuspost/host/HostAgent.java
+++ b/src/main/java/org/crocuspost/host/HostAgent.java
@@ -20,6 +20,7 @@
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
 import org.crocuspost.time.Clock;
+import org.crocuspost.time.ClockReading;
 import org.crocuspost.time.Timer;
 import org.crocuspost.wire.EndedTask;
 import org.crocuspost.wire.HostReport;
@@ -84,7 +85,7 @@
 
 	private long workerClockMillis;
 
-	private long answeredNanos;
+	private ClockReading answeredAt;
 
 	private boolean answered;
 
@@ -141,6 +142,7 @@
 		this.departureRecorder = departureRecorder;
 		this.clock = clock;
 		this.timer = timer;
+		this.answeredAt = ClockReading.of(clock);
 		// The fencing token of an agent must be higher than those of all its earlier
 		// incarnations. The wall clock normally ensures that; if it was set back, the
 		// worker rejects the token and the token is raised.
@@ -260,7 +262,7 @@
 			}
 			long now = this.clock.nanoTime();
 			boolean stillAnswers = this.answered
-					&& now - this.answeredNanos < HostAgentSettings.DEPARTURE_TIMEOUT.toNanos();
+					&& now - this.answeredAt.nanos() < HostAgentSettings.DEPARTURE_TIMEOUT.toNanos();
 			if (!stillAnswers) {
 				recordDeparture(departing);
 			}
@@ -336,7 +338,7 @@
 					Field.of("running", state.running().size()), Field.of("ended", state.ended().size()));
 		}
 		this.answered = true;
-		this.answeredNanos = this.clock.nanoTime();
+		this.answeredAt = ClockReading.of(this.clock);
 		this.workerClockMillis = Math.max(this.workerClockMillis, state.clockMillis());
 		this.running = state.running();
 		this.endsFollow = state.ended().size() >= HostAgentSettings.MAXIMUM_LISTED_ENDS;
@@ -417,7 +419,7 @@
 
 	private boolean workerResponsive() {
 		return this.answered && !this.workerLeft
-				&& this.clock.nanoTime() - this.answeredNanos < HostAgentSettings.WORKER_TIMEOUT.toNanos();
+				&& this.answeredAt.age(this.clock).compareTo(HostAgentSettings.WORKER_TIMEOUT) < 0;
 	}
 
 	private HostReport takeReport() {
@@ -434,7 +436,7 @@
 			.setWorkerAnswers(workerResponsive() && !this.holdFailed)
 			.setHandledOrder(this.handledOrder)
 			.setEndsFollow(this.endsFollow)
-			.setListsAgeMillis(this.answered ? (this.clock.nanoTime() - this.answeredNanos) / 1_000_000 : 0);
+			.setListsAgeMillis(this.answered ? this.answeredAt.age(this.clock).toMillis() : 0);
 		// Empty lists would mean that nothing runs on the worker, so the report does not
 		// name the worker until its lists have been read.
 		if (this.announcement != null && (this.answered || this.workerLeft)) {
--- a/src/main/java/org/crocuspost/timeline/JobTimeline.java
+++ b/src/main/java/org/crocuspost/timeline/JobTimeline.java
@@ -27,6 +27,11 @@
 			"row-history-lost", "configuration-in-force", "failure-domains-out", "readiness-changed",
 			"log-lines-dropped");
 
+	/**
+	 * Events of a host that are context for the jobs whose tasks were assigned to it.
+	 */
+	private static final Set<String> HOST_EVENTS = Set.of("host-changed", "worker-crashed");
+
 	/**
 	 * Time before the first line of the job from which context lines are included, since
 	 * a change shortly before may still affect the job.
@@ -60,7 +65,7 @@
 		List<LogLine> lines = new ArrayList<>(jobLines);
 		for (LogLine line : log) {
 			boolean isContext = CONTEXT_EVENTS.contains(line.event());
-			boolean concernsJobHost = line.event().equals("host-changed") && hosts.contains(line.field("host"));
+			boolean concernsJobHost = HOST_EVENTS.contains(line.event()) && hosts.contains(line.field("host"));
 			if ((isContext || concernsJobHost) && !concerns(jobId, line) && !line.time().isBefore(from)
 					&& !line.time().isAfter(until)) {
 				lines.add(line);
--- a/src/test/java/org/crocuspost/host/HostAgentTests.java
+++ b/src/test/java/org/crocuspost/host/HostAgentTests.java
@@ -420,6 +420,19 @@
 		assertThat(this.worker.starts).hasSize(1);
 	}
 
+	/**
+	 * The monotonic clock stands still while the host is suspended. The first report
+	 * afterwards must not present old lists as new ones.
+	 */
+	@Test
+	void ageOfTheListsIncludesASuspension() {
+		startAgent();
+		this.worker.unreachable = true;
+		this.time.shiftWallClock(Duration.ofSeconds(4));
+		assertThat(this.agent.composeReport().getListsAgeMillis()).isGreaterThanOrEqualTo(4_000);
+		assertThat(this.agent.composeReport().getWorkerAnswers()).isFalse();
+	}
+
 	/**
 	 * Without further calls, all runs of the worker would end with their lease.
 	 */
--- a/src/test/java/org/crocuspost/timeline/JobTimelineTests.java
+++ b/src/test/java/org/crocuspost/timeline/JobTimelineTests.java
@@ -32,6 +32,8 @@
 			line("18.6", "task-placed", ofJob(",\"host\":\"side-3\"")),
 			line("18.9", "host-changed", ",\"host\":\"side-3\",\"belief\":\"suspected\""),
 			line("18.9", "host-changed", ",\"host\":\"side-4\",\"belief\":\"suspected\""),
+			line("18.95", "worker-crashed", ",\"host\":\"side-3\",\"runs\":\"3\""),
+			line("18.95", "worker-crashed", ",\"host\":\"side-4\",\"runs\":\"3\""),
 			line("19.0", "job-accepted", ",\"job\":\"ffffffffffffffff\""),
 			line("19.2", "pace-changed", ",\"task\":\"" + JOB + ".0.0.1\",\"pace\":\"50\""),
 			line("19.5", "run-lost", ofJob(",\"outcome\":\"lease lapsed\"")),
@@ -44,7 +46,7 @@
 		JobTimeline timeline = JobTimeline.of(JOB, LOG).orElseThrow();
 		assertThat(timeline.lines()).extracting(LogLine::event)
 			.containsExactly("job-accepted", "leadership-won", "job-seen", "task-placed", "host-changed",
-					"pace-changed", "run-lost", "run-ended", "job-ended");
+					"worker-crashed", "pace-changed", "run-lost", "run-ended", "job-ended");
 		assertThat(timeline.lines().get(4).field("host")).isEqualTo("side-3");
 	}
 
