Refuse jobs whose number of tasks exceeds the limit by overflow

Found while looking for the incident's class of fault elsewhere: one thing that takes down server after server. A job with three steps of 2,147,483,647 tasks, repeated as often, was accepted, since the product that is compared with the limit exceeds a long and turned negative. It would be stored, and each leader that reads it would run out of memory and end, one after the other. The limit itself is unchanged. Before: DecoderTests.jobWithCountlessTasksIsRejectedAndIsNotReadFromTheStore fails, the job is accepted. After: it passes, as do the tests of dispatch, leader and ingress. Looked at and bounded already: a caller's request reaches at most 3 endpoints; rows, messages and answers that cause an unexpected exception are isolated.

--- a/src/main/java/org/crocuspost/job/JobSpecification.java
+++ b/src/main/java/org/crocuspost/job/JobSpecification.java
@@ -15,11 +15,22 @@
 public record JobSpecification(String text, List<StepSpecification> steps, int occurrences, boolean scheduled,
 		long firstDueMillis, long intervalMillis) {
 
+	/**
+	 * Maximum number of tasks of a job in all occurrences. A leader holds the progress of
+	 * each of them in memory.
+	 */
+	private static final int MAXIMUM_TASKS = 800;
+
 	public JobSpecification {
 		steps = List.copyOf(steps);
 		if (steps.isEmpty()) {
 			throw new IllegalArgumentException("a job has at least one step");
 		}
+		long tasks = steps.stream().mapToLong(StepSpecification::taskCount).sum();
+		if (occurrences < 1 || tasks > MAXIMUM_TASKS / occurrences) {
+			throw new IllegalArgumentException(
+					"a job has 1 to " + MAXIMUM_TASKS + " tasks, but this has " + occurrences + " times " + tasks);
+		}
 		for (int step = 0; step < steps.size(); step++) {
 			for (int predecessor : steps.get(step).predecessors()) {
 				if (predecessor < 0 || predecessor >= step) {
--- a/src/main/java/org/crocuspost/platform/hosted/JobDecoder.java
+++ b/src/main/java/org/crocuspost/platform/hosted/JobDecoder.java
@@ -16,12 +16,6 @@
  */
 final class JobDecoder {
 
-	/**
-	 * Maximum number of tasks of a job. Like the maximum size of the specification, it
-	 * keeps the stored progress of a job within the size of a row.
-	 */
-	private static final int MAXIMUM_TASKS = 800;
-
 	private static final int MAXIMUM_SPECIFICATION_BYTES = 4_000;
 
 	private JobDecoder() {
@@ -40,11 +34,8 @@
 			}
 			int occurrences = Math.max(1, node.path("repeat_count").asInt());
 			boolean scheduled = node.path("repeat_count").asInt() > 0;
-			JobSpecification job = new JobSpecification(text, steps, occurrences, scheduled,
-					node.path("start_at_ms").asLong(), node.path("interval_ms").asLong());
-			long tasks = (long) occurrences * steps.stream().mapToLong(StepSpecification::taskCount).sum();
-			return (tasks <= MAXIMUM_TASKS) ? Either.right(job)
-					: Either.left("a job has at most " + MAXIMUM_TASKS + " tasks, but this has " + tasks);
+			return Either.right(new JobSpecification(text, steps, occurrences, scheduled,
+					node.path("start_at_ms").asLong(), node.path("interval_ms").asLong()));
 		}
 		catch (IOException | IllegalArgumentException ex) {
 			return Either.left(String.valueOf(ex.getMessage()));
--- a/src/test/java/org/crocuspost/platform/hosted/DecoderTests.java
+++ b/src/test/java/org/crocuspost/platform/hosted/DecoderTests.java
@@ -49,6 +49,22 @@
 		assertThat(JobDecoder.decode(body.getBytes(StandardCharsets.UTF_8)).getLeft()).isNotBlank();
 	}
 
+	/**
+	 * A leader reserves memory for each task of a job, so a stored job with too many
+	 * tasks would end one leader after the other. Their number exceeds a long here.
+	 */
+	@Test
+	void jobWithCountlessTasksIsRejectedAndIsNotReadFromTheStore() {
+		String step = "{\"count\":2147483647}";
+		String body = "{\"repeat_count\":2147483647,\"steps\":[" + step + "," + step + "," + step + "]}";
+		assertThat(JobDecoder.decode(body.getBytes(StandardCharsets.UTF_8)).getLeft()).contains("tasks");
+		JobSpecification valid = JobDecoder.decode(JOB.getBytes(StandardCharsets.UTF_8)).get();
+		String stored = SubmissionCodec.write(new JobSubmission("0123456789abcdef", "queue", 7, valid));
+		String countless = stored.replace("\"occurrences\":3", "\"occurrences\":2147483647");
+		assertThat(countless).isNotEqualTo(stored);
+		assertThatThrownBy(() -> SubmissionCodec.read("0123456789abcdef", countless)).hasStackTraceContaining("tasks");
+	}
+
 	/**
 	 * A task that is not listed counts as not running, so a missing list must not be read
 	 * as an empty one.
