Compare a lapsed run with the worker that was to start it

Cause: whether a worker had crashed after its lease lapsed was decided by the worker that the leader knew on the host. A new leader knows none, so a host that was only cut off counted as crashed. Change: a placement keeps the incarnation of the worker to which its run was assigned, also after the task has lost the assignment, and each run is decided by that. Before: WorkerCrashTests.crashCountedForLapsedLeaseIsWithdrawnWhenSameWorkerReportsToNewLeader fails (the crash stays counted). After: it passes, with the tests of the package.

--- a/src/main/java/org/crocuspost/dispatch/CrashAttribution.java
+++ b/src/main/java/org/crocuspost/dispatch/CrashAttribution.java
@@ -46,7 +46,7 @@
 			.values()
 			.stream()
 			.filter((placement) -> placement.current() && placement.mayHaveStarted(report, host.agentIncarnation())
-					&& !runsOn(placement, report) && activeJob(placement.task()).isPresent()
+					&& !placement.assignedTo(report.getWorker()) && activeJob(placement.task()).isPresent()
 					&& runsOfSuccessor.getOrDefault(placement.task().key(), 0) != placement.run())
 			.toList();
 	}
@@ -64,11 +64,6 @@
 		return runs;
 	}
 
-	private static boolean runsOn(Placement placement, HostReport report) {
-		return placement.task().worker().equals(report.getWorker().getId())
-				&& placement.task().workerStartMillis() == report.getWorker().getBorn();
-	}
-
 	/**
 	 * Returns the crash of the former worker of a host.
 	 * @param runs the runs that it may have been running, still assigned to it
@@ -79,7 +74,7 @@
 		if (runs.isEmpty()) {
 			return null;
 		}
-		TaskProgress first = runs.get(0).task();
+		Placement first = runs.get(0);
 		return new WorkerCrash(first.worker(), first.workerStartMillis(), report.getWorker().getId(), runs.size(),
 				runs.stream().filter(Placement::onProbation).map((placement) -> placement.task().key()).toList(),
 				Duration.ofMillis(report.getListsAgeMillis()));
@@ -115,27 +110,27 @@
 	}
 
 	/**
-	 * Decides about the runs whose lease has lapsed: the worker has crashed if another
+	 * Decides about the runs whose lease has lapsed: their worker has crashed if another
 	 * incarnation is reported, and was only cut off if it answers again. The report of an
 	 * agent whose worker does not answer decides nothing.
-	 * @param host the host, with the worker that was known before
+	 * @param host the host
 	 * @param report the report
 	 */
 	void resolve(HostState host, HostReport report) {
-		boolean crashed = !host.sameWorker(report.getWorker());
-		if (host.unresolvedLosses().isEmpty() || (!crashed && !report.getWorkerAnswers())) {
-			return;
+		host.unresolvedLosses().removeIf((placement) -> resolved(placement, report));
+	}
+
+	private boolean resolved(Placement placement, HostReport report) {
+		if (!placement.assignedTo(report.getWorker())) {
+			giveUpIfExhausted(placement.task());
+			return true;
 		}
-		for (Placement placement : host.unresolvedLosses()) {
-			if (crashed) {
-				giveUpIfExhausted(placement.task());
-			}
-			else {
-				placement.task().withdrawCrash();
-				this.dispatcher.markChanged(placement.task().key());
-			}
+		if (report.getWorkerAnswers()) {
+			placement.task().withdrawCrash();
+			this.dispatcher.markChanged(placement.task().key());
+			return true;
 		}
-		host.unresolvedLosses().clear();
+		return false;
 	}
 
 	/**
--- a/src/main/java/org/crocuspost/dispatch/Placement.java
+++ b/src/main/java/org/crocuspost/dispatch/Placement.java
@@ -6,6 +6,7 @@
 import org.crocuspost.wire.HostReport;
 import org.crocuspost.wire.RefusedStart;
 import org.crocuspost.wire.RunningTask;
+import org.crocuspost.wire.WorkerDescription;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -45,6 +46,10 @@
 
 	private final int run;
 
+	private final String worker;
+
+	private final long workerStartMillis;
+
 	private Phase phase;
 
 	private long orderNumber;
@@ -72,6 +77,8 @@
 	Placement(TaskProgress task, Phase phase, long nowNanos) {
 		this.task = task;
 		this.run = task.run();
+		this.worker = task.worker();
+		this.workerStartMillis = task.workerStartMillis();
 		this.phase = phase;
 		this.phaseSinceNanos = nowNanos;
 		this.placedNanos = nowNanos;
@@ -146,6 +153,15 @@
 		return this.task.run() == this.run && this.task.status() == org.crocuspost.job.TaskStatus.PLACED;
 	}
 
+	/**
+	 * Returns whether the run was assigned to an incarnation of a worker.
+	 * @param description the worker
+	 * @return true if it is the incarnation that was to start the run
+	 */
+	boolean assignedTo(WorkerDescription description) {
+		return this.worker.equals(description.getId()) && this.workerStartMillis == description.getBorn();
+	}
+
 	/**
 	 * Returns whether the agent may have passed the start order on to the worker.
 	 * @param report a report of the agent
@@ -189,6 +205,14 @@
 		return this.run;
 	}
 
+	String worker() {
+		return this.worker;
+	}
+
+	long workerStartMillis() {
+		return this.workerStartMillis;
+	}
+
 	Phase phase() {
 		return this.phase;
 	}
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -207,8 +207,7 @@
 				continue;
 			}
 			boolean recording = placement.phase() == Placement.Phase.RECORDING;
-			boolean onCurrentWorker = placement.task().worker().equals(currentWorker.getId())
-					&& placement.task().workerStartMillis() == currentWorker.getBorn();
+			boolean onCurrentWorker = placement.assignedTo(currentWorker);
 			if (recording || (onCurrentWorker && !reason.equals(LEASE_LAPSED))) {
 				continue;
 			}
--- a/src/test/java/org/crocuspost/dispatch/WorkerCrashTests.java
+++ b/src/test/java/org/crocuspost/dispatch/WorkerCrashTests.java
@@ -105,4 +105,20 @@
 		});
 	}
 
+	/**
+	 * The new leader does not know the worker of a host that has never reported to it,
+	 * but the row of the task names it.
+	 */
+	@Test
+	void crashCountedForLapsedLeaseIsWithdrawnWhenSameWorkerReportsToNewLeader() {
+		SimulatedWorker worker = startOneTaskAfterTheOther();
+		this.fixture.takeOver();
+		this.fixture.time.advance(Duration.ofSeconds(19));
+		this.fixture.reports.expireLeases(Duration.ofSeconds(18), 0);
+		assertThat(this.fixture.task(STARTED_LAST, 0, 0).crashes()).isEqualTo(1);
+		worker.running.clear();
+		this.fixture.report(worker);
+		assertThat(this.fixture.task(STARTED_LAST, 0, 0).crashes()).isZero();
+	}
+
 }
