Let the fault soak play tasks that crash workers, and workers that shrink

Workers shrink to a quarter for seven seconds. Checked beside all other guarantees: no third start after the third crash, only deadly jobs end as failed, no start beyond a capacity that shrank 3.5 s ago. The plans of jobs and faults of the other seeds are unchanged.

--- a/src/test/java/org/crocuspost/soak/Callers.java
+++ b/src/test/java/org/crocuspost/soak/Callers.java
@@ -39,6 +39,8 @@
 
 	private final RandomGenerator random;
 
+	private final boolean deadlyJobs;
+
 	private final HttpClient client = HttpClient.newBuilder()
 		.version(HttpClient.Version.HTTP_1_1)
 		.connectTimeout(Duration.ofMillis(500))
@@ -48,7 +50,8 @@
 
 	private final List<Job> jobs = new CopyOnWriteArrayList<>();
 
-	Callers(List<URI> entries, RunHistory runHistory, RandomGenerator random) {
+	Callers(List<URI> entries, RunHistory runHistory, RandomGenerator random, boolean deadlyJobs) {
+		this.deadlyJobs = deadlyJobs;
 		this.entries = entries;
 		this.runHistory = runHistory;
 		this.random = random;
@@ -63,6 +66,7 @@
 		int entry;
 		synchronized (this.random) {
 			plan = JobPlan.generate(this.random);
+			plan = this.deadlyJobs ? plan.withDeadlyShare() : plan;
 			entry = this.random.nextInt(this.entries.size());
 		}
 		Job job = new Job(plan);
@@ -116,8 +120,10 @@
 			}
 			case "failed" -> {
 				job.ended = true;
-				this.runHistory
-					.addViolation("reported as failed although no task should use up its attempts: " + job.plan.id());
+				if (!job.plan.deadly() || this.runHistory.crashes(job.plan.deadlyTask()) < 2) {
+					this.runHistory.addViolation(
+							"reported as failed although no task should use up its attempts: " + job.plan.id());
+				}
 			}
 			default -> {
 				// Queued, active or no answer: the state is polled again.
@@ -196,8 +202,8 @@
 			}
 			String state = fetchState(job.plan, entry);
 			checkState(job, state);
-			boolean ended = state.equals("completed") || state.equals("cancelled");
-			boolean expected = (job.plan.longRunning() && !job.cancelled)
+			boolean ended = state.equals(job.plan.deadly() ? "failed" : "completed") || state.equals("cancelled");
+			boolean expected = (!job.plan.deadly() && job.plan.longRunning() && !job.cancelled)
 					? state.equals("active") && this.runHistory.isRunning(id) : ended;
 			if (!expected) {
 				violations.add("accepted, but in state \"" + state + "\" after the recovery time: " + id);
--- a/src/test/java/org/crocuspost/soak/FaultSoakTests.java
+++ b/src/test/java/org/crocuspost/soak/FaultSoakTests.java
@@ -33,10 +33,22 @@
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 3, 111 })
 	void guaranteesHoldUnderFaults(long seed) throws Exception {
-		SoakReport report = new Soak(seed, DURATION, HOSTS, this.folder, Soak.loopbackOctet()).run();
+		SoakReport report = new Soak(seed, DURATION, HOSTS, this.folder, Soak.loopbackOctet(), false).run();
 		assertThat(report.violations()).as(report.timeline()).isEmpty();
 		assertThat(report.accepted()).isPositive();
 		assertThat(report.runs()).isPositive();
 	}
 
+	/**
+	 * Leaders and agents are killed, paused and cut off while tasks crash one worker
+	 * after the other.
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { 3 })
+	void deadlyTasksAreGivenUpUnderFaults(long seed) throws Exception {
+		SoakReport report = new Soak(seed, DURATION, HOSTS + 1, this.folder, Soak.loopbackOctet(), true).run();
+		assertThat(report.violations()).as(report.timeline()).isEmpty();
+		assertThat(report.crashes()).isPositive();
+	}
+
 }
--- a/src/test/java/org/crocuspost/soak/JobPlan.java
+++ b/src/test/java/org/crocuspost/soak/JobPlan.java
@@ -18,8 +18,11 @@
  * @param longRunning whether the tasks run until the job is cancelled
  * @param cancelAfterMillis time in milliseconds after which the caller cancels the job; 0
  * for never
+ * @param deadly whether the first task crashes each worker that starts it
  */
-record JobPlan(String id, List<Step> steps, boolean longRunning, long cancelAfterMillis) {
+record JobPlan(String id, List<Step> steps, boolean longRunning, long cancelAfterMillis, boolean deadly) {
+
+	private static final int DEADLY_JOBS_INTERVAL = 25;
 
 	private static final int FAILING_RUNS_PERCENT = 4;
 
@@ -32,7 +35,25 @@
 					random.nextBoolean()));
 		}
 		long cancelAfterMillis = (longRunning || random.nextInt(10) == 0) ? 500 + random.nextInt(8_000) : 0;
-		return new JobPlan("%016x".formatted(random.nextLong()), steps, longRunning, cancelAfterMillis);
+		return new JobPlan("%016x".formatted(random.nextLong()), steps, longRunning, cancelAfterMillis, false);
+	}
+
+	/**
+	 * Returns a plan of which a fixed share is deadly, chosen by the identity, so that
+	 * the plans of a seed are otherwise the same.
+	 * @return the plan
+	 */
+	JobPlan withDeadlyShare() {
+		boolean chosen = Long.parseUnsignedLong(this.id, 16) % DEADLY_JOBS_INTERVAL == 0;
+		return new JobPlan(this.id, this.steps, this.longRunning, this.cancelAfterMillis, chosen);
+	}
+
+	boolean crashesWorker(TaskKey task) {
+		return this.deadly && task.equals(deadlyTask());
+	}
+
+	TaskKey deadlyTask() {
+		return new TaskKey(this.id, 0, 0, 0);
 	}
 
 	byte[] body() {
--- a/src/test/java/org/crocuspost/soak/RunHistory.java
+++ b/src/test/java/org/crocuspost/soak/RunHistory.java
@@ -33,6 +33,10 @@
 
 	private final long startNanos = System.nanoTime();
 
+	private final Map<TaskKey, Integer> crashes = new HashMap<>();
+
+	private final Map<TaskKey, Integer> startsAfterThirdCrash = new HashMap<>();
+
 	private int runCount;
 
 	void addSubmitted(JobPlan plan) {
@@ -61,6 +65,9 @@
 		if (milliCoresUsed > capacity) {
 			addViolation("started beyond the capacity of the worker", task, run, worker);
 		}
+		if (crashes(task) >= 3 && this.startsAfterThirdCrash.merge(task, 1, Integer::sum) >= 3) {
+			addViolation("started three times more after three workers had crashed under it", task, run, worker);
+		}
 		if (task.step() > 0 && !isStepCompleted(plan, task.job(), task.step() - 1)) {
 			addViolation("started before the preceding step was completed", task, run, worker);
 		}
@@ -77,6 +84,22 @@
 		return true;
 	}
 
+	synchronized void crash(TaskKey task) {
+		this.crashes.merge(task, 1, Integer::sum);
+	}
+
+	synchronized int crashes(TaskKey task) {
+		return this.crashes.getOrDefault(task, 0);
+	}
+
+	/**
+	 * Returns how many workers have crashed under the tasks that cause that.
+	 * @return the number of crashes
+	 */
+	synchronized int crashCount() {
+		return this.crashes.values().stream().mapToInt(Integer::intValue).sum();
+	}
+
 	synchronized void end(TaskKey task, int run, String worker, boolean done) {
 		this.running.getOrDefault(task, new HashSet<>()).remove(worker + '/' + run);
 		if (done) {
--- a/src/test/java/org/crocuspost/soak/Soak.java
+++ b/src/test/java/org/crocuspost/soak/Soak.java
@@ -45,6 +45,14 @@
 	 */
 	private static final double FAULT_PERIOD_SHARE = 0.6;
 
+	private static final Duration RESIZE_INTERVAL = Duration.ofSeconds(4);
+
+	/**
+	 * Time for which a worker is shrunk, longer than the time after which starts must
+	 * respect that.
+	 */
+	private static final Duration SHRUNK_TIME = Duration.ofSeconds(7);
+
 	private static final Duration STARTUP_TIME = Duration.ofSeconds(5);
 
 	/**
@@ -80,9 +88,22 @@
 
 	private final List<FaultProxy> hostProxies = new ArrayList<>();
 
+	private final boolean unstableWorkers;
+
 	private int configurationVersion = 1;
 
-	Soak(long seed, Duration duration, int hosts, Path folder, int secondOctet) {
+	/**
+	 * Creates a soak.
+	 * @param seed the seed of load and faults
+	 * @param duration how long callers submit jobs
+	 * @param hosts the number of hosts with a worker
+	 * @param folder where the logs go
+	 * @param secondOctet the second octet of the loopback addresses
+	 * @param unstableWorkers whether some tasks crash each worker that starts them, and
+	 * the capacity of workers changes
+	 */
+	Soak(long seed, Duration duration, int hosts, Path folder, int secondOctet, boolean unstableWorkers) {
+		this.unstableWorkers = unstableWorkers;
 		this.seed = seed;
 		this.duration = duration;
 		this.hosts = hosts;
@@ -118,18 +139,21 @@
 			for (int entry = 0; entry < ENTRY_COUNT; entry++) {
 				entryUris.add(URI.create("http://" + hostAndPort(address(3, entry + 1, PROXY_PORT))));
 			}
-			try (Callers callers = new Callers(entryUris, this.runHistory, random)) {
+			try (Callers callers = new Callers(entryUris, this.runHistory, random, this.unstableWorkers)) {
 				callers.submitEvery(Duration.ofMillis(180));
 				Duration faultPeriod = Duration.ofMillis((long) (this.duration.toMillis() * FAULT_PERIOD_SHARE));
 				List<FaultPlan.Fault> faults = FaultPlan
 					.generate(RandomGeneratorFactory.of("L64X128MixRandom").create(this.seed + 1), faultPeriod);
 				faults.forEach((fault) -> this.timer.schedule(() -> injectFault(fault, store), fault.startMillis(),
 						TimeUnit.MILLISECONDS));
+				if (this.unstableWorkers) {
+					scheduleResizes(faultPeriod);
+				}
 				sleep(this.duration);
 				callers.stopSubmitting();
 				List<String> unfinished = awaitRecovery(callers);
 				return new SoakReport(this.seed, faults, callers.submitted(), callers.accepted(),
-						this.runHistory.runCount(), violations(unfinished));
+						this.runHistory.runCount(), this.runHistory.crashCount(), violations(unfinished));
 			}
 		}
 		finally {
@@ -137,6 +161,15 @@
 		}
 	}
 
+	private void scheduleResizes(Duration period) {
+		RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(this.seed + 2);
+		for (long start = 1_000; start < period.toMillis(); start += RESIZE_INTERVAL.toMillis()) {
+			WorkerServer worker = select(this.workers, random.nextInt(1_000));
+			schedule(start, () -> worker.resize(WorkerServer.CAPACITY / 4));
+			schedule(start + SHRUNK_TIME.toMillis(), () -> worker.resize(WorkerServer.CAPACITY));
+		}
+	}
+
 	private List<String> awaitRecovery(Callers callers) {
 		long deadlineNanos = System.nanoTime() + RECOVERY_TIMEOUT.toNanos();
 		List<String> unfinished = callers.findViolations(0);
--- a/src/test/java/org/crocuspost/soak/SoakMain.java
+++ b/src/test/java/org/crocuspost/soak/SoakMain.java
@@ -27,6 +27,10 @@
 	@Option(names = "--hosts", description = "number of hosts with a worker (default: ${DEFAULT-VALUE})")
 	private int hosts = 4;
 
+	@Option(names = "--unstable-workers",
+			description = "some tasks crash each worker that starts them, and workers change their capacity")
+	private boolean unstableWorkers;
+
 	@Option(names = "--folder", description = "where the logs go (default: ${DEFAULT-VALUE})")
 	private Path folder = Path.of("target/soak");
 
@@ -40,11 +44,11 @@
 
 	@Override
 	public Integer call() throws Exception {
-		System.out.println("                seed faults submitted accepted   runs");
+		System.out.println("                seed faults submitted accepted   runs crashes");
 		int failed = 0;
 		for (long next = this.seed; next < this.seed + this.seeds; next++) {
 			SoakReport report = new Soak(next, Duration.ofSeconds(this.seconds), this.hosts,
-					this.folder.resolve(String.valueOf(next)), Soak.loopbackOctet())
+					this.folder.resolve(String.valueOf(next)), Soak.loopbackOctet(), this.unstableWorkers)
 				.run();
 			System.out.println(report.summaryLine());
 			if (!report.violations().isEmpty()) {
--- a/src/test/java/org/crocuspost/soak/SoakReport.java
+++ b/src/test/java/org/crocuspost/soak/SoakReport.java
@@ -10,9 +10,10 @@
  * @param submitted number of jobs that callers submitted
  * @param accepted number of jobs that were accepted
  * @param runs number of runs on the workers
+ * @param crashes number of workers that tasks have crashed
  * @param violations descriptions of the violated guarantees; empty if all held
  */
-record SoakReport(long seed, List<FaultPlan.Fault> faults, int submitted, int accepted, int runs,
+record SoakReport(long seed, List<FaultPlan.Fault> faults, int submitted, int accepted, int runs, int crashes,
 		List<String> violations) {
 
 	/**
@@ -31,8 +32,8 @@
 	}
 
 	String summaryLine() {
-		return "%20d %6d %9d %8d %6d  %s".formatted(this.seed, this.faults.size(), this.submitted, this.accepted,
-				this.runs, this.violations.isEmpty() ? "passed" : this.violations.size() + " violations");
+		return "%20d %6d %9d %8d %6d %7d  %s".formatted(this.seed, this.faults.size(), this.submitted, this.accepted,
+				this.runs, this.crashes, this.violations.isEmpty() ? "passed" : this.violations.size() + " violations");
 	}
 
 }
--- a/src/test/java/org/crocuspost/soak/WorkerServer.java
+++ b/src/test/java/org/crocuspost/soak/WorkerServer.java
@@ -57,6 +57,22 @@
 	 */
 	private static final long RESTART_DELAY_MILLIS = 200;
 
+	/**
+	 * Time for which the worker is down after a task has crashed it.
+	 */
+	private static final long CRASH_DOWN_MILLIS = 1_500;
+
+	/**
+	 * Time from the start of a task that crashes the worker to the crash.
+	 */
+	private static final long CRASH_DELAY_MILLIS = 10;
+
+	/**
+	 * Time after which a start must respect a capacity that has shrunk: three seconds and
+	 * a heartbeat.
+	 */
+	private static final long SHRINK_GRACE_MILLIS = 3_000 + HEARTBEAT_MILLIS;
+
 	/**
 	 * Rate of the worker's clock. A worker's clock may be up to 2 % slow.
 	 */
@@ -109,6 +125,10 @@
 
 	private boolean delaysCommands;
 
+	private int capacity = CAPACITY;
+
+	private long capacityBindsNanos = System.nanoTime();
+
 	WorkerServer(String name, String failureDomain, InetSocketAddress address, InetSocketAddress agent,
 			RunHistory runHistory) {
 		this.name = name;
@@ -141,6 +161,27 @@
 		this.heartbeatSequence = 0;
 	}
 
+	/**
+	 * Changes the capacity that the worker announces. It does not stop any run.
+	 * @param milliCores the new capacity in thousandths of a core
+	 */
+	synchronized void resize(int milliCores) {
+		this.capacityBindsNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SHRINK_GRACE_MILLIS);
+		this.capacity = milliCores;
+	}
+
+	private int allowedCapacity() {
+		return (System.nanoTime() >= this.capacityBindsNanos) ? this.capacity : CAPACITY;
+	}
+
+	private synchronized void crash(TaskKey task, long crashedIncarnation) {
+		if (this.incarnation == crashedIncarnation && this.runs.containsKey(task)) {
+			this.runHistory.crash(task);
+			restart(true);
+			this.downUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CRASH_DOWN_MILLIS);
+		}
+	}
+
 	/**
 	 * Makes the worker execute commands two seconds late and close the connection without
 	 * an answer. Polls of {@code v1/hold} are not delayed.
@@ -201,7 +242,7 @@
 				.put("clock_ms", clockMillis())
 				.put("sequence", this.heartbeatSequence)
 				.put("born", this.incarnation);
-			body.putObject("capacity").put("cpu", CAPACITY).put("mem_mb", 16_000).put("gpus", 0);
+			body.putObject("capacity").put("cpu", this.capacity).put("mem_mb", 16_000).put("gpus", 0);
 			body.putArray("labels").add("a").add("r1");
 		}
 		HttpRequest request = HttpRequest.newBuilder(this.agent.resolve(path))
@@ -312,7 +353,11 @@
 		Run run = new Run(number, plan, task, body.path("checkpoint").asText());
 		this.runs.put(task, run);
 		int milliCoresUsed = this.runs.values().stream().mapToInt((other) -> other.milliCores).sum();
-		this.runHistory.start(task, number, this.name, body.path("spec").asText(), milliCoresUsed, CAPACITY);
+		this.runHistory.start(task, number, this.name, body.path("spec").asText(), milliCoresUsed, allowedCapacity());
+		if (plan.filter((jobPlan) -> jobPlan.crashesWorker(task)).isPresent()) {
+			long started = this.incarnation;
+			this.timer.schedule(() -> crash(task, started), CRASH_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+		}
 		return new Response(OK, answer);
 	}
 
