Give up tasks that crash their worker some seconds after the start

Found with a test of our own: a task that crashes its worker 0.7 to 4 s after its start was never given up, as long as other tasks had started beside it in the last half second; those were suspected instead, and cleared. 19 starts after the third crash at 0.7 s, 15 at 1.5 s. Change: the row of a task also counts its runs in a row that were lost with a crash. From the third on, nothing else starts on its worker for 5 s or until it ends, and a crash in that time is its fault. A run that outlives 5 s or ends forgets the count. A lapsed lease counts at once, as the start elsewhere does not wait for the worker's successor; if the same worker answers again, the count is taken back. Suspicion holds these judgements. Tried and dropped: giving up at the second crash if only tasks of one job had started recently. Before: isGivenUpIfItCrashesWorkersSomeTimeAfterItsStart fails in 4 of 4 cases (two of them since the simulated tasks showed no progress and were stopped as stalled, mended in the simulation). After: all 46 cases of TaskThatCrashesWorkersTests pass.

--- a/src/main/java/org/crocuspost/dispatch/CandidateHost.java
+++ b/src/main/java/org/crocuspost/dispatch/CandidateHost.java
@@ -97,16 +97,12 @@
 		boolean onlyItsJob = this.jobsStarted.isEmpty()
 				|| (this.jobsStarted.size() == 1 && this.jobsStarted.contains(task.key().job()));
 		if (this.suspects == 0) {
-			return !task.suspected() || onlyItsJob;
+			return !Suspicion.suspected(task) || onlyItsJob;
 		}
-		return onlyItsJob || (task.suspected() && !this.isolated && !requiresIsolation(task)
+		return onlyItsJob || (Suspicion.suspected(task) && !this.isolated && !Suspicion.requiresIsolation(task)
 				&& this.suspects < DispatchSettings.MAXIMUM_PROBATION_GROUP);
 	}
 
-	private static boolean requiresIsolation(TaskProgress task) {
-		return task.crashes() >= DispatchSettings.CRASHES_BEFORE_ISOLATION;
-	}
-
 	/**
 	 * Returns whether suspected tasks are on probation here or start in this pass.
 	 * @return true if other tasks have to wait
@@ -118,8 +114,8 @@
 	void reserve(TaskProgress task) {
 		StepSpecification step = task.step();
 		this.jobsStarted.add(task.key().job());
-		this.suspects += task.suspected() ? 1 : 0;
-		this.isolated |= requiresIsolation(task);
+		this.suspects += Suspicion.suspected(task) ? 1 : 0;
+		this.isolated |= Suspicion.requiresIsolation(task);
 		this.fillers += step.filler() ? 1 : 0;
 		this.freeMilliCores -= step.reservedMilliCores();
 		this.freeMemoryMegabytes -= step.memoryMegabytes();
--- a/src/main/java/org/crocuspost/dispatch/CrashAttribution.java
+++ b/src/main/java/org/crocuspost/dispatch/CrashAttribution.java
@@ -87,26 +87,28 @@
 	 */
 	void count(List<Placement> runs) {
 		for (Placement placement : runs) {
+			countCrash(placement);
 			if (placement.onProbation()) {
-				countCrash(placement.task());
-				giveUpIfExhausted(placement.task());
+				giveUpIfProved(placement.task());
 			}
 		}
 	}
 
+	private void countCrash(Placement placement) {
+		placement.task().countCrash(placement.onProbation());
+		this.dispatcher.markChanged(placement.task().key());
+	}
+
 	/**
-	 * Counts a crash for the tasks that had started shortly before the lease of their
-	 * worker lapsed. Whether the worker has crashed is seen later, from a report.
+	 * Counts a crash for the tasks of a worker whose lease has lapsed. Whether the worker
+	 * has crashed is seen later, from a report; the tasks may have started elsewhere by
+	 * then.
 	 * @param host the host
 	 * @param runs the runs whose lease has lapsed, assigned to the host until now
 	 */
 	void countUnresolved(HostState host, List<Placement> runs) {
-		for (Placement placement : runs) {
-			if (placement.onProbation()) {
-				host.unresolvedLosses().add(placement);
-				countCrash(placement.task());
-			}
-		}
+		host.unresolvedLosses().addAll(runs);
+		runs.forEach(this::countCrash);
 	}
 
 	/**
@@ -121,13 +123,16 @@
 	}
 
 	private boolean resolved(Placement placement, HostReport report) {
+		TaskProgress task = placement.task();
 		if (!placement.assignedTo(report.getWorker())) {
-			giveUpIfExhausted(placement.task());
+			if (placement.onProbation()) {
+				giveUpIfProved(task);
+			}
 			return true;
 		}
 		if (report.getWorkerAnswers()) {
-			placement.task().withdrawCrash();
-			this.dispatcher.markChanged(placement.task().key());
+			task.withdrawCrash(placement.onProbation());
+			this.dispatcher.markChanged(task.key());
 			return true;
 		}
 		return false;
@@ -135,22 +140,33 @@
 
 	/**
 	 * Clears a task of the suspicion that it crashes workers, if its run has outlived its
-	 * probation.
+	 * probation. Crashes of workers that were not suspected to be its fault are forgotten
+	 * after a long probation only.
 	 * @param placement the run
 	 */
 	void clearIfOutlived(Placement placement) {
-		if (placement.current() && placement.task().suspected() && !placement.onProbation()) {
-			clear(placement.task(), "it outlived its probation");
+		TaskProgress task = placement.task();
+		if (!placement.current() || placement.onProbation()) {
+			return;
+		}
+		boolean outlivedLongProbation = placement.observedRunTime().compareTo(DispatchSettings.LONG_PROBATION) >= 0;
+		if (outlivedLongProbation) {
+			clear(task, "it outlived a long probation");
+		}
+		else if (task.crashes() > 0) {
+			this.dispatcher.listener().suspicionCleared(task, "it outlived its probation");
+			task.clearSuspectedCrashes();
+			this.dispatcher.markChanged(task.key());
 		}
 	}
 
 	/**
-	 * Clears a task of the suspicion that it crashes workers.
+	 * Forgets all crashes under a task.
 	 * @param task the task
 	 * @param reason why it is cleared
 	 */
 	void clear(TaskProgress task, String reason) {
-		if (task.suspected()) {
+		if (task.crashes() > 0 || task.crashedRuns() > 0) {
 			this.dispatcher.listener().suspicionCleared(task, reason);
 			task.clearCrashes();
 			this.dispatcher.markChanged(task.key());
@@ -161,17 +177,13 @@
 		return this.dispatcher.job(task.key().job()).filter((job) -> !job.state().terminal());
 	}
 
-	private void countCrash(TaskProgress task) {
-		task.countCrash();
-		this.dispatcher.markChanged(task.key());
-	}
-
-	private void giveUpIfExhausted(TaskProgress task) {
-		if (task.crashes() < DispatchSettings.MAXIMUM_CRASHES) {
+	private void giveUpIfProved(TaskProgress task) {
+		if (!Suspicion.proved(task)) {
 			return;
 		}
 		activeJob(task).ifPresent((job) -> this.dispatcher.endJob(job, JobState.FAILED,
-				task.crashes() + " workers crashed after they had started task " + task.key()));
+				task.crashedRuns() + " workers crashed while they ran task " + task.key() + ", " + task.crashes()
+						+ " of them shortly after its start"));
 	}
 
 }
--- a/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
@@ -110,6 +110,19 @@
 	 */
 	static final Duration PROBATION = Duration.ofMillis(500);
 
+	/**
+	 * Time for which a run of a task must have been listed as running if
+	 * {@link #CRASHED_RUNS_BEFORE_LONG_PROBATION} workers have crashed while they ran the
+	 * task.
+	 */
+	static final Duration LONG_PROBATION = Duration.ofSeconds(5);
+
+	/**
+	 * Number of workers that crashed at any time while they ran a task from which on the
+	 * task is suspected, even if other tasks had started later each time.
+	 */
+	static final int CRASHED_RUNS_BEFORE_LONG_PROBATION = 3;
+
 	/**
 	 * Number of workers that crashed under a task, without a run in between that outlived
 	 * its probation, at which the task is given up. The platform allows two, and forbids
--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -321,14 +321,14 @@
 			if (!task.status().waiting() || unassigned.contains(task.key())) {
 				continue;
 			}
-			CandidateHost candidate = task.suspected() ? this.probationPlacement.choose(task, candidates)
+			CandidateHost candidate = Suspicion.suspected(task) ? this.probationPlacement.choose(task, candidates)
 					: this.policy.choose(task, candidates);
 			if (candidate == null && tracked.starving(this.clock.nanoTime()) && !candidates.isEmpty()
 					&& hasSpareCapacity(candidates.get(0).host().worker().getService())) {
 				candidate = this.policy.chooseForStarving(task, candidates);
 			}
 			if (candidate == null) {
-				if (task.suspected()) {
+				if (Suspicion.suspected(task)) {
 					continue;
 				}
 				return;
--- a/src/main/java/org/crocuspost/dispatch/HostState.java
+++ b/src/main/java/org/crocuspost/dispatch/HostState.java
@@ -214,7 +214,7 @@
 	 */
 	boolean hasSuspectOnProbation() {
 		for (Placement placement : this.placements.values()) {
-			if (placement.task().suspected() && placement.onProbation()) {
+			if (Suspicion.suspected(placement.task()) && placement.onProbation()) {
 				return true;
 			}
 		}
--- a/src/main/java/org/crocuspost/dispatch/Placement.java
+++ b/src/main/java/org/crocuspost/dispatch/Placement.java
@@ -46,6 +46,8 @@
 
 	private final int run;
 
+	private final Duration probation;
+
 	private final String worker;
 
 	private final long workerStartMillis;
@@ -77,6 +79,7 @@
 	Placement(TaskProgress task, Phase phase, long nowNanos) {
 		this.task = task;
 		this.run = task.run();
+		this.probation = Suspicion.probation(task);
 		this.worker = task.worker();
 		this.workerStartMillis = task.workerStartMillis();
 		this.phase = phase;
@@ -141,7 +144,7 @@
 	 * @return true if it may be the cause
 	 */
 	boolean onProbation() {
-		return observedRunTime().compareTo(DispatchSettings.PROBATION) < 0;
+		return observedRunTime().compareTo(this.probation) < 0;
 	}
 
 	/**
--- a/src/main/java/org/crocuspost/job/TaskProgress.java
+++ b/src/main/java/org/crocuspost/job/TaskProgress.java
@@ -9,7 +9,7 @@
 
 	private static final int FIELD_COUNT = 7;
 
-	private static final int FIELD_COUNT_WITH_CRASHES = 8;
+	private static final int FIELD_COUNT_WITH_CRASHES = 9;
 
 	private final TaskKey key;
 
@@ -31,6 +31,8 @@
 
 	private int crashes;
 
+	private int crashedRuns;
+
 	/**
 	 * Creates the progress of a task that has never run.
 	 * @param key the identity of the task
@@ -80,33 +82,38 @@
 	}
 
 	/**
-	 * Counts a worker that crashed shortly after it had started the task. The count is
-	 * kept until a run of the task outlives its probation.
+	 * Counts a worker that crashed while it ran the task.
+	 * @param onProbation whether the run was on probation, so that the task may be the
+	 * cause
 	 */
-	public void countCrash() {
-		this.crashes++;
+	public void countCrash(boolean onProbation) {
+		this.crashedRuns++;
+		this.crashes += onProbation ? 1 : 0;
 	}
 
 	/**
-	 * Withdraws one crash, since the worker turned out not to have crashed.
+	 * Withdraws a crash, since the worker turned out not to have crashed.
+	 * @param onProbation whether the run was on probation
 	 */
-	public void withdrawCrash() {
-		this.crashes = Math.max(0, this.crashes - 1);
+	public void withdrawCrash(boolean onProbation) {
+		this.crashedRuns = Math.max(0, this.crashedRuns - 1);
+		this.crashes = Math.max(0, this.crashes - (onProbation ? 1 : 0));
 	}
 
 	/**
-	 * Clears the task of the suspicion that it crashes workers.
+	 * Forgets the crashes that the task may have caused, but not how many workers have
+	 * crashed while they ran it.
 	 */
-	public void clearCrashes() {
+	public void clearSuspectedCrashes() {
 		this.crashes = 0;
 	}
 
 	/**
-	 * Returns whether the task may be the cause of a worker's crash.
-	 * @return true if a worker has crashed under the task since its last cleared run
+	 * Forgets all crashes, since the task has proved not to be their cause.
 	 */
-	public boolean suspected() {
-		return this.crashes > 0;
+	public void clearCrashes() {
+		this.crashes = 0;
+		this.crashedRuns = 0;
 	}
 
 	/**
@@ -151,7 +158,7 @@
 	public String write() {
 		return this.status.ordinal() + " " + this.run + " " + this.failures + " " + encodeField(this.host) + " "
 				+ encodeField(this.worker) + " " + this.workerStartMillis + " " + encodeField(this.checkpoint)
-				+ ((this.crashes > 0) ? " " + this.crashes : "");
+				+ ((this.crashes > 0 || this.crashedRuns > 0) ? " " + this.crashes + " " + this.crashedRuns : "");
 	}
 
 	/**
@@ -172,7 +179,9 @@
 		this.worker = decodeField(parts[field++]);
 		this.workerStartMillis = Long.parseLong(parts[field++]);
 		this.checkpoint = decodeField(parts[field++]);
-		this.crashes = (parts.length == FIELD_COUNT_WITH_CRASHES) ? Integer.parseInt(parts[field]) : 0;
+		boolean withCrashes = parts.length == FIELD_COUNT_WITH_CRASHES;
+		this.crashes = withCrashes ? Integer.parseInt(parts[field++]) : 0;
+		this.crashedRuns = withCrashes ? Integer.parseInt(parts[field]) : 0;
 	}
 
 	private static String encodeField(String text) {
@@ -203,10 +212,24 @@
 		return this.failures;
 	}
 
+	/**
+	 * Returns the number of workers that crashed while a run of the task was on
+	 * probation, since the task was last cleared.
+	 * @return the number of crashes that the task may have caused
+	 */
 	public int crashes() {
 		return this.crashes;
 	}
 
+	/**
+	 * Returns the number of workers that crashed while they ran the task, since it was
+	 * last cleared.
+	 * @return the number of crashes, whatever their cause
+	 */
+	public int crashedRuns() {
+		return this.crashedRuns;
+	}
+
 	public String host() {
 		return this.host;
 	}
--- a/src/main/java/org/crocuspost/lead/DecisionLog.java
+++ b/src/main/java/org/crocuspost/lead/DecisionLog.java
@@ -50,7 +50,7 @@
 		this.metrics.placed(waitedMillis);
 		EventLog.info(LeadEvent.TASK_PLACED, Field.of("job", task.key().job()), Field.of("task", task.key()),
 				Field.of("run", task.run()), Field.of("host", task.host()), Field.of("waitedMillis", waitedMillis),
-				Field.of("crashes", task.crashes()));
+				Field.of("crashes", task.crashes()), Field.of("crashedRuns", task.crashedRuns()));
 	}
 
 	@Override
@@ -85,7 +85,8 @@
 	@Override
 	public void suspicionCleared(TaskProgress task, String reason) {
 		EventLog.info(LeadEvent.SUSPICION_CLEARED, Field.of("job", task.key().job()), Field.of("task", task.key()),
-				Field.of("run", task.run()), Field.of("crashes", task.crashes()), Field.of("reason", reason));
+				Field.of("run", task.run()), Field.of("crashes", task.crashes()),
+				Field.of("crashedRuns", task.crashedRuns()), Field.of("reason", reason));
 	}
 
 	@Override
--- a/src/test/java/org/crocuspost/dispatch/CrashLoopSimulation.java
+++ b/src/test/java/org/crocuspost/dispatch/CrashLoopSimulation.java
@@ -51,6 +51,8 @@
 
 	private int crashes;
 
+	private Duration crashDelay = Duration.ZERO;
+
 	/**
 	 * Creates the simulation.
 	 * @param seed the seed of the run times
@@ -79,6 +81,14 @@
 		submit(id, step);
 	}
 
+	/**
+	 * Sets the time from the start of a deadly task to the crash of its worker.
+	 * @param delay the time; zero by default
+	 */
+	void crashAfter(Duration delay) {
+		this.crashDelay = delay;
+	}
+
 	void run(Duration duration) {
 		for (long elapsed = 0; elapsed < duration.toMillis(); elapsed += STEP.toMillis()) {
 			step();
@@ -169,6 +179,8 @@
 
 		private final Map<TaskKey, Long> endMillis = new HashMap<>();
 
+		private final Map<TaskKey, Long> crashMillis = new HashMap<>();
+
 		private Optional<HostReport> lastLists = Optional.empty();
 
 		private long backMillis;
@@ -201,8 +213,13 @@
 						.build();
 				}
 			}
+			if (isUp()) {
+				crashIfDue();
+			}
 			if (isUp()) {
 				endRuns();
+				this.worker.running
+					.replaceAll((task, run) -> run.toBuilder().setProgress((run.getProgress() + 1) % 100).build());
 			}
 			if (now() < this.reachableMillis) {
 				CrashLoopSimulation.this.fixture.reports.connected(this.worker.host, false);
@@ -258,7 +275,7 @@
 				boolean lasting = CrashLoopSimulation.this.fixture.dispatcher.job(task.job())
 					.map((job) -> job.task(task).step().lasting())
 					.orElse(false);
-				if (now() >= end && !lasting) {
+				if (now() >= end && !lasting && !this.crashMillis.containsKey(task)) {
 					this.endMillis.remove(task);
 					this.worker.end(task, "done");
 				}
@@ -281,8 +298,18 @@
 				if (CrashLoopSimulation.this.crashesByTask.getOrDefault(task, 0) >= 3) {
 					CrashLoopSimulation.this.startsAfterThirdCrash.merge(task, 1, Integer::sum);
 				}
-				CrashLoopSimulation.this.crashesByTask.merge(task, 1, Integer::sum);
-				crash();
+				this.crashMillis.put(task, now() + CrashLoopSimulation.this.crashDelay.toMillis());
+			}
+			crashIfDue();
+		}
+
+		private void crashIfDue() {
+			this.crashMillis.keySet().retainAll(this.worker.running.keySet());
+			for (Map.Entry<TaskKey, Long> entry : List.copyOf(this.crashMillis.entrySet())) {
+				if (isUp() && now() >= entry.getValue()) {
+					CrashLoopSimulation.this.crashesByTask.merge(entry.getKey(), 1, Integer::sum);
+					crash();
+				}
 			}
 		}
 
@@ -292,6 +319,7 @@
 			this.backMillis = now() + CrashLoopSimulation.this.downTime.toMillis();
 			List.copyOf(this.worker.running.keySet()).forEach(CrashLoopSimulation.this::breakGang);
 			this.endMillis.clear();
+			this.crashMillis.clear();
 			this.worker.ignoresOrders = true;
 		}
 
--- a/src/test/java/org/crocuspost/dispatch/TaskThatCrashesWorkersTests.java
+++ b/src/test/java/org/crocuspost/dispatch/TaskThatCrashesWorkersTests.java
@@ -10,6 +10,7 @@
 import org.crocuspost.job.TaskKey;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -66,6 +67,25 @@
 		assertInnocentsDone(simulation, 80);
 	}
 
+	/**
+	 * A task that exhausts its worker, for example, crashes it some time after its start,
+	 * while other tasks have started beside it.
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { 700, 1_500, 3_000, 4_000 })
+	void isGivenUpIfItCrashesWorkersSomeTimeAfterItsStart(long delayMillis) {
+		CrashLoopSimulation simulation = simulation(1);
+		simulation.crashAfter(Duration.ofMillis(delayMillis));
+		simulation.submitDeadly(DEADLY, DispatchFixture.step(6, 500), 2);
+		for (int second = 0; second < 40; second++) {
+			submitInnocents(simulation, second * 3, 3);
+			simulation.run(Duration.ofSeconds(1));
+		}
+		simulation.run(Duration.ofSeconds(40));
+		assertGivenUp(simulation);
+		assertInnocentsDone(simulation, 120);
+	}
+
 	/**
 	 * Each leader is lost while a worker is down, before any report of its successor.
 	 */
@@ -108,9 +128,10 @@
 	 * successor shows that it has crashed.
 	 */
 	@ParameterizedTest
-	@ValueSource(booleans = { true, false })
-	void isGivenUpIfWorkersAreDownForLongerThanTheirLease(boolean newIdentity) {
+	@CsvSource({ "true, 0", "false, 0", "true, 1500" })
+	void isGivenUpIfWorkersAreDownForLongerThanTheirLease(boolean newIdentity, long delayMillis) {
 		CrashLoopSimulation simulation = new CrashLoopSimulation(1, 8, Duration.ofSeconds(9), newIdentity);
+		simulation.crashAfter(Duration.ofMillis(delayMillis));
 		submitInnocents(simulation, 0, 5);
 		simulation.submitDeadly(DEADLY, DispatchFixture.step(1, 500), 0);
 		simulation.run(Duration.ofSeconds(120));
--- a/src/test/java/org/crocuspost/job/TaskProgressTests.java
+++ b/src/test/java/org/crocuspost/job/TaskProgressTests.java
@@ -27,11 +27,13 @@
 	@Test
 	void restoresCrashes() {
 		TaskProgress task = assigned();
-		task.countCrash();
-		task.countCrash();
+		task.countCrash(true);
+		task.countCrash(true);
+		task.countCrash(false);
 		TaskProgress restored = task();
 		restored.restore(task.write());
 		assertThat(restored.crashes()).isEqualTo(2);
+		assertThat(restored.crashedRuns()).isEqualTo(3);
 		assertThat(restored.write()).isEqualTo(task.write());
 	}
 
@@ -50,7 +52,8 @@
 	@Test
 	void rejectsRowWithWrongNumberOfFields() {
 		assertThatIllegalArgumentException().isThrownBy(() -> task().restore("1 3 0 host worker 17"));
-		assertThatIllegalArgumentException().isThrownBy(() -> task().restore("1 3 0 host worker 17 - 1 1"));
+		assertThatIllegalArgumentException().isThrownBy(() -> task().restore("1 3 0 host worker 17 - 1"));
+		assertThatIllegalArgumentException().isThrownBy(() -> task().restore("1 3 0 host worker 17 - 1 1 1"));
 	}
 
 }
