Ask for one more crash where tasks of several jobs may have caused one

A new leader does not know for how long the runs that it inherits had run, so all of them counted as recent, up to the third crash. Change: the third crash ends a job only if no task of another job may have caused it, otherwise the fourth does; the starts in between stay below the three that the platform forbids.

--- a/src/main/java/org/crocuspost/dispatch/CrashAttribution.java
+++ b/src/main/java/org/crocuspost/dispatch/CrashAttribution.java
@@ -86,10 +86,15 @@
 	 * @param runs the runs that the worker may have been running
 	 */
 	void count(List<Placement> runs) {
+		boolean oneJob = runs.stream()
+			.filter(Placement::onProbation)
+			.map((placement) -> placement.task().key().job())
+			.distinct()
+			.count() == 1;
 		for (Placement placement : runs) {
 			countCrash(placement);
 			if (placement.onProbation()) {
-				giveUpIfProved(placement.task());
+				giveUpIfProved(placement.task(), oneJob);
 			}
 		}
 	}
@@ -126,7 +131,7 @@
 		TaskProgress task = placement.task();
 		if (!placement.assignedTo(report.getWorker())) {
 			if (placement.onProbation()) {
-				giveUpIfProved(task);
+				giveUpIfProved(task, true);
 			}
 			return true;
 		}
@@ -177,8 +182,8 @@
 		return this.dispatcher.job(task.key().job()).filter((job) -> !job.state().terminal());
 	}
 
-	private void giveUpIfProved(TaskProgress task) {
-		if (!Suspicion.proved(task)) {
+	private void giveUpIfProved(TaskProgress task, boolean onlySuspect) {
+		if (!Suspicion.proved(task, onlySuspect)) {
 			return;
 		}
 		activeJob(task).ifPresent((job) -> this.dispatcher.endJob(job, JobState.FAILED,
--- a/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
@@ -125,8 +125,8 @@
 
 	/**
 	 * Number of workers that crashed under a task, without a run in between that outlived
-	 * its probation, at which the task is given up. The platform allows two, and forbids
-	 * three more starts after the third.
+	 * its probation, at which the task is given up if no other job may have caused the
+	 * last crash. The platform allows two, and forbids three more starts after the third.
 	 */
 	static final int MAXIMUM_CRASHES = 3;
 
--- a/src/main/java/org/crocuspost/dispatch/Suspicion.java
+++ b/src/main/java/org/crocuspost/dispatch/Suspicion.java
@@ -40,11 +40,15 @@
 	 * Returns whether the task is given up after a crash while one of its runs was on
 	 * probation.
 	 * @param task the task, with that crash counted
+	 * @param onlySuspect whether no task of another job may have caused that crash; with
+	 * others, one more crash is needed. A new leader does not know for how long the runs
+	 * that it inherits had run, so all of them may have caused it
 	 * @return true if it crashes workers
 	 */
-	static boolean proved(TaskProgress task) {
-		return task.crashes() >= DispatchSettings.MAXIMUM_CRASHES
-				|| task.crashedRuns() > DispatchSettings.CRASHED_RUNS_BEFORE_LONG_PROBATION;
+	static boolean proved(TaskProgress task, boolean onlySuspect) {
+		int further = onlySuspect ? 0 : 1;
+		return task.crashes() >= DispatchSettings.MAXIMUM_CRASHES + further
+				|| task.crashedRuns() > DispatchSettings.CRASHED_RUNS_BEFORE_LONG_PROBATION + further;
 	}
 
 	private static boolean lostOften(TaskProgress task) {
