--- a/src/test/java/org/crocuspost/dispatch/TaskThatCrashesWorkersTests.java
+++ b/src/test/java/org/crocuspost/dispatch/TaskThatCrashesWorkersTests.java
@@ -8,6 +8,7 @@
 import org.crocuspost.job.JobState;
 import org.crocuspost.job.StepSpecification;
 import org.crocuspost.job.TaskKey;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -249,6 +250,23 @@
 		assertInnocentsDone(simulation, 40);
 	}
 
+	/**
+	 * Workers crash three times in a row under a task by chance.
+	 */
+	@Tag("known-red")
+	@ParameterizedTest
+	@ValueSource(longs = { 14, 37, 200, 492 })
+	void noTaskIsGivenUpAfterSeveralCrashesByChance(long seed) {
+		noTaskIsGivenUpWhereWorkersCrashOfThemselves(seed);
+	}
+
+	@Tag("known-red")
+	@ParameterizedTest
+	@ValueSource(longs = { 87, 133, 270, 342, 414 })
+	void noTaskIsGivenUpAfterSeveralCrashesUnderOverlappingFaults(long seed) {
+		budgetHoldsUnderOverlappingFaults(seed);
+	}
+
 	private static String deadly(int number) {
 		return "00000000000dead" + number;
 	}
