Learn nothing of images from a worker whose capacity is unknown

Found on the read-through: an agent without a recent announcement reports no capacity, and the leader divided the use of the fillers by it. Their share seemed enormous, so their pressure on services was learned as next to nothing, for all workers and for the next leader. Change: such reports teach nothing. The log line of a changed capacity moves to CapacityGuard. Before: WorkerCapacityTests.nothingIsLearnedOfImagesWhileCapacityIsUnknown fails; after: passes.

--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -338,7 +338,8 @@
 		}
 		host.pressure(pressure);
 		host.decayExpectedIncrease(now);
-		if (pressure > 0) {
+		// Without the capacity, the shares of it that fillers use are unknown.
+		if (pressure > 0 && host.worker().getMilliCores() > 0) {
 			this.imagePressure.observe(host.name(), pressure, shares);
 		}
 		if (!report.getEndsFollow()) {
--- a/src/main/java/org/crocuspost/host/CapacityGuard.java
+++ b/src/main/java/org/crocuspost/host/CapacityGuard.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.crocuspost.log.EventLog;
+import org.crocuspost.log.Field;
 import org.crocuspost.time.Clock;
 import org.crocuspost.time.ClockReading;
 import org.crocuspost.wire.StartOrder;
@@ -35,6 +37,8 @@
 
 	private final Map<RunKey, StartOrder> starts = new HashMap<>();
 
+	private @Nullable WorkerAnnouncement announced;
+
 	private @Nullable ClockReading announcedAt;
 
 	/**
@@ -49,8 +53,17 @@
 
 	/**
 	 * Records that the worker has announced its capacity.
+	 * @param worker the worker
 	 */
-	void announced() {
+	void announced(WorkerAnnouncement worker) {
+		WorkerAnnouncement former = this.announced;
+		if (former != null && former.sameIncarnation(worker) && !former.sameCapacity(worker)) {
+			EventLog.info(HostEvent.CAPACITY_CHANGED, Field.of("worker", worker.id()),
+					Field.of("milliCores", worker.milliCores()), Field.of("formerMilliCores", former.milliCores()),
+					Field.of("memoryMegabytes", worker.memoryMegabytes()),
+					Field.of("accelerators", worker.accelerators()));
+		}
+		this.announced = worker;
 		this.announcedAt = ClockReading.of(this.clock);
 	}
 
--- a/src/main/java/org/crocuspost/host/HostAgent.java
+++ b/src/main/java/org/crocuspost/host/HostAgent.java
@@ -189,17 +189,11 @@
 					Field.of("remainingMillis", received.remainingMillis()));
 		}
 		this.announcement = received;
-		this.capacityGuard.announced();
+		this.capacityGuard.announced(received);
 		if (newIncarnation) {
 			hold(++this.holdGeneration);
 			return;
 		}
-		if (!received.sameCapacity(current)) {
-			EventLog.info(HostEvent.CAPACITY_CHANGED, Field.of("worker", received.id()),
-					Field.of("milliCores", received.milliCores()), Field.of("formerMilliCores", current.milliCores()),
-					Field.of("memoryMegabytes", received.memoryMegabytes()),
-					Field.of("accelerators", received.accelerators()), Field.of("running", this.running.size()));
-		}
 		if (received.draining() != current.draining() || !received.sameCapacity(current)) {
 			this.reports.request();
 		}
--- a/src/test/java/org/crocuspost/dispatch/WorkerCapacityTests.java
+++ b/src/test/java/org/crocuspost/dispatch/WorkerCapacityTests.java
@@ -1,9 +1,11 @@
 package org.crocuspost.dispatch;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 
 import org.crocuspost.dispatch.DispatchFixture.SimulatedWorker;
+import org.crocuspost.dispatch.DispatchFixture.StepBuilder;
 import org.crocuspost.job.TaskStatus;
 import org.crocuspost.wire.StartOrder;
 import org.junit.jupiter.api.Test;
@@ -64,4 +66,31 @@
 		assertThat(worker.running).hasSize(2);
 	}
 
+	/**
+	 * An agent without a recent announcement reports no capacity. The share of it that a
+	 * filler uses would seem enormous, and its pressure small.
+	 */
+	@Test
+	void nothingIsLearnedOfImagesWhileCapacityIsUnknown() {
+		SimulatedWorker worker = this.fixture.worker("host", 4_000);
+		this.fixture.submit(JOB, new StepBuilder().milliCores(1_000).service().build());
+		this.fixture.submit("fedcba9876543210", new StepBuilder().milliCores(500).filler("image").build());
+		this.fixture.runSchedulingRound();
+		assertThat(worker.running).hasSize(2);
+		worker.running.replaceAll((task, run) -> run.toBuilder().setLoad(1_000).build());
+		resize(worker, 0);
+		String learned = this.fixture.imagePressure.write();
+		for (int report = 0; report < 20; report++) {
+			this.fixture.time.advance(Duration.ofMillis(50));
+			this.fixture.report(worker);
+		}
+		assertThat(this.fixture.imagePressure.write()).isEqualTo(learned);
+		worker.description = worker.description.toBuilder().setMilliCores(4_000).build();
+		for (int report = 0; report < 20; report++) {
+			this.fixture.time.advance(Duration.ofMillis(50));
+			this.fixture.report(worker);
+		}
+		assertThat(this.fixture.imagePressure.write()).isNotEqualTo(learned);
+	}
+
 }
