--- a/src/test/java/org/crocuspost/soak/FaultSoakTests.java
+++ b/src/test/java/org/crocuspost/soak/FaultSoakTests.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
