--- a/src/test/java/org/crocuspost/soak/FaultSoakTests.java
+++ b/src/test/java/org/crocuspost/soak/FaultSoakTests.java
@@ -44,6 +44,7 @@
 	 * Leaders and agents are killed, paused and cut off while tasks crash one worker
 	 * after the other.
 	 */
+	@Tag("known-red")
 	@ParameterizedTest
 	@ValueSource(longs = { 3 })
 	void deadlyTasksAreGivenUpUnderFaults(long seed) throws Exception {
