Log the load of each queue and how late jobs end

The leader now logs queue-load every 2 s for each queue with work, and job-ended says the age and the objective. TrackedJob moves into a file of its own; the mixed-load simulation takes the size of a fleet, so that a small one can be played. No decision changes. QueueLoadTests, FillerPlacementTests and DispatcherTests pass.

--- a/src/main/java/org/crocuspost/dispatch/DispatchListener.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchListener.java
@@ -20,8 +20,9 @@
 	 * Called when a job has ended.
 	 * @param job the job
 	 * @param reason why it ended
+	 * @param timing how long the job took
 	 */
-	void jobEnded(JobProgress job, String reason);
+	void jobEnded(JobProgress job, String reason, JobTiming timing);
 
 	/**
 	 * Called when a task is assigned to a worker.
--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -144,6 +144,13 @@
 		}
 	}
 
+	private JobTiming timing(JobProgress job) {
+		TrackedJob tracked = this.jobs.get(job.id());
+		Duration age = (tracked != null) ? tracked.age(this.clock.nanoTime()) : Duration.ZERO;
+		return new JobTiming(age,
+				queueOf(job).map((queue) -> WaitingOrder.objective(queue, job.submission().specification())));
+	}
+
 	private void addEnded(JobProgress job) {
 		this.endedJobs.add(job.id(), job.endedMillis(),
 				job.allTasks().stream().filter(TaskProgress::everAssigned).map(TaskProgress::key).toList());
@@ -188,7 +195,7 @@
 		job.end(state, this.clock.instant().toEpochMilli());
 		addEnded(job);
 		this.changes.jobChanged(job.id());
-		this.listener.jobEnded(job, reason);
+		this.listener.jobEnded(job, reason, timing(job));
 		Set<String> affected = new LinkedHashSet<>();
 		for (TaskProgress task : job.allTasks()) {
 			if (task.status() == TaskStatus.PLACED) {
@@ -354,6 +361,30 @@
 		this.listener.placed(task, (now - tracked.firstSeenNanos()) / 1_000_000);
 	}
 
+	/**
+	 * Returns the work that is waiting and running, by queue.
+	 * @return the load of each queue with a job that has not ended
+	 */
+	public Collection<QueueLoad> queueLoads() {
+		QueueLoadSurvey survey = new QueueLoadSurvey(this.clock.nanoTime());
+		for (TrackedJob tracked : this.jobs.values()) {
+			if (!tracked.job().state().terminal()) {
+				queueOf(tracked.job()).ifPresent((queue) -> survey.add(tracked, queue));
+			}
+		}
+		this.hosts.values().forEach((host) -> host.placements().values().forEach(survey::add));
+		return survey.loads();
+	}
+
+	/**
+	 * Returns the number of workers that accept tasks and run no service. Fillers that
+	 * press hard on services run nowhere else.
+	 * @return the number of workers
+	 */
+	public int workersWithoutServices() {
+		return (int) this.hosts.values().stream().filter((host) -> schedulable(host) && !host.runsService()).count();
+	}
+
 	/**
 	 * Takes the next batch of decisions that have to be recorded.
 	 * @param limit the maximum number of rows in the batch
@@ -509,50 +540,4 @@
 		return this.clock;
 	}
 
-	/**
-	 * A job with the time at which this leader first processed it and the last time at
-	 * which one of its tasks was running or about to run.
-	 */
-	private static final class TrackedJob {
-
-		private final JobProgress job;
-
-		private final long firstSeenNanos;
-
-		private long lastRunningNanos;
-
-		private WaitingOrder.Rank rank = new WaitingOrder.Rank(0, 0, 0);
-
-		private TrackedJob(JobProgress job, long firstSeenNanos) {
-			this.job = job;
-			this.firstSeenNanos = firstSeenNanos;
-			this.lastRunningNanos = firstSeenNanos;
-		}
-
-		private JobProgress job() {
-			return this.job;
-		}
-
-		private long firstSeenNanos() {
-			return this.firstSeenNanos;
-		}
-
-		private void markRunning(long nowNanos) {
-			this.lastRunningNanos = nowNanos;
-		}
-
-		private boolean starving(long nowNanos) {
-			return nowNanos - this.lastRunningNanos > DispatchSettings.STARVATION_TIMEOUT.toNanos();
-		}
-
-		private WaitingOrder.Rank rank() {
-			return this.rank;
-		}
-
-		private void rank(WaitingOrder.Rank next) {
-			this.rank = next;
-		}
-
-	}
-
 }
--- a/src/main/java/org/crocuspost/lead/DecisionLog.java
+++ b/src/main/java/org/crocuspost/lead/DecisionLog.java
@@ -4,6 +4,7 @@
 
 import org.crocuspost.dispatch.DispatchListener;
 import org.crocuspost.dispatch.Evidence;
+import org.crocuspost.dispatch.JobTiming;
 import org.crocuspost.dispatch.StopEvidence;
 import org.crocuspost.dispatch.WorkerCrash;
 import org.crocuspost.job.JobProgress;
@@ -39,10 +40,12 @@
 	}
 
 	@Override
-	public void jobEnded(JobProgress job, String reason) {
+	public void jobEnded(JobProgress job, String reason, JobTiming timing) {
 		this.metrics.jobEnded(job.state().label());
-		EventLog.info(LeadEvent.JOB_ENDED, Field.of("job", job.id()), Field.of("state", job.state().label()),
-				Field.of("reason", reason));
+		EventLog.info(LeadEvent.JOB_ENDED, Field.of("job", job.id()), Field.of("queue", job.submission().queue()),
+				Field.of("state", job.state().label()), Field.of("reason", reason),
+				Field.of("ageMillis", timing.age().toMillis()),
+				Field.of("objectiveMillis", timing.objective().map((objective) -> objective.toMillis()).orElse(-1L)));
 	}
 
 	@Override
--- a/src/main/java/org/crocuspost/lead/LeadEvent.java
+++ b/src/main/java/org/crocuspost/lead/LeadEvent.java
@@ -104,6 +104,11 @@
 	 * Bytes that the leader has sent and received since the previous line, by kind of
 	 * traffic.
 	 */
-	TRAFFIC_COUNTED
+	TRAFFIC_COUNTED,
+
+	/**
+	 * Waiting and running work of a queue, at a fixed interval.
+	 */
+	QUEUE_LOAD
 
 }
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -65,6 +65,8 @@
 
 	private final TrafficLog trafficLog;
 
+	private final QueueLoadLog queueLoadLog;
+
 	private final FencedWriter writer;
 
 	private final Dispatcher dispatcher;
@@ -116,6 +118,7 @@
 		this.writer = new FencedWriter(store, record, version, clock, timer, onLeadershipLost);
 		this.dispatcher = new Dispatcher(settings, new DefaultPlacementPolicy(this.imagePressure), clock,
 				new DecisionLog(metrics));
+		this.queueLoadLog = new QueueLoadLog(this.dispatcher, clock);
 		this.reportProcessor = new ReportProcessor(this.dispatcher, this.imagePressure);
 		this.intakeWatch = new RowWatch(store, Tables.INTAKE, TableWatchSettings.INTAKE_WATCH, this, clock, timer);
 		this.takeoverNanos = clock.nanoTime();
@@ -384,6 +387,7 @@
 			this.reportProcessor.expireLeases(
 					LeadershipTimings.LEASE_EXTENSION_WITHOUT_STORE.plus(this.settings.leaseTimeout()),
 					this.takeoverNanos);
+			this.queueLoadLog.writeIfDue();
 			decide();
 		}
 		else if (!this.writer.busy()) {
--- a/src/test/java/org/crocuspost/dispatch/MixedLoadSimulation.java
+++ b/src/test/java/org/crocuspost/dispatch/MixedLoadSimulation.java
@@ -95,12 +95,12 @@
 				new DefaultPlacementPolicy(this.imagePressure), this.time, new SilentDispatchListener());
 		this.dispatcher.configure(new QueueConfiguration(1, QUEUES, List.of(), 1_000));
 		this.reports = new ReportProcessor(this.dispatcher, this.imagePressure);
-		for (int number = 0; number < 30; number++) {
-			boolean heavy = number < 17;
+		for (int number = 0; number < load.fleet().images(); number++) {
+			boolean heavy = number < load.fleet().heavyImages();
 			this.imageWeights.put("image-" + number,
 					heavy ? 15 + 25 * this.random.nextDouble() : 0.5 + 2 * this.random.nextDouble());
 		}
-		for (int number = 0; number < load.hosts(); number++) {
+		for (int number = 0; number < load.fleet().hosts(); number++) {
 			SimulatedHost host = new SimulatedHost("host-" + number, (number % 3 == 2) ? 48_000 : 32_000);
 			this.hosts.put(host.name, host);
 		}
@@ -112,8 +112,7 @@
 	 * @return the result
 	 */
 	Result run(Duration duration) {
-		int services = (int) Math.round(this.load.hosts() * 16 / 80.0);
-		for (int number = 0; number < services; number++) {
+		for (int number = 0; number < this.load.fleet().services(); number++) {
 			submitService();
 		}
 		play(Duration.ofSeconds(10), false);
@@ -185,18 +184,18 @@
 	}
 
 	private void submitService() {
-		int width = (int) vary(24, 0.4, 48);
+		int width = (int) vary(this.load.fleet().serviceTasks(), 0.4, 48);
 		submit(SERVICE_QUEUE, List.of(step(width, vary(6_400, 0.25, 10_000), 13_000, Duration.ZERO, List.of(), false,
 				this.random.nextBoolean() ? 2 : 0, "service", (int) TAIL_MILLIS, false)), 0);
 	}
 
 	private void submitShort() {
 		List<StepSpecification> steps = new ArrayList<>();
-		double milliCores = vary(1_300, 0.45, 3_900);
+		double milliCores = vary(this.load.fleet().shortMilliCores(), 0.45, 3_900);
 		int count = (this.random.nextInt(10) < 6) ? 2 : 1;
 		for (int number = 0; number < count; number++) {
-			steps.add(step(1 + this.random.nextInt(15), milliCores, 2_600, Duration.ofMillis(1_100),
-					(number == 0) ? List.of() : List.of(0), false, 0, "", 0, false));
+			steps.add(step(1 + this.random.nextInt(this.load.fleet().mostShortTasks()), milliCores, 2_600,
+					Duration.ofMillis(1_100), (number == 0) ? List.of() : List.of(0), false, 0, "", 0, false));
 		}
 		submit(SHORT_QUEUE, steps, 1.14);
 	}
@@ -206,10 +205,10 @@
 		double milliCores = vary(3_500, 0.3, 7_000);
 		double work = vary(2.43, 0.5, 6);
 		for (int number = 0; number < 2; number++) {
-			steps.add(step(Math.max(1, (int) vary(27, 0.6, 110)), milliCores, 6_400,
+			steps.add(step(Math.max(1, (int) vary(this.load.fleet().fillerTasks(), 0.6, 110)), milliCores, 6_400,
 					Duration.ofMillis((long) (work * 1_000 * (0.7 + 0.6 * this.random.nextDouble()))),
 					(number == 0) ? List.of() : List.of(0), this.random.nextInt(100) < 85, 0,
-					"image-" + this.random.nextInt(30), 0, true));
+					"image-" + this.random.nextInt(this.load.fleet().images()), 0, true));
 		}
 		submit(FILLER_QUEUE, steps, work);
 	}
@@ -242,18 +241,52 @@
 	}
 
 	/**
-	 * Size of the load.
+	 * Workers, and the size of the jobs that they run.
 	 *
 	 * @param hosts the number of hosts
+	 * @param services the number of jobs of services
+	 * @param serviceTasks the mean number of tasks of a service
+	 * @param shortMilliCores the mean processor capacity of a task of a short job
+	 * @param mostShortTasks the maximum number of tasks of a step of a short job
+	 * @param shortWork the mean work of a short job, in core-seconds
+	 * @param fillerTasks the mean number of tasks of a step of fillers
+	 * @param fillerWork the mean work of a job of fillers, in core-seconds
+	 * @param images the number of images of fillers
+	 * @param heavyImages the number of images that press hard on services
+	 */
+	record Fleet(int hosts, int services, int serviceTasks, int shortMilliCores, int mostShortTasks, double shortWork,
+			int fillerTasks, double fillerWork, int images, int heavyImages) {
+
+		static final Fleet LARGE = new Fleet(80, 16, 24, 1_300, 15, 19, 27, 400, 30, 17);
+
+		static final Fleet SMALL = new Fleet(11, 9, 6, 480, 11, 6.6, 8, 136, 9, 5);
+
+		Fleet withHeavyImages(int number) {
+			return new Fleet(this.hosts, this.services, this.serviceTasks, this.shortMilliCores, this.mostShortTasks,
+					this.shortWork, this.fillerTasks, this.fillerWork, this.images, number);
+		}
+
+	}
+
+	/**
+	 * Size of the load.
+	 *
+	 * @param fleet the workers and the size of the jobs
 	 * @param shortPerSecond the number of short jobs that arrive in a second
 	 * @param fillersPerSecond the number of jobs of fillers that arrive in a second
 	 */
-	record Load(int hosts, double shortPerSecond, double fillersPerSecond) {
+	record Load(Fleet fleet, double shortPerSecond, double fillersPerSecond) {
 
-		static final Load LARGE = new Load(80, 8.2, 2.4);
+		static final Load LARGE = new Load(Fleet.LARGE, 8.2, 2.4);
+
+		static final Load SMALL = new Load(Fleet.SMALL, 3.12, 1.12);
 
 		Load scaled(double factor) {
-			return new Load(this.hosts, this.shortPerSecond * factor, this.fillersPerSecond * factor);
+			return new Load(this.fleet, this.shortPerSecond * factor, this.fillersPerSecond * factor);
+		}
+
+		Load withHeavyImages(int number) {
+			return new Load(this.fleet.withHeavyImages(number), this.shortPerSecond, this.fillersPerSecond);
 		}
 
 	}
@@ -304,7 +337,9 @@
 			for (StepSpecification step : this.submission.specification().steps()) {
 				size += step.taskCount() * step.milliCores() / 1_000.0 * this.workSeconds;
 			}
-			double mean = this.submission.queue().equals(SHORT_QUEUE) ? 19 : 400;
+			double mean = this.submission.queue().equals(SHORT_QUEUE)
+					? MixedLoadSimulation.this.load.fleet().shortWork()
+					: MixedLoadSimulation.this.load.fleet().fillerWork();
 			return Math.min(4, 0.3 + 0.7 * size / mean);
 		}
 
--- a/src/test/java/org/crocuspost/dispatch/SilentDispatchListener.java
+++ b/src/test/java/org/crocuspost/dispatch/SilentDispatchListener.java
@@ -15,7 +15,7 @@
 	}
 
 	@Override
-	public void jobEnded(JobProgress job, String reason) {
+	public void jobEnded(JobProgress job, String reason, JobTiming timing) {
 	}
 
 	@Override
