Count the age of a job from its acceptance, whoever leads

What callers saw: after a change of leaders, jobs that could still be in time waited behind jobs that were late beyond use. Cause: a leader counted each job from its own start, so all jobs that it inherited ranked as new, and those with the least work left, the oldest, went first. Class: a decision that rests on what only the process remembers. Change: the age counts from the time of acceptance in the job's row. A difference up to 2.5 s is left to the clocks of the hosts, which may differ and step. The metric and the log of waiting times count from there too. Fixtures of tests submitted jobs that were accepted in 1970; they now use the virtual clock. Before: JobAgeTests.newLeaderDoesNotPreferLateJobsToThoseInTime fails. After: the tests of dispatch and lead pass.

--- a/src/main/java/org/crocuspost/dispatch/DispatchListener.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchListener.java
@@ -27,8 +27,7 @@
 	/**
 	 * Called when a task is assigned to a worker.
 	 * @param task the task
-	 * @param waitedMillis the time since this leader first processed the job, in
-	 * milliseconds
+	 * @param waitedMillis the time since the job was accepted, in milliseconds
 	 */
 	void placed(TaskProgress task, long waitedMillis);
 
--- a/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
@@ -18,6 +18,12 @@
 	 */
 	static final double CLOCK_DRIFT_FACTOR = 1.02;
 
+	/**
+	 * Difference between the clocks of two hosts that is taken into account. Longer ages
+	 * of jobs are relied upon.
+	 */
+	static final Duration MAXIMUM_CLOCK_DIFFERENCE = Duration.ofMillis(2_500);
+
 	/**
 	 * Allowance for the network delay of the answer that extends a lease and for timers
 	 * that fire late.
--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -110,7 +110,7 @@
 		}
 		JobProgress job = new JobProgress(submission);
 		stored.ifPresent(job::restore);
-		TrackedJob tracked = new TrackedJob(job, this.clock.nanoTime());
+		TrackedJob tracked = new TrackedJob(job, this.clock);
 		this.jobs.put(submission.id(), tracked);
 		this.meanWork.add(submission.queue(), WaitingOrder.totalWork(submission.specification()));
 		if (job.state().terminal()) {
@@ -269,7 +269,7 @@
 			}
 			Optional<Queue> queue = this.configuration.findByName(tracked.job().submission().queue());
 			if (queue.isPresent()) {
-				tracked.rank(WaitingOrder.rank(tracked.job(), queue.get(), tracked.firstSeenNanos(), now,
+				tracked.rank(WaitingOrder.rank(tracked.job(), queue.get(), tracked.acceptedNanos(), now,
 						this.meanWork.mean(queue.get().name())));
 				waiting.add(tracked);
 			}
@@ -358,7 +358,7 @@
 		}
 		tracked.markRunning(now);
 		this.changes.runPlaced(new DispatchBatch.Start(task.key(), run, host.name()));
-		this.listener.placed(task, (now - tracked.firstSeenNanos()) / 1_000_000);
+		this.listener.placed(task, (now - tracked.acceptedNanos()) / 1_000_000);
 	}
 
 	/**
--- a/src/main/java/org/crocuspost/dispatch/WaitingOrder.java
+++ b/src/main/java/org/crocuspost/dispatch/WaitingOrder.java
@@ -124,19 +124,18 @@
 	 * Returns the rank of a job; the smallest goes first.
 	 * @param job the job
 	 * @param queue the queue of the job
-	 * @param firstSeenNanos when the leader first processed the job, in nanoseconds of
-	 * the process clock
+	 * @param acceptedNanos when the job was accepted, in nanoseconds of the process clock
 	 * @param nowNanos the current time of the same clock
 	 * @param meanWork the mean work of the jobs of the queue, in core-seconds
 	 * @return the rank
 	 */
-	static Rank rank(JobProgress job, Queue queue, long firstSeenNanos, long nowNanos, double meanWork) {
+	static Rank rank(JobProgress job, Queue queue, long acceptedNanos, long nowNanos, double meanWork) {
 		JobSpecification specification = job.submission().specification();
 		if (specification.longRunning()) {
-			return new Rank(LASTING, queue.priority(), firstSeenNanos / NANOS_PER_MILLI);
+			return new Rank(LASTING, queue.priority(), acceptedNanos / NANOS_PER_MILLI);
 		}
 		long objectiveNanos = objective(queue, specification).toNanos();
-		long remainingNanos = firstSeenNanos + objectiveNanos - nowNanos;
+		long remainingNanos = acceptedNanos + objectiveNanos - nowNanos;
 		long chainNanos = (long) (remainingCriticalPath(job).toNanos() * MINIMUM_TIME_SHARE);
 		int group = LATE_BEYOND_USE;
 		if (remainingNanos >= chainNanos) {
@@ -179,8 +178,8 @@
 	 * @param group the group of the job; the smallest goes first
 	 * @param priority the priority of the queue; 0 goes first
 	 * @param order the order within the group and priority; the smallest goes first. For
-	 * services, the time in milliseconds at which the leader first processed the job; for
-	 * other jobs, the remaining work in relation to the value of the job
+	 * services, the time in milliseconds at which the job was accepted; for other jobs,
+	 * the remaining work in relation to the value of the job
 	 */
 	record Rank(int group, int priority, double order) implements Comparable<Rank> {
 
--- a/src/main/java/org/crocuspost/lead/LeaderMetrics.java
+++ b/src/main/java/org/crocuspost/lead/LeaderMetrics.java
@@ -57,7 +57,7 @@
 			.register(registry);
 		this.placementSeconds = Histogram.builder()
 			.name("crocuspost_placement_wait_seconds")
-			.help("Time from the leader's first sight of a job to the assignment of a task of it, in seconds.")
+			.help("Time from the acceptance of a job to the assignment of a task of it, in seconds.")
 			.classicOnly()
 			.classicUpperBounds(0.02, 0.05, 0.1, 0.3, 1, 3, 10, 30)
 			.register(registry);
--- a/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
@@ -84,7 +84,11 @@
 	}
 
 	void submit(String id, StepSpecification... steps) {
-		JobSubmission submission = new JobSubmission(id, QUEUE, 0,
+		submitAccepted(id, this.time.millis(), steps);
+	}
+
+	void submitAccepted(String id, long acceptedMillis, StepSpecification... steps) {
+		JobSubmission submission = new JobSubmission(id, QUEUE, acceptedMillis,
 				new JobSpecification("text", List.of(steps), 1, false, 0, 0));
 		this.submissions.put(id, submission);
 		this.dispatcher.submitted(submission, Optional.empty());
--- a/src/test/java/org/crocuspost/dispatch/MixedLoadSimulation.java
+++ b/src/test/java/org/crocuspost/dispatch/MixedLoadSimulation.java
@@ -170,7 +170,8 @@
 
 	private void submit(String queue, List<StepSpecification> steps, double workSeconds) {
 		String id = String.format("%016x", this.random.nextLong());
-		JobSubmission submission = new JobSubmission(id, queue, 0, new JobSpecification("text", steps, 1, false, 0, 0));
+		JobSubmission submission = new JobSubmission(id, queue, this.time.millis(),
+				new JobSpecification("text", steps, 1, false, 0, 0));
 		this.jobs.put(id, new SubmittedJob(submission, this.time.nanoTime(), workSeconds));
 		this.dispatcher.submitted(submission, Optional.empty());
 	}
