Move services together while fillers wait for a worker without services

Cause: fillers whose images press hard on services run only on workers without services. Class: a placement that is decided once and never revised. Ruled out: the order of waiting jobs. Change: while a filler has waited for a second, at most once a second, the services of one worker are moved if they are at most four and fit on other workers that run services. Steps with a limit of unavailable tasks, gangs and suspects stay. Before: ServiceConsolidationTests.fillersThatPressOnServicesGetWorkerWhenEachRunsOne fails with moves switched off. After: passes.

--- a/src/main/java/org/crocuspost/dispatch/CandidateHost.java
+++ b/src/main/java/org/crocuspost/dispatch/CandidateHost.java
@@ -153,6 +153,14 @@
 		return this.host.isBackingOff(image, this.nowNanos);
 	}
 
+	/**
+	 * Returns whether services were moved off the worker a short time ago.
+	 * @return true if services should start elsewhere
+	 */
+	boolean isVacated() {
+		return this.host.isVacated(this.nowNanos);
+	}
+
 	double pendingIncrease() {
 		return this.pendingIncrease;
 	}
--- a/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
+++ b/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
@@ -41,6 +41,12 @@
 	 */
 	private static final double SERVICE_WEIGHT = 1.5;
 
+	/**
+	 * Score subtracted for a worker off which services were moved a short time ago.
+	 * Exceeds the weight of services.
+	 */
+	private static final double VACATED_PENALTY = 4;
+
 	/**
 	 * Score subtracted for a worker that is still slow after its start.
 	 */
@@ -185,7 +191,8 @@
 					+ (withService ? preference : 0);
 		}
 		else if (step.lasting()) {
-			score = (withService ? SERVICE_WEIGHT : 0) - candidate.freeMilliCores() / capacity;
+			score = (withService ? SERVICE_WEIGHT : 0) - candidate.freeMilliCores() / capacity
+					- (candidate.isVacated() ? VACATED_PENALTY : 0);
 		}
 		else {
 			score = (withService ? SERVICE_WEIGHT : 0) + candidate.freeMilliCores() / capacity;
--- a/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
@@ -110,6 +110,30 @@
 	 */
 	static final double LONG_RUNNING_UTILIZATION = 0.6;
 
+	/**
+	 * Time for which fillers must have waited for a worker before services are moved
+	 * together to free one.
+	 */
+	static final Duration WAIT_BEFORE_CONSOLIDATION = Duration.ofMillis(1_000);
+
+	/**
+	 * Minimum time between two moves of a service, and after which a vacated worker is
+	 * chosen for services again.
+	 */
+	static final Duration MINIMUM_TIME_BETWEEN_MOVES = Duration.ofSeconds(5);
+
+	/**
+	 * Time between two attempts to free a worker, so that the effect of one is known
+	 * before the next, and since an attempt costs more than a scheduling pass.
+	 */
+	static final Duration CONSOLIDATION_INTERVAL = Duration.ofSeconds(1);
+
+	/**
+	 * Maximum number of tasks of services that are moved to free a worker. Each is
+	 * interrupted for about half a second.
+	 */
+	static final int MAXIMUM_MOVED_TASKS = 4;
+
 	/**
 	 * Time for which a run must have been listed as running before it no longer counts as
 	 * a possible cause of a crash of its worker.
--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -43,6 +43,8 @@
 
 	private final ProbationPlacement probationPlacement;
 
+	private final ServiceConsolidation consolidation;
+
 	private final Clock clock;
 
 	private final DispatchListener listener;
@@ -75,6 +77,7 @@
 		this.endedJobs = new EndedJobs(settings.retention());
 		this.policy = policy;
 		this.probationPlacement = new ProbationPlacement(policy);
+		this.consolidation = new ServiceConsolidation(policy);
 		this.clock = clock;
 		this.listener = listener;
 	}
@@ -225,6 +228,7 @@
 			Queue queue = this.configuration.findByName(tracked.job().submission().queue()).orElseThrow();
 			assign(tracked, candidatesByService.getOrDefault(queue.service(), List.of()), unassigned);
 		}
+		candidatesByService.forEach((service, candidates) -> this.consolidation.consolidate(service, candidates, now));
 	}
 
 	/**
@@ -338,6 +342,10 @@
 				if (Suspicion.suspected(task)) {
 					continue;
 				}
+				if (task.step().filler()) {
+					queueOf(tracked.job())
+						.ifPresent((queue) -> this.consolidation.noticeWaitingFiller(queue.service()));
+				}
 				return;
 			}
 			candidate.reserve(task);
--- a/src/main/java/org/crocuspost/dispatch/HostState.java
+++ b/src/main/java/org/crocuspost/dispatch/HostState.java
@@ -56,6 +56,8 @@
 
 	private final Map<String, Long> backOffUntilNanos = new HashMap<>();
 
+	private long vacatedUntilNanos = Long.MIN_VALUE;
+
 	private double pressure;
 
 	private double unreportedIncrease;
@@ -208,6 +210,32 @@
 		return false;
 	}
 
+	/**
+	 * Returns the runs of tasks with a latency target that are assigned to the worker.
+	 * @return the runs
+	 */
+	List<Placement> services() {
+		return this.placements.values()
+			.stream()
+			.filter((placement) -> !placement.task().step().tailTarget().isZero())
+			.toList();
+	}
+
+	/**
+	 * Moves services off the worker. For a time, they return only if they fit nowhere
+	 * else.
+	 * @param services the runs to move
+	 * @param nowNanos the current time
+	 */
+	void vacate(List<Placement> services, long nowNanos) {
+		services.forEach(Placement::requestMove);
+		this.vacatedUntilNanos = nowNanos + DispatchSettings.MINIMUM_TIME_BETWEEN_MOVES.toNanos();
+	}
+
+	boolean isVacated(long nowNanos) {
+		return nowNanos < this.vacatedUntilNanos;
+	}
+
 	/**
 	 * Returns whether a task that is suspected to crash workers has just started here.
 	 * @return true if nothing else should start on the worker
--- a/src/main/java/org/crocuspost/dispatch/Placement.java
+++ b/src/main/java/org/crocuspost/dispatch/Placement.java
@@ -70,6 +70,8 @@
 
 	private boolean stopOrdered;
 
+	private boolean moveRequested;
+
 	private boolean listed;
 
 	private long firstListedNanos;
@@ -196,6 +198,17 @@
 		return first;
 	}
 
+	/**
+	 * Requests that the run be stopped, so that its task starts on another worker.
+	 */
+	void requestMove() {
+		this.moveRequested = true;
+	}
+
+	boolean moveRequested() {
+		return this.moveRequested;
+	}
+
 	Duration age(long nowNanos) {
 		return Duration.ofNanos(nowNanos - this.placedNanos);
 	}
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -418,6 +418,9 @@
 		if (stalled(host, placement, now)) {
 			reason = "stalled";
 		}
+		else if (placement.moveRequested()) {
+			reason = "moved to free the worker for fillers";
+		}
 		else if (shouldResumeElsewhere(host, placement, now)) {
 			host.backOff(placement.task().step().image(), now);
 			reason = "slow beside services";
--- a/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
@@ -83,6 +83,14 @@
 		return worker;
 	}
 
+	SimulatedWorker worker(String host, int milliCores, String failureDomain) {
+		SimulatedWorker worker = new SimulatedWorker(host, milliCores);
+		worker.description = worker.description.toBuilder().setFailureDomain(failureDomain).build();
+		this.workers.put(host, worker);
+		report(worker);
+		return worker;
+	}
+
 	void submit(String id, StepSpecification... steps) {
 		submitAccepted(id, this.time.millis(), steps);
 	}
@@ -204,6 +212,8 @@
 
 		private boolean filler;
 
+		private int unavailableLimit = -1;
+
 		StepBuilder tasks(int count) {
 			this.tasks = count;
 			return this;
@@ -240,6 +250,11 @@
 			return this;
 		}
 
+		StepBuilder unavailableLimit(int value) {
+			this.unavailableLimit = value;
+			return this;
+		}
+
 		StepBuilder filler(String imageName) {
 			this.filler = true;
 			this.image = imageName;
@@ -249,7 +264,7 @@
 		StepSpecification build() {
 			return new StepSpecification(this.tasks, this.milliCores, 100, 0, Duration.ofSeconds(1), this.predecessors,
 					this.filler, this.gang, false, this.label, "", this.perWorker, false, this.longRunning, this.image,
-					this.tailTarget, this.filler, -1);
+					this.tailTarget, this.filler, this.unavailableLimit);
 		}
 
 	}
--- a/src/test/java/org/crocuspost/dispatch/MixedLoadSimulation.java
+++ b/src/test/java/org/crocuspost/dispatch/MixedLoadSimulation.java
@@ -128,6 +128,7 @@
 				for (double due = this.load.shortPerSecond() * seconds; due > this.random.nextDouble(); due--) {
 					submitShort();
 				}
+				changeServices(seconds);
 				for (double due = this.load.fillersPerSecond() * seconds; due > this.random.nextDouble(); due--) {
 					submitFiller();
 				}
@@ -190,6 +191,28 @@
 				this.random.nextBoolean() ? 2 : 0, "service", (int) TAIL_MILLIS, false)), 0);
 	}
 
+	/**
+	 * Lets services come and go, if the load says so.
+	 */
+	private void changeServices(double seconds) {
+		double ends = this.load.serviceChangesPerSecond() * seconds;
+		if (ends <= 0) {
+			return;
+		}
+		if (ends > this.random.nextDouble()) {
+			this.jobs.values()
+				.stream()
+				.filter((job) -> job.submission.queue().equals(SERVICE_QUEUE))
+				.map((job) -> job.submission.id())
+				.filter((id) -> this.dispatcher.job(id).filter((job) -> !job.state().terminal()).isPresent())
+				.findFirst()
+				.ifPresent(this.dispatcher::cancelled);
+		}
+		if (ends > this.random.nextDouble()) {
+			submitService();
+		}
+	}
+
 	private void submitShort() {
 		List<StepSpecification> steps = new ArrayList<>();
 		double milliCores = vary(this.load.fleet().shortMilliCores(), 0.45, 3_900);
@@ -275,19 +298,23 @@
 	 * @param fleet the workers and the size of the jobs
 	 * @param shortPerSecond the number of short jobs that arrive in a second
 	 * @param fillersPerSecond the number of jobs of fillers that arrive in a second
+	 * @param serviceChangesPerSecond the number of services that arrive in a second, and
+	 * of those that end
 	 */
-	record Load(Fleet fleet, double shortPerSecond, double fillersPerSecond) {
+	record Load(Fleet fleet, double shortPerSecond, double fillersPerSecond, double serviceChangesPerSecond) {
 
-		static final Load LARGE = new Load(Fleet.LARGE, 8.2, 2.4);
+		static final Load LARGE = new Load(Fleet.LARGE, 8.2, 2.4, 0);
 
-		static final Load SMALL = new Load(Fleet.SMALL, 3.12, 1.12);
+		static final Load SMALL = new Load(Fleet.SMALL, 3.12, 1.12, 0.05);
 
 		Load scaled(double factor) {
-			return new Load(this.fleet, this.shortPerSecond * factor, this.fillersPerSecond * factor);
+			return new Load(this.fleet, this.shortPerSecond * factor, this.fillersPerSecond * factor,
+					this.serviceChangesPerSecond);
 		}
 
 		Load withHeavyImages(int number) {
-			return new Load(this.fleet.withHeavyImages(number), this.shortPerSecond, this.fillersPerSecond);
+			return new Load(this.fleet.withHeavyImages(number), this.shortPerSecond, this.fillersPerSecond,
+					this.serviceChangesPerSecond);
 		}
 
 	}
--- /dev/null
+++ b/src/test/java/org/crocuspost/dispatch/ServiceConsolidationTests.java
@@ -0,0 +1,118 @@
+package org.crocuspost.dispatch;
+
+import java.time.Duration;
+import java.util.Map;
+
+import org.crocuspost.dispatch.DispatchFixture.SimulatedWorker;
+import org.crocuspost.dispatch.DispatchFixture.StepBuilder;
+import org.crocuspost.job.TaskStatus;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that services are moved together when fillers have no worker without services.
+ */
+class ServiceConsolidationTests {
+
+	private static final Duration ROUND = Duration.ofMillis(200);
+
+	private final DispatchFixture fixture = new DispatchFixture();
+
+	private void play(Duration duration) {
+		for (long round = 0; round < duration.dividedBy(ROUND); round++) {
+			this.fixture.time.advance(ROUND);
+			this.fixture.reportAll();
+			this.fixture.runSchedulingRound();
+		}
+	}
+
+	private void trainPressureModel() {
+		for (int report = 0; report < 20; report++) {
+			this.fixture.imagePressure.observe("elsewhere", 7, Map.of("heavy", 0.2));
+		}
+	}
+
+	/**
+	 * Starts one service on each of three workers, which have room for three.
+	 */
+	private void scatterServices(int unavailableLimit) {
+		trainPressureModel();
+		for (int number = 0; number < 3; number++) {
+			this.fixture.worker("host-" + number, 32_000);
+			this.fixture.submit("service-" + number,
+					new StepBuilder().milliCores(10_000).service().unavailableLimit(unavailableLimit).build());
+			this.fixture.submit("blocker-" + number, DispatchFixture.step(1, 16_000));
+			this.fixture.runSchedulingRound();
+		}
+		play(Duration.ofSeconds(6));
+		this.fixture.workers.values().forEach((worker) -> endBlocker(worker));
+		play(ROUND);
+	}
+
+	private static void endBlocker(SimulatedWorker worker) {
+		worker.running.keySet()
+			.stream()
+			.filter((task) -> task.job().startsWith("blocker"))
+			.toList()
+			.forEach((task) -> worker.end(task, "done"));
+	}
+
+	private long workersWithFillersAlone() {
+		return this.fixture.workers.values()
+			.stream()
+			.filter((worker) -> !worker.running.isEmpty()
+					&& worker.running.keySet().stream().allMatch((task) -> task.job().startsWith("filler")))
+			.count();
+	}
+
+	private long workersWithServices() {
+		return this.fixture.workers.values().stream().filter(ServiceConsolidationTests::runsService).count();
+	}
+
+	private static boolean runsService(SimulatedWorker worker) {
+		return worker.running.keySet().stream().anyMatch((task) -> task.job().startsWith("service"));
+	}
+
+	@Test
+	void fillersThatPressOnServicesGetWorkerWhenEachRunsOne() {
+		scatterServices(-1);
+		assertThat(workersWithServices()).isEqualTo(3);
+		this.fixture.submit("filler", new StepBuilder().tasks(6).milliCores(3_500).filler("heavy").build());
+		play(Duration.ofSeconds(8));
+		assertThat(workersWithFillersAlone()).isGreaterThanOrEqualTo(1);
+		for (int number = 0; number < 3; number++) {
+			assertThat(this.fixture.task("service-" + number, 0, 0).status()).isEqualTo(TaskStatus.PLACED);
+		}
+	}
+
+	@Test
+	void servicesStayWhereTheyAreWhileNoFillerWaits() {
+		scatterServices(-1);
+		play(Duration.ofSeconds(8));
+		assertThat(workersWithServices()).isEqualTo(3);
+	}
+
+	@Test
+	void servicesWhoseAbsenceIsLimitedStayWhereTheyAre() {
+		scatterServices(1);
+		this.fixture.submit("filler", new StepBuilder().tasks(6).milliCores(3_500).filler("heavy").build());
+		play(Duration.ofSeconds(8));
+		assertThat(workersWithServices()).isEqualTo(3);
+	}
+
+	@Test
+	void servicesThatFitNowhereElseStayWhereTheyAre() {
+		trainPressureModel();
+		this.fixture.worker("first", 32_000);
+		this.fixture.worker("second", 32_000);
+		this.fixture.submit("service", new StepBuilder().tasks(2).milliCores(20_000).service().build());
+		this.fixture.runSchedulingRound();
+		play(Duration.ofSeconds(6));
+		this.fixture.submit("filler", new StepBuilder().tasks(1).milliCores(3_500).filler("heavy").build());
+		play(Duration.ofSeconds(8));
+		assertThat(this.fixture.workers.values()).allMatch(ServiceConsolidationTests::runsService);
+		assertThat(this.fixture.task("service", 0, 0).run()).isEqualTo(1);
+	}
+
+}
