Leave workers without services in each failure domain

Change: a service that needs another worker takes it from the failure domain with the most workers without services. Before: FillerPlacementTests.leavesWorkersWithoutServicesInEachFailureDomain fails. After: passes.

--- a/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
+++ b/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
@@ -41,6 +41,14 @@
 	 */
 	private static final double SERVICE_WEIGHT = 1.5;
 
+	/**
+	 * Weight of the workers without services in a failure domain when a service takes one
+	 * of them. If all were in one domain, fillers that press hard on services would have
+	 * none while it is out of service. Less than any difference in free capacity that
+	 * matters.
+	 */
+	private static final double DOMAIN_BALANCE_WEIGHT = 0.5;
+
 	/**
 	 * Score subtracted for a worker off which services were moved a short time ago.
 	 * Exceeds the weight of services.
@@ -91,6 +99,9 @@
 				continue;
 			}
 			double score = score(step, candidate);
+			if (step.lasting() && !step.filler() && !candidate.host().runsService()) {
+				score += DOMAIN_BALANCE_WEIGHT * shareWithoutServices(candidate, candidates);
+			}
 			if (best == null || score > bestScore) {
 				best = candidate;
 				bestScore = score;
@@ -127,6 +138,23 @@
 		return this.imagePressure.expectedIncrease(step.image(), share).orElse(MAXIMUM_PRESSURE);
 	}
 
+	/**
+	 * Returns how many of the workers without services share a worker's failure domain,
+	 * so that services take them from the domain that has the most.
+	 * @param chosen the host of the worker
+	 * @param candidates all hosts
+	 * @return the number as a share of all workers
+	 */
+	private static double shareWithoutServices(CandidateHost chosen, Collection<CandidateHost> candidates) {
+		String domain = chosen.host().worker().getFailureDomain();
+		int count = 0;
+		for (CandidateHost candidate : candidates) {
+			count += (!candidate.host().runsService() && candidate.host().worker().getFailureDomain().equals(domain))
+					? 1 : 0;
+		}
+		return count / (double) candidates.size();
+	}
+
 	private static double contention(CandidateHost candidate) {
 		return candidate.fillers() + candidate.host().pressure();
 	}
--- a/src/test/java/org/crocuspost/dispatch/FillerPlacementTests.java
+++ b/src/test/java/org/crocuspost/dispatch/FillerPlacementTests.java
@@ -53,6 +53,22 @@
 		assertThat(mixed).isZero();
 	}
 
+	/**
+	 * If all workers without services are in one failure domain, fillers that press hard
+	 * on services have none while that domain is out of service.
+	 */
+	@Test
+	void leavesWorkersWithoutServicesInEachFailureDomain() {
+		for (int number = 0; number < 6; number++) {
+			this.fixture.worker("host-" + number, 8_000, "domain-" + number / 2);
+		}
+		this.fixture.submit("service", new StepBuilder().tasks(3).milliCores(6_400).service().build());
+		this.fixture.runSchedulingRound();
+		assertThat(this.fixture.workers.values()).filteredOn((worker) -> worker.running.isEmpty())
+			.extracting((worker) -> worker.description.getFailureDomain())
+			.containsExactlyInAnyOrder("domain-0", "domain-1", "domain-2");
+	}
+
 	private static boolean runsServicesAndFillers(SimulatedWorker worker) {
 		boolean fillers = worker.executedOrders.stream().anyMatch((order) -> order.getTraits().getFiller());
 		boolean services = worker.executedOrders.stream().anyMatch((order) -> order.getTraits().getTailTarget() > 0);
