Start suspected tasks on other hosts than those that crash repeatedly

Class: evidence against a task that comes from one faulty host only. Change: a host on which a second worker crashes within 5 s is unstable for 5 s; suspected tasks start elsewhere if there is another host. Tried and dropped: to avoid a host after its first crash.

--- a/src/main/java/org/crocuspost/dispatch/CandidateHost.java
+++ b/src/main/java/org/crocuspost/dispatch/CandidateHost.java
@@ -161,6 +161,10 @@
 		return this.host.isVacated(this.nowNanos);
 	}
 
+	boolean isUnstable() {
+		return this.host.isUnstable(this.nowNanos);
+	}
+
 	double pendingIncrease() {
 		return this.pendingIncrease;
 	}
--- a/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
@@ -166,6 +166,12 @@
 	 */
 	static final int CRASHES_BEFORE_ISOLATION = 2;
 
+	/**
+	 * Time within which a second crash on one host makes the host unstable, and for which
+	 * suspected tasks then start on other hosts, if there are any.
+	 */
+	static final Duration CRASH_MEMORY = Duration.ofSeconds(5);
+
 	/**
 	 * Maximum number of tasks that start their probation on one worker together.
 	 */
--- a/src/main/java/org/crocuspost/dispatch/HostState.java
+++ b/src/main/java/org/crocuspost/dispatch/HostState.java
@@ -56,6 +56,10 @@
 
 	private final Map<String, Long> backOffUntilNanos = new HashMap<>();
 
+	private long crashRememberedUntilNanos = Long.MIN_VALUE;
+
+	private long unstableUntilNanos = Long.MIN_VALUE;
+
 	private long vacatedUntilNanos = Long.MIN_VALUE;
 
 	private double pressure;
@@ -232,6 +236,22 @@
 		this.vacatedUntilNanos = nowNanos + DispatchSettings.MINIMUM_TIME_BETWEEN_MOVES.toNanos();
 	}
 
+	void recordCrash(long nowNanos) {
+		if (nowNanos < this.crashRememberedUntilNanos) {
+			this.unstableUntilNanos = nowNanos + DispatchSettings.CRASH_MEMORY.toNanos();
+		}
+		this.crashRememberedUntilNanos = nowNanos + DispatchSettings.CRASH_MEMORY.toNanos();
+	}
+
+	/**
+	 * Returns whether workers of the host have crashed repeatedly.
+	 * @param nowNanos the current time
+	 * @return true if the host itself may be faulty
+	 */
+	boolean isUnstable(long nowNanos) {
+		return nowNanos < this.unstableUntilNanos;
+	}
+
 	boolean isVacated(long nowNanos) {
 		return nowNanos < this.vacatedUntilNanos;
 	}
--- a/src/main/java/org/crocuspost/dispatch/ProbationPlacement.java
+++ b/src/main/java/org/crocuspost/dispatch/ProbationPlacement.java
@@ -33,12 +33,18 @@
 	/**
 	 * Selects a worker for a suspected task: one on which other suspected tasks start in
 	 * this pass and that need not be told apart from the task, otherwise one where little
-	 * is lost if it crashes.
+	 * is lost if it crashes. A host whose workers crash repeatedly is avoided while there
+	 * is another: if its worker crashes again, the task may not be the cause.
 	 * @param task the task
 	 * @param candidates the hosts whose workers accept tasks
 	 * @return the host, or null if the task has to wait
 	 */
 	@Nullable CandidateHost choose(TaskProgress task, Collection<CandidateHost> candidates) {
+		List<CandidateHost> sound = candidates.stream().filter((candidate) -> !candidate.isUnstable()).toList();
+		return chooseAmong(task, sound.isEmpty() ? candidates : sound);
+	}
+
+	private @Nullable CandidateHost chooseAmong(TaskProgress task, Collection<CandidateHost> candidates) {
 		List<CandidateHost> groups = new ArrayList<>();
 		List<CandidateHost> others = new ArrayList<>();
 		int withSuspects = 0;
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -119,6 +119,7 @@
 			if (crash != null) {
 				this.dispatcher.listener().workerCrashed(host.name(), crash);
 				this.crashAttribution.count(crashed);
+				host.recordCrash(this.dispatcher.clock().nanoTime());
 			}
 			host.resetForNewWorker();
 			this.dispatcher.listener()
--- a/src/test/java/org/crocuspost/dispatch/TaskThatCrashesWorkersTests.java
+++ b/src/test/java/org/crocuspost/dispatch/TaskThatCrashesWorkersTests.java
@@ -180,7 +180,7 @@
 	 * Workers crash for reasons of their own, again and again; no task is the cause.
 	 */
 	@ParameterizedTest
-	@ValueSource(longs = { 1, 2, 3, 4, 5 })
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 14, 37, 200, 492 })
 	void noTaskIsGivenUpWhereWorkersCrashOfThemselves(long seed) {
 		CrashLoopSimulation simulation = simulation(seed);
 		Random random = new Random(seed);
@@ -217,7 +217,7 @@
 	 * agents overlap.
 	 */
 	@ParameterizedTest
-	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20 })
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 133, 270, 342, 414 })
 	void budgetHoldsUnderOverlappingFaults(long seed) {
 		CrashLoopSimulation simulation = new CrashLoopSimulation(seed, 8, DOWN_TIME, seed % 2 == 0);
 		Random random = new Random(seed);
@@ -255,14 +255,14 @@
 	 */
 	@Tag("known-red")
 	@ParameterizedTest
-	@ValueSource(longs = { 14, 37, 200, 492 })
+	@ValueSource(longs = { 497 })
 	void noTaskIsGivenUpAfterSeveralCrashesByChance(long seed) {
 		noTaskIsGivenUpWhereWorkersCrashOfThemselves(seed);
 	}
 
 	@Tag("known-red")
 	@ParameterizedTest
-	@ValueSource(longs = { 87, 133, 270, 342, 414 })
+	@ValueSource(longs = { 87, 159, 302 })
 	void noTaskIsGivenUpAfterSeveralCrashesUnderOverlappingFaults(long seed) {
 		budgetHoldsUnderOverlappingFaults(seed);
 	}
--- a/src/test/java/org/crocuspost/dispatch/WorkerCrashTests.java
+++ b/src/test/java/org/crocuspost/dispatch/WorkerCrashTests.java
@@ -121,4 +121,28 @@
 		assertThat(this.fixture.task(STARTED_LAST, 0, 0).crashes()).isZero();
 	}
 
+	/**
+	 * A worker that restarted three times within seconds counted as three workers, and a
+	 * job that was not to blame was given up.
+	 */
+	@Test
+	void suspectedTaskLeavesHostWhoseWorkersCrashRepeatedly() {
+		SimulatedWorker unstable = this.fixture.worker("unstable", 2_000);
+		this.fixture.submit("job", DispatchFixture.step(1, 1_000));
+		this.fixture.runSchedulingRound();
+		SimulatedWorker other = this.fixture.worker("other", 2_000);
+		this.fixture.submit("neighbour", DispatchFixture.step(1, 1_500));
+		this.fixture.runSchedulingRound();
+		for (int crash = 0; crash < 2; crash++) {
+			this.fixture.time.advance(Duration.ofMillis(300));
+			other.description = other.description.toBuilder().setMilliCores((crash == 0) ? 1_500 : 4_000).build();
+			this.fixture.report(other);
+			unstable.restart();
+			this.fixture.report(unstable);
+			this.fixture.runSchedulingRound();
+		}
+		assertThat(other.running).containsKey(new TaskKey("job", 0, 0, 0));
+		assertThat(this.fixture.job("job").state().terminal()).isFalse();
+	}
+
 }
