Close callers' connections when an entry has stopped

Cause: the entry waited for its drain and for the requests in flight, logged stopped at 7.6023 s, and took 0.3 s more to exit; it read the request meanwhile. Class: a process that takes work after it has decided to end. Change: responses ask callers to close their connections from the beginning of the drain, not from its end, and the connections are closed when the entry has stopped, so that a request that races with that is never read. Before: EntryProgramTests.closesOpenConnectionsWhenItHasStopped times out. After: passes.

--- a/src/main/java/org/crocuspost/ingress/IngressEvent.java
+++ b/src/main/java/org/crocuspost/ingress/IngressEvent.java
@@ -41,6 +41,11 @@
 	/**
 	 * The entry process became ready to receive requests, or is no longer ready.
 	 */
-	READINESS_CHANGED
+	READINESS_CHANGED,
+
+	/**
+	 * The connections of callers could not be closed when the entry process stopped.
+	 */
+	CLOSE_FAILED
 
 }
--- a/src/main/java/org/crocuspost/platform/hosted/EntryProgram.java
+++ b/src/main/java/org/crocuspost/platform/hosted/EntryProgram.java
@@ -31,7 +31,9 @@
 import org.crocuspost.time.Clock;
 import org.crocuspost.time.ExecutorTimer;
 import org.crocuspost.time.Timer;
+import org.jspecify.annotations.Nullable;
 import ratpack.handling.Context;
+import ratpack.server.RatpackServer;
 
 /**
  * Assembles and runs an entry: a process on a host that callers reach, which accepts jobs
@@ -78,6 +80,8 @@
 
 	private final PrometheusRegistry registry = new PrometheusRegistry();
 
+	private @Nullable RatpackServer callerServer;
+
 	private volatile boolean ready;
 
 	private volatile boolean stopping;
@@ -115,7 +119,7 @@
 			this.ledgerWatch.start();
 			this.leaderElector.start();
 		});
-		HttpServers.start(this.settings.callerAddress().orElseThrow(),
+		this.callerServer = HttpServers.start(this.settings.callerAddress().orElseThrow(),
 				new JobHttpHandler(this.jobService, this.loop, this.requestsInFlight));
 		this.settings.readinessAddress().ifPresent((address) -> HttpServers.start(address, this::handleReadiness));
 		Monitoring.startLater(this.loop, this.settings, this.registry, () -> this.ready);
@@ -138,18 +142,34 @@
 	}
 
 	/**
-	 * Stops gracefully: resigns the leadership, serves requests until the platform routes
-	 * no more callers to this entry, and waits for the requests in flight.
+	 * Stops gracefully: resigns the leadership, asks callers to close their connections,
+	 * serves requests until the platform routes no more callers to this entry, and waits
+	 * for the requests in flight. Then it closes the connections: the process takes some
+	 * time to exit, and a request that it reads meanwhile would get no answer.
 	 */
 	void stop() {
 		this.stopping = true;
+		this.requestsInFlight.close();
 		this.loop.execute(this.leaderElector::resign);
 		pause(DRAIN_DURATION);
-		this.requestsInFlight.close();
 		long steps = IN_FLIGHT_TIMEOUT.toMillis() / 50;
 		for (long step = 0; step < steps && this.requestsInFlight.count() > 0; step++) {
 			pause(Duration.ofMillis(50));
 		}
+		closeCallerConnections();
+	}
+
+	private void closeCallerConnections() {
+		if (this.callerServer == null) {
+			return;
+		}
+		try {
+			this.callerServer.stop();
+		}
+		catch (Exception ex) {
+			// The connections are closed when the process exits.
+			EventLog.warn(IngressEvent.CLOSE_FAILED, Field.of("reason", String.valueOf(ex.getMessage())));
+		}
 	}
 
 	private void pause(Duration duration) {
