Log why services are moved, and let an old request to move lapse

Change: host-changed with belief vacated names the number of services and how long fillers waited; a request lapses with the time for which the worker counts as vacated. Before: ServiceConsolidationTests.hostThatWasCutOffWhileItsServicesWereToMoveKeepsThem fails. After: passes.

--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -77,7 +77,7 @@
 		this.endedJobs = new EndedJobs(settings.retention());
 		this.policy = policy;
 		this.probationPlacement = new ProbationPlacement(policy);
-		this.consolidation = new ServiceConsolidation(policy);
+		this.consolidation = new ServiceConsolidation(policy, listener);
 		this.clock = clock;
 		this.listener = listener;
 	}
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -419,7 +419,7 @@
 		if (stalled(host, placement, now)) {
 			reason = "stalled";
 		}
-		else if (placement.moveRequested()) {
+		else if (placement.moveRequested() && host.isVacated(now)) {
 			reason = "moved to free the worker for fillers";
 		}
 		else if (shouldResumeElsewhere(host, placement, now)) {
--- a/src/main/java/org/crocuspost/dispatch/ServiceConsolidation.java
+++ b/src/main/java/org/crocuspost/dispatch/ServiceConsolidation.java
@@ -1,5 +1,6 @@
 package org.crocuspost.dispatch;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -27,14 +28,17 @@
 
 	private final PlacementPolicy policy;
 
+	private final DispatchListener listener;
+
 	private final Set<String> servicesWithWaitingFillers = new HashSet<>();
 
 	private final Map<String, Long> waitingSinceNanos = new HashMap<>();
 
 	private final Map<String, Long> nextAttemptNanos = new HashMap<>();
 
-	ServiceConsolidation(PlacementPolicy policy) {
+	ServiceConsolidation(PlacementPolicy policy, DispatchListener listener) {
 		this.policy = policy;
+		this.listener = listener;
 	}
 
 	/**
@@ -75,6 +79,9 @@
 		for (ServingHost host : serving) {
 			if (canBeVacated(host, serving, nowNanos)) {
 				host.candidate().host().vacate(host.services(), nowNanos);
+				this.listener.hostChanged(host.candidate().host().name(), "vacated",
+						host.services().size() + " services are moved, fillers have waited for "
+								+ Duration.ofNanos(nowNanos - waitingSince).toMillis() + " ms");
 				return;
 			}
 		}
--- a/src/test/java/org/crocuspost/dispatch/ServiceConsolidationTests.java
+++ b/src/test/java/org/crocuspost/dispatch/ServiceConsolidationTests.java
@@ -86,6 +86,20 @@
 		}
 	}
 
+	@Test
+	void hostThatWasCutOffWhileItsServicesWereToMoveKeepsThem() {
+		scatterServices(-1);
+		this.fixture.submit("filler", new StepBuilder().tasks(6).milliCores(3_500).filler("heavy").build());
+		for (int round = 0; round < 10 && !this.fixture.hostAssessments.contains("vacated"); round++) {
+			this.fixture.time.advance(ROUND);
+			this.fixture.runSchedulingRound();
+		}
+		assertThat(this.fixture.hostAssessments).contains("vacated");
+		this.fixture.time.advance(DispatchSettings.MINIMUM_TIME_BETWEEN_MOVES);
+		this.fixture.reportAll();
+		assertThat(workersWithServices()).isEqualTo(3);
+	}
+
 	@Test
 	void servicesStayWhereTheyAreWhileNoFillerWaits() {
 		scatterServices(-1);
