Count no long-running job as late in the load of a queue

Found on the read-through: queue-load said that all services were late, since they never end. QueueLoadTests and the other tests of dispatch pass.

--- a/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
+++ b/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
@@ -44,8 +44,7 @@
 	/**
 	 * Weight of the workers without services in a failure domain when a service takes one
 	 * of them. If all were in one domain, fillers that press hard on services would have
-	 * none while it is out of service. Less than any difference in free capacity that
-	 * matters.
+	 * none while it is out of service.
 	 */
 	private static final double DOMAIN_BALANCE_WEIGHT = 0.5;
 
--- a/src/main/java/org/crocuspost/dispatch/HostState.java
+++ b/src/main/java/org/crocuspost/dispatch/HostState.java
@@ -236,6 +236,10 @@
 		this.vacatedUntilNanos = nowNanos + DispatchSettings.MINIMUM_TIME_BETWEEN_MOVES.toNanos();
 	}
 
+	/**
+	 * Records that a worker of the host has crashed.
+	 * @param nowNanos the current time
+	 */
 	void recordCrash(long nowNanos) {
 		if (nowNanos < this.crashRememberedUntilNanos) {
 			this.unstableUntilNanos = nowNanos + DispatchSettings.CRASH_MEMORY.toNanos();
--- a/src/main/java/org/crocuspost/dispatch/QueueLoad.java
+++ b/src/main/java/org/crocuspost/dispatch/QueueLoad.java
@@ -6,7 +6,8 @@
  * @param queue the name of the queue
  * @param waitingJobs the number of jobs of which no task was ever assigned
  * @param begunJobs the number of jobs of which a task was assigned at some time
- * @param lateJobs the number of begun jobs that have missed their objective
+ * @param lateJobs the number of begun jobs that have missed their objective; 0 for
+ * long-running jobs
  * @param unfinishedTasks the number of tasks of begun jobs that are not done
  * @param assignedTasks the number of tasks that are assigned to a worker
  * @param assignedMilliCores the processor capacity that the assigned tasks request, in
--- a/src/main/java/org/crocuspost/dispatch/QueueLoadSurvey.java
+++ b/src/main/java/org/crocuspost/dispatch/QueueLoadSurvey.java
@@ -30,7 +30,7 @@
 		JobProgress job = tracked.job();
 		this.queuesOfJobs.put(job.id(), queue.name());
 		boolean begun = job.allTasks().stream().anyMatch(TaskProgress::everAssigned);
-		boolean late = begun && tracked.age(this.nowNanos)
+		boolean late = begun && !job.submission().specification().longRunning() && tracked.age(this.nowNanos)
 			.compareTo(WaitingOrder.objective(queue, job.submission().specification())) > 0;
 		add(new QueueLoad(queue.name(), begun ? 0 : 1, begun ? 1 : 0, late ? 1 : 0,
 				begun ? job.unfinishedTaskCount() : 0, 0, 0, 0));
