Bound the cost of an attempt to free a worker

Found on the read-through: an attempt copied the state of all workers with services once for each of them, which grows with the square of the fleet. Now it tries at most eight workers, those with the fewest services. On eleven workers the simulation's test and those of consolidation and placement pass as before.

--- a/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
@@ -172,6 +172,12 @@
 	 */
 	static final int CRASHES_BEFORE_ISOLATION = 2;
 
+	/**
+	 * Maximum number of workers that an attempt tries to free. Each trial looks at all
+	 * workers that run services.
+	 */
+	static final int MAXIMUM_CONSOLIDATION_TRIALS = 8;
+
 	/**
 	 * Time within which a second crash on one host makes the host unstable, and for which
 	 * suspected tasks then start on other hosts, if there are any.
--- a/src/main/java/org/crocuspost/dispatch/ServiceConsolidation.java
+++ b/src/main/java/org/crocuspost/dispatch/ServiceConsolidation.java
@@ -76,8 +76,12 @@
 			}
 		}
 		serving.sort(Comparator.comparingInt((host) -> host.services().size()));
-		for (ServingHost host : serving) {
-			if (canBeVacated(host, serving, nowNanos)) {
+		List<ServingHost> vacatable = serving.stream()
+			.filter((host) -> hasFewMovableServices(host, nowNanos))
+			.limit(DispatchSettings.MAXIMUM_CONSOLIDATION_TRIALS)
+			.toList();
+		for (ServingHost host : vacatable) {
+			if (fitElsewhere(host, serving)) {
 				host.candidate().host().vacate(host.services(), nowNanos);
 				this.listener.hostChanged(host.candidate().host().name(), "vacated",
 						host.services().size() + " services are moved, fillers have waited for "
@@ -87,10 +91,9 @@
 		}
 	}
 
-	private boolean canBeVacated(ServingHost host, List<ServingHost> serving, long nowNanos) {
+	private static boolean hasFewMovableServices(ServingHost host, long nowNanos) {
 		return host.services().size() <= DispatchSettings.MAXIMUM_MOVED_TASKS
-				&& host.services().stream().allMatch((placement) -> movable(placement, nowNanos))
-				&& fitElsewhere(host, serving);
+				&& host.services().stream().allMatch((placement) -> movable(placement, nowNanos));
 	}
 
 	private static boolean movable(Placement placement, long nowNanos) {
