--- a/src/test/java/org/crocuspost/dispatch/MixedLoadSimulation.java
+++ b/src/test/java/org/crocuspost/dispatch/MixedLoadSimulation.java
@@ -51,6 +51,8 @@
 
 	private static final double TAIL_MILLIS = 150;
 
+	private static final double STRAGGLER_FACTOR = 7;
+
 	private static final String SHORT_QUEUE = "short";
 
 	private static final String FILLER_QUEUE = "filler";
@@ -101,7 +103,9 @@
 					heavy ? 15 + 25 * this.random.nextDouble() : 0.5 + 2 * this.random.nextDouble());
 		}
 		for (int number = 0; number < load.fleet().hosts(); number++) {
-			SimulatedHost host = new SimulatedHost("host-" + number, (number % 3 == 2) ? 48_000 : 32_000);
+			int milliCores = load.fleet().workerMilliCores();
+			SimulatedHost host = new SimulatedHost("host-" + number,
+					(number % 3 == 2) ? milliCores * 3 / 2 : milliCores);
 			this.hosts.put(host.name, host);
 		}
 	}
@@ -187,8 +191,11 @@
 
 	private void submitService() {
 		int width = (int) vary(this.load.fleet().serviceTasks(), 0.4, 48);
-		submit(SERVICE_QUEUE, List.of(step(width, vary(6_400, 0.25, 10_000), 13_000, Duration.ZERO, List.of(), false,
-				this.random.nextBoolean() ? 2 : 0, "service", (int) TAIL_MILLIS, false)), 0);
+		double milliCores = this.load.fleet().sizes().serviceMilliCores();
+		submit(SERVICE_QUEUE,
+				List.of(step(width, vary(milliCores, 0.25, milliCores * 25 / 16), milliCores * 65 / 32, Duration.ZERO,
+						List.of(), false, this.random.nextBoolean() ? 2 : 0, "service", (int) TAIL_MILLIS, false)),
+				0);
 	}
 
 	/**
@@ -213,24 +220,31 @@
 		}
 	}
 
+	private static Duration estimate(double seconds) {
+		return Duration.ofMillis((long) (seconds * 1_000));
+	}
+
 	private void submitShort() {
 		List<StepSpecification> steps = new ArrayList<>();
 		double milliCores = vary(this.load.fleet().shortMilliCores(), 0.45, 3_900);
 		int count = (this.random.nextInt(10) < 6) ? 2 : 1;
 		for (int number = 0; number < count; number++) {
 			steps.add(step(1 + this.random.nextInt(this.load.fleet().mostShortTasks()), milliCores, 2_600,
-					Duration.ofMillis(1_100), (number == 0) ? List.of() : List.of(0), false, 0, "", 0, false));
+					estimate(0.965 * this.load.fleet().sizes().shortSeconds()), (number == 0) ? List.of() : List.of(0),
+					false, 0, "", 0, false));
 		}
-		submit(SHORT_QUEUE, steps, 1.14);
+		submit(SHORT_QUEUE, steps, this.load.fleet().sizes().shortSeconds());
 	}
 
 	private void submitFiller() {
 		List<StepSpecification> steps = new ArrayList<>();
-		double milliCores = vary(3_500, 0.3, 7_000);
-		double work = vary(2.43, 0.5, 6);
+		Sizes sizes = this.load.fleet().sizes();
+		double milliCores = vary(sizes.fillerMilliCores(), 0.3, 2 * sizes.fillerMilliCores());
+		double work = vary(sizes.fillerSeconds(), 0.5, sizes.fillerSeconds() * 6 / 2.43);
 		for (int number = 0; number < 2; number++) {
-			steps.add(step(Math.max(1, (int) vary(this.load.fleet().fillerTasks(), 0.6, 110)), milliCores, 6_400,
-					Duration.ofMillis((long) (work * 1_000 * (0.7 + 0.6 * this.random.nextDouble()))),
+			steps.add(step(Math.max(1, (int) vary(this.load.fleet().fillerTasks(), 0.6, 110)), milliCores,
+					sizes.fillerMegabytes(),
+					estimate(work * (1 + sizes.estimateError() * 2 * (this.random.nextDouble() - 0.5))),
 					(number == 0) ? List.of() : List.of(0), this.random.nextInt(100) < 85, 0,
 					"image-" + this.random.nextInt(this.load.fleet().images()), 0, true));
 		}
@@ -277,21 +291,50 @@
 	 * @param fillerWork the mean work of a job of fillers, in core-seconds
 	 * @param images the number of images of fillers
 	 * @param heavyImages the number of images that press hard on services
+	 * @param workerMilliCores the processor capacity of two workers of three; the third
+	 * has half as much again
+	 * @param sizes the sizes of the tasks
 	 */
 	record Fleet(int hosts, int services, int serviceTasks, int shortMilliCores, int mostShortTasks, double shortWork,
-			int fillerTasks, double fillerWork, int images, int heavyImages) {
+			int fillerTasks, double fillerWork, int images, int heavyImages, int workerMilliCores, Sizes sizes) {
+
+		static final Fleet LARGE = new Fleet(80, 16, 24, 1_300, 15, 19, 27, 400, 30, 17, 32_000, Sizes.DEFAULT);
 
-		static final Fleet LARGE = new Fleet(80, 16, 24, 1_300, 15, 19, 27, 400, 30, 17);
+		static final Fleet SMALL = new Fleet(11, 9, 6, 480, 11, 6.6, 8, 136, 9, 5, 32_000, Sizes.DEFAULT);
 
-		static final Fleet SMALL = new Fleet(11, 9, 6, 480, 11, 6.6, 8, 136, 9, 5);
+		static final Fleet FORECAST = new Fleet(50, 17, 14, 260, 19, 5.9, 20, 226, 18, 10, 16_000,
+				new Sizes(3_200, 1.43, 1_800, 3_200, 3.14, 0.2, 0));
+
+		static final Fleet LISTINGS = new Fleet(54, 18, 14, 280, 19, 5.4, 20, 195, 18, 10, 16_000,
+				new Sizes(3_200, 1.21, 1_800, 3_200, 2.71, 0.5, 3));
 
 		Fleet withHeavyImages(int number) {
 			return new Fleet(this.hosts, this.services, this.serviceTasks, this.shortMilliCores, this.mostShortTasks,
-					this.shortWork, this.fillerTasks, this.fillerWork, this.images, number);
+					this.shortWork, this.fillerTasks, this.fillerWork, this.images, number, this.workerMilliCores,
+					this.sizes);
 		}
 
 	}
 
+	/**
+	 * Sizes of tasks.
+	 *
+	 * @param serviceMilliCores the mean processor capacity of a task of a service
+	 * @param shortSeconds the run time of a task of a short job
+	 * @param fillerMilliCores the mean processor capacity of a filler
+	 * @param fillerMegabytes the memory of a filler
+	 * @param fillerSeconds the mean run time of a filler
+	 * @param estimateError the maximum relative error of the estimates of fillers
+	 * @param stragglersPercent the share of tasks that take seven times as long, in
+	 * percent
+	 */
+	record Sizes(int serviceMilliCores, double shortSeconds, int fillerMilliCores, int fillerMegabytes,
+			double fillerSeconds, double estimateError, int stragglersPercent) {
+
+		static final Sizes DEFAULT = new Sizes(6_400, 1.14, 3_500, 6_400, 2.43, 0.3, 0);
+
+	}
+
 	/**
 	 * Size of the load.
 	 *
@@ -307,6 +350,10 @@
 
 		static final Load SMALL = new Load(Fleet.SMALL, 3.12, 1.12, 0.05);
 
+		static final Load FORECAST = new Load(Fleet.FORECAST, 8.26, 1.53, 0.066);
+
+		static final Load LISTINGS = new Load(Fleet.LISTINGS, 7.29, 1.45, 0.062);
+
 		Load scaled(double factor) {
 			return new Load(this.fleet, this.shortPerSecond * factor, this.fillersPerSecond * factor,
 					this.serviceChangesPerSecond);
@@ -408,7 +455,10 @@
 			this.order = order;
 			this.key = TaskNames.key(order.getTask());
 			SubmittedJob job = MixedLoadSimulation.this.jobs.get(this.key.job());
-			this.workSeconds = job.workSeconds * (0.85 + 0.3 * (Math.floorMod(this.key.hashCode(), 100) / 100.0));
+			int percentile = Math.floorMod(this.key.hashCode(), 100);
+			double factor = (percentile < MixedLoadSimulation.this.load.fleet().sizes().stragglersPercent())
+					? STRAGGLER_FACTOR : 0.85 + 0.3 * (percentile / 100.0);
+			this.workSeconds = job.workSeconds * factor;
 			this.doneSeconds = order.getCheckpoint().isEmpty() ? 0 : Double.parseDouble(order.getCheckpoint());
 		}
 
