Count crashes under orders of an earlier connection, and measure run time by the worker's clock

Cause: two orders of events hid a crash from the count of a task. (1) An agent starts the number of handled orders at zero on each connection. If a worker crashed while its host was cut off, the first report on the next connection named the new worker and no handled order, so the leader concluded that the start had never reached the agent. The same happened after a report of a restarted agent. (2) The run time of a run was the difference between the times at which reports arrived. A report held up on its way, or while the leader was suspended, made a run that had been listed twice outlive its probation, which forgets the crashes of the task.

Ruled out: runs in the phase RECORDING (not sent), crashes that a leader had not recorded before its end (the next leader finds the run assigned), starts carried out late by a successor of the same identity (the next crash counts them), late starts after a lapsed lease (the worker refuses).

Change: a start order carries the number of the connection on which it was sent; on another connection it counts as possibly handled. The times of lists are the worker's clock that the report carries as lease stamp. The simulated workers of the tests report a running clock; before, it stood still.

--- a/src/main/java/org/crocuspost/dispatch/CrashAttribution.java
+++ b/src/main/java/org/crocuspost/dispatch/CrashAttribution.java
@@ -45,7 +45,8 @@
 		return host.placements()
 			.values()
 			.stream()
-			.filter((placement) -> placement.current() && placement.mayHaveStarted(report, host.agentIncarnation())
+			.filter((placement) -> placement.current()
+					&& placement.mayHaveStarted(report, host.connections(), host.agentIncarnation())
 					&& !placement.assignedTo(report.getWorker()) && activeJob(placement.task()).isPresent()
 					&& runsOfSuccessor.getOrDefault(placement.task().key(), 0) != placement.run())
 			.toList();
--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -467,7 +467,7 @@
 				cancelUnsentStart(host, placement);
 				continue;
 			}
-			placement.ordered(host.nextOrderNumber(), this.clock.nanoTime());
+			placement.ordered(host.nextOrderNumber(), host.connections(), this.clock.nanoTime());
 			orders.computeIfAbsent(start.host(), (name) -> new ArrayList<>())
 				.add(startOrder(tracked.job(), placement, host));
 		}
--- a/src/main/java/org/crocuspost/dispatch/HostState.java
+++ b/src/main/java/org/crocuspost/dispatch/HostState.java
@@ -26,6 +26,8 @@
 
 	private boolean connected;
 
+	private long connections;
+
 	private boolean workerResponds;
 
 	private boolean leaseStarted;
@@ -337,6 +339,22 @@
 		this.connected = value;
 	}
 
+	/**
+	 * Records that a connection to the agent was opened.
+	 */
+	void countConnection() {
+		this.connections++;
+	}
+
+	/**
+	 * Returns how many connections to the agent were opened, which is the number of the
+	 * present one.
+	 * @return the number of connections
+	 */
+	long connections() {
+		return this.connections;
+	}
+
 	void workerResponds(boolean value) {
 		this.workerResponds = value;
 	}
--- a/src/main/java/org/crocuspost/dispatch/Placement.java
+++ b/src/main/java/org/crocuspost/dispatch/Placement.java
@@ -56,11 +56,13 @@
 
 	private long orderNumber;
 
+	private long orderConnection;
+
 	private long phaseSinceNanos;
 
 	private int progress = -1;
 
-	private long progressNanos;
+	private long progressMillis;
 
 	private @Nullable RunningTask report;
 
@@ -74,9 +76,9 @@
 
 	private boolean listed;
 
-	private long firstListedNanos;
+	private long firstListedMillis;
 
-	private long lastListedNanos;
+	private long lastListedMillis;
 
 	Placement(TaskProgress task, Phase phase, long nowNanos) {
 		this.task = task;
@@ -89,9 +91,16 @@
 		this.placedNanos = nowNanos;
 	}
 
-	void ordered(long number, long nowNanos) {
+	/**
+	 * Records that the start order was sent.
+	 * @param number the number of the order
+	 * @param usedConnection the number of the connection on which it was sent
+	 * @param nowNanos the current time
+	 */
+	void ordered(long number, long usedConnection, long nowNanos) {
 		this.phase = Phase.ORDERED;
 		this.orderNumber = number;
+		this.orderConnection = usedConnection;
 		this.phaseSinceNanos = nowNanos;
 	}
 
@@ -105,21 +114,24 @@
 	}
 
 	/**
-	 * Records that the worker listed the run as running.
+	 * Records that the worker listed the run as running. The times are those of the
+	 * worker's clock, since a report may be held up on its way for any time.
 	 * @param running the entry of the list
-	 * @param listedNanos when the worker returned the list, in nanoseconds of this
-	 * process's clock
+	 * @param listedMillis the worker's clock when it returned the list, in milliseconds
 	 */
-	void listedRunning(RunningTask running, long listedNanos) {
-		if (!this.listed) {
+	void listedRunning(RunningTask running, long listedMillis) {
+		// A lower time is that of the next incarnation, which has started the run itself.
+		if (!this.listed || listedMillis < this.firstListedMillis) {
 			this.listed = true;
-			this.firstListedNanos = listedNanos;
+			this.firstListedMillis = listedMillis;
+			this.lastListedMillis = listedMillis;
+			this.progressMillis = listedMillis;
 		}
-		this.lastListedNanos = Math.max(this.lastListedNanos, listedNanos);
+		this.lastListedMillis = Math.max(this.lastListedMillis, listedMillis);
 		// A run that is deliberately throttled is not considered stalled.
 		if (running.getProgress() != this.progress || running.getPace() < ReportProcessor.STALL_MINIMUM_PACE) {
 			this.progress = running.getProgress();
-			this.progressNanos = listedNanos;
+			this.progressMillis = listedMillis;
 		}
 	}
 
@@ -128,7 +140,7 @@
 	 * @return the time; zero if the worker has not listed the run
 	 */
 	Duration timeWithoutProgress() {
-		return this.listed ? Duration.ofNanos(this.lastListedNanos - this.progressNanos) : Duration.ZERO;
+		return this.listed ? Duration.ofMillis(this.lastListedMillis - this.progressMillis) : Duration.ZERO;
 	}
 
 	/**
@@ -137,7 +149,7 @@
 	 * @return the time; zero if this leader has seen it in one list or in none
 	 */
 	Duration observedRunTime() {
-		return this.listed ? Duration.ofNanos(this.lastListedNanos - this.firstListedNanos) : Duration.ZERO;
+		return this.listed ? Duration.ofMillis(this.lastListedMillis - this.firstListedMillis) : Duration.ZERO;
 	}
 
 	/**
@@ -168,18 +180,21 @@
 	}
 
 	/**
-	 * Returns whether the agent may have passed the start order on to the worker.
+	 * Returns whether the agent may have passed the start order on to the worker. An
+	 * agent reports the orders of one connection only, so an order that was sent on an
+	 * earlier one may have been handled.
 	 * @param report a report of the agent
+	 * @param connection the number of the connection on which the report has arrived
 	 * @param formerAgentIncarnation the incarnation of the agent that sent the previous
 	 * report
 	 * @return false if the order was not sent, not read or refused
 	 */
-	boolean mayHaveStarted(HostReport report, String formerAgentIncarnation) {
+	boolean mayHaveStarted(HostReport report, long connection, String formerAgentIncarnation) {
 		return switch (this.phase) {
 			case RECORDING -> false;
-			case ORDERED ->
-				(report.getHandledOrder() >= this.orderNumber || !report.getLife().equals(formerAgentIncarnation))
-						&& report.getRefusedList().stream().noneMatch((refused) -> refersTo(refused));
+			case ORDERED -> (report.getHandledOrder() >= this.orderNumber || connection != this.orderConnection
+					|| !report.getLife().equals(formerAgentIncarnation))
+					&& report.getRefusedList().stream().noneMatch((refused) -> refersTo(refused));
 			case INHERITED, REPORTED -> true;
 		};
 	}
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -72,7 +72,11 @@
 	 * @param connected whether the connection is open
 	 */
 	public void connected(String name, boolean connected) {
-		this.dispatcher.host(name).connected(connected);
+		HostState host = this.dispatcher.host(name);
+		host.connected(connected);
+		if (connected) {
+			host.countConnection();
+		}
 	}
 
 	/**
@@ -316,7 +320,7 @@
 		Map<String, Double> shares = new HashMap<>();
 		List<RunningTask> reportedRuns = new ArrayList<>(report.getRunningList());
 		reportedRuns.addAll(report.getPendingList());
-		recordListedRuns(host, report, now);
+		recordListedRuns(host, report);
 		for (RunningTask running : reportedRuns) {
 			TaskKey key = TaskNames.key(running.getTask());
 			Placement placement = host.placements().get(key);
@@ -348,12 +352,13 @@
 		}
 	}
 
-	private void recordListedRuns(HostState host, HostReport report, long now) {
-		long listedNanos = now - Duration.ofMillis(report.getListsAgeMillis()).toNanos();
+	private void recordListedRuns(HostState host, HostReport report) {
+		// The lease stamp is the worker's clock when it returned the lists.
+		long listedMillis = report.getLeaseStamp();
 		for (RunningTask running : report.getRunningList()) {
 			Placement placement = host.placements().get(TaskNames.key(running.getTask()));
 			if (placement != null && placement.run() == running.getRun()) {
-				placement.listedRunning(running, listedNanos);
+				placement.listedRunning(running, listedMillis);
 				this.crashAttribution.clearIfOutlived(placement);
 			}
 		}
--- a/src/test/java/org/crocuspost/dispatch/CrashLoopSimulation.java
+++ b/src/test/java/org/crocuspost/dispatch/CrashLoopSimulation.java
@@ -29,6 +29,11 @@
 
 	static final Duration STEP = Duration.ofMillis(50);
 
+	/**
+	 * Time without a report after which the leader closes a connection.
+	 */
+	private static final Duration REPORT_TIMEOUT = Duration.ofMillis(1_600);
+
 	private static final int MILLI_CORES = 16_000;
 
 	final DispatchFixture fixture = new DispatchFixture();
@@ -115,6 +120,20 @@
 		host(number).reachableMillis = now() + duration.toMillis();
 	}
 
+	/**
+	 * Cuts off the reports of the host to which a task is assigned, while the orders of
+	 * the leader still arrive. The leader closes the connection after some time and
+	 * connects again at the end.
+	 * @param task the task
+	 * @param duration the time without reports
+	 */
+	void cutReports(TaskKey task, Duration duration) {
+		String name = this.fixture.job(task.job()).task(task).host();
+		SimulatedHost host = this.hosts.get(name);
+		host.silentSinceMillis = now();
+		host.silentUntilMillis = now() + duration.toMillis();
+	}
+
 	void crash(int number) {
 		SimulatedHost host = host(number);
 		if (host.isUp()) {
@@ -189,6 +208,12 @@
 
 		private long reachableMillis;
 
+		private long silentSinceMillis;
+
+		private long silentUntilMillis;
+
+		private boolean newConnection;
+
 		private int agentIncarnation;
 
 		private int lives;
@@ -221,15 +246,27 @@
 				this.worker.running
 					.replaceAll((task, run) -> run.toBuilder().setProgress((run.getProgress() + 1) % 100).build());
 			}
-			if (now() < this.reachableMillis) {
+			boolean unresponsive = now() < this.silentUntilMillis
+					&& now() - this.silentSinceMillis > REPORT_TIMEOUT.toMillis();
+			if (now() < this.reachableMillis || unresponsive) {
 				CrashLoopSimulation.this.fixture.reports.connected(this.worker.host, false);
+				this.newConnection = true;
 				return;
 			}
+			if (now() < this.silentUntilMillis) {
+				return;
+			}
+			if (this.newConnection) {
+				CrashLoopSimulation.this.fixture.reports.connected(this.worker.host, true);
+			}
 			CrashLoopSimulation.this.fixture.reports.reported(report(), true).stops().forEach((stop) -> {
 				if (isUp()) {
 					this.worker.stop(stop);
 				}
 			});
+			// From the answer to its first report on a connection, the agent knows which
+			// orders were sent.
+			this.newConnection = false;
 		}
 
 		private HostReport report() {
@@ -240,7 +277,7 @@
 			return this.lastLists.get()
 				.toBuilder()
 				.setLife("agent-" + this.worker.host + "-" + this.agentIncarnation)
-				.setHandledOrder(this.worker.handledOrder)
+				.setHandledOrder(this.newConnection ? 0 : this.worker.handledOrder)
 				.setWorkerAnswers(isUp())
 				.setListsAgeMillis(now() - this.listsMillis)
 				.build();
--- a/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
@@ -294,6 +294,8 @@
 
 		long handledOrder;
 
+		private final long createdMillis = DispatchFixture.this.time.millis();
+
 		private long endCount;
 
 		SimulatedWorker(String host, int milliCores) {
@@ -359,11 +361,27 @@
 			this.description = this.description.toBuilder().setBorn(this.description.getBorn() + 1).build();
 		}
 
+		private long workerClockMillis() {
+			return 1_000 + DispatchFixture.this.time.millis() - this.createdMillis;
+		}
+
+		/**
+		 * Returns a report of an agent that has read the worker's lists some time ago.
+		 * @param listsAge the age of the lists
+		 * @return the report
+		 */
+		HostReport reportWithLists(Duration listsAge) {
+			return report().toBuilder()
+				.setListsAgeMillis(listsAge.toMillis())
+				.setLeaseStamp(Math.max(1, workerClockMillis() - listsAge.toMillis()))
+				.build();
+		}
+
 		HostReport report() {
 			return HostReport.newBuilder()
 				.setHost(this.host)
 				.setLife("life")
-				.setLeaseStamp(1)
+				.setLeaseStamp(workerClockMillis())
 				.setWorker(this.description)
 				.setWorkerAnswers(true)
 				.setHandledOrder(this.handledOrder)
--- a/src/test/java/org/crocuspost/dispatch/LostRunTests.java
+++ b/src/test/java/org/crocuspost/dispatch/LostRunTests.java
@@ -191,10 +191,9 @@
 		this.fixture.report(worker);
 		for (int seconds = 1; seconds < 6; seconds++) {
 			this.fixture.time.advance(Duration.ofSeconds(1));
-			HostReport silent = worker.report()
+			HostReport silent = worker.reportWithLists(Duration.ofSeconds(seconds))
 				.toBuilder()
 				.setWorkerAnswers(false)
-				.setListsAgeMillis(seconds * 1_000)
 				.build();
 			assertThat(this.fixture.reports.reported(silent, true).stops()).isEmpty();
 		}
@@ -215,11 +214,11 @@
 		this.fixture.reports.reported(pending, true);
 		this.fixture.time.advance(ReportProcessor.STALL_TIMEOUT.plusSeconds(1));
 		assertThat(this.fixture.reports.reported(pending, true).stops()).isEmpty();
-		this.fixture.reports.reported(listed, true);
+		this.fixture.reports.reported(worker.report(), true);
 		this.fixture.time.advance(ReportProcessor.STALL_TIMEOUT.minusMillis(100));
-		assertThat(this.fixture.reports.reported(listed, true).stops()).isEmpty();
+		assertThat(this.fixture.reports.reported(worker.report(), true).stops()).isEmpty();
 		this.fixture.time.advance(Duration.ofMillis(100));
-		assertThat(this.fixture.reports.reported(listed, true).stops()).hasSize(1);
+		assertThat(this.fixture.reports.reported(worker.report(), true).stops()).hasSize(1);
 	}
 
 	@Test
--- a/src/test/java/org/crocuspost/dispatch/MixedLoadSimulation.java
+++ b/src/test/java/org/crocuspost/dispatch/MixedLoadSimulation.java
@@ -612,7 +612,7 @@
 			HostReport.Builder report = HostReport.newBuilder()
 				.setHost(this.name)
 				.setLife("life")
-				.setLeaseStamp(1)
+				.setLeaseStamp(Math.max(1, MixedLoadSimulation.this.time.nanoTime() / 1_000_000))
 				.setWorkerAnswers(true)
 				.setHandledOrder(this.handledOrder)
 				.setWorker(WorkerDescription.newBuilder()
--- a/src/test/java/org/crocuspost/dispatch/TaskThatCrashesWorkersTests.java
+++ b/src/test/java/org/crocuspost/dispatch/TaskThatCrashesWorkersTests.java
@@ -124,6 +124,27 @@
 		assertInnocentsDone(simulation, 5);
 	}
 
+	/**
+	 * Guards against crashes that are not counted because the first report on a new
+	 * connection does not show which orders were handled on the former one.
+	 */
+	@Test
+	void crashesCountWhileReportsAreCutOff() {
+		CrashLoopSimulation simulation = simulation(1);
+		submitInnocents(simulation, 0, 5);
+		simulation.submitDeadly(DEADLY, DispatchFixture.step(1, 500), 0);
+		int crashes = 0;
+		for (int step = 0; step < 1_200; step++) {
+			simulation.step();
+			if (simulation.crashes() > crashes) {
+				crashes = simulation.crashes();
+				simulation.cutReports(new TaskKey(DEADLY, 0, 0, 0), Duration.ofMillis(4_500));
+			}
+		}
+		assertGivenUp(simulation);
+		assertInnocentsDone(simulation, 5);
+	}
+
 	/**
 	 * The runs of a worker that is down for longer than its lease are given up before its
 	 * successor shows that it has crashed.
--- a/src/test/java/org/crocuspost/dispatch/WorkerCrashTests.java
+++ b/src/test/java/org/crocuspost/dispatch/WorkerCrashTests.java
@@ -5,6 +5,7 @@
 
 import org.crocuspost.dispatch.DispatchFixture.SimulatedWorker;
 import org.crocuspost.job.TaskKey;
+import org.crocuspost.wire.HostReport;
 import org.crocuspost.wire.RefusedStart;
 import org.junit.jupiter.api.Test;
 
@@ -58,13 +59,63 @@
 		this.fixture.report(worker);
 		this.fixture.time.advance(Duration.ofSeconds(2));
 		this.fixture.reports
-			.reported(worker.report().toBuilder().setWorkerAnswers(false).setListsAgeMillis(2_000).build(), true);
+			.reported(worker.reportWithLists(Duration.ofSeconds(2)).toBuilder().setWorkerAnswers(false).build(), true);
 		crash(worker);
 		assertThat(this.fixture.crashes).singleElement()
 			.extracting(WorkerCrash::recentStarts)
 			.isEqualTo(List.of(new TaskKey(STARTED_LAST, 0, 0, 0)));
 	}
 
+	/**
+	 * A report that is held up on its way, for example while the leader is suspended,
+	 * says nothing about the time after it was composed.
+	 */
+	@Test
+	void delayOfReportDoesNotShowThatRunGoesOn() {
+		SimulatedWorker worker = startOneTaskAfterTheOther();
+		this.fixture.report(worker);
+		this.fixture.time.advance(Duration.ofMillis(50));
+		HostReport delayed = worker.report();
+		this.fixture.time.advance(Duration.ofSeconds(2));
+		this.fixture.reports.reported(delayed, true);
+		crash(worker);
+		assertThat(this.fixture.crashes).singleElement()
+			.extracting(WorkerCrash::recentStarts)
+			.isEqualTo(List.of(new TaskKey(STARTED_LAST, 0, 0, 0)));
+	}
+
+	/**
+	 * Guards against a crash that is not counted because a report of the next agent,
+	 * which knows nothing of the order, has arrived before it.
+	 */
+	@Test
+	void countsStartThatWasOrderedThroughFormerAgent() {
+		SimulatedWorker worker = startOneTaskAfterTheOther();
+		TaskKey started = new TaskKey(STARTED_LAST, 0, 0, 0);
+		worker.running.remove(started);
+		this.fixture.reports.connected("host", false);
+		this.fixture.reports.connected("host", true);
+		this.fixture.reports.reported(worker.report().toBuilder().setLife("next").setHandledOrder(0).build(), true);
+		worker.restart();
+		this.fixture.reports.reported(worker.report().toBuilder().setLife("next").setHandledOrder(0).build(), true);
+		assertThat(this.fixture.crashes).singleElement()
+			.extracting(WorkerCrash::recentStarts)
+			.isEqualTo(List.of(started));
+	}
+
+	/**
+	 * An order that is still on its way on the present connection was not handled.
+	 */
+	@Test
+	void doesNotCountStartThatHasNotReachedAgent() {
+		SimulatedWorker worker = startOneTaskAfterTheOther();
+		worker.running.remove(new TaskKey(STARTED_LAST, 0, 0, 0));
+		worker.restart();
+		this.fixture.reports.reported(worker.report().toBuilder().setHandledOrder(1).build(), true);
+		assertThat(this.fixture.crashes).singleElement()
+			.satisfies((crash) -> assertThat(crash.recentStarts()).isEmpty());
+	}
+
 	@Test
 	void doesNotCountRefusedStart() {
 		SimulatedWorker worker = startOneTaskAfterTheOther();
