Start nothing on a host before it reports on its connection and while its lease has lapsed

Cause: a host became available as soon as a connection to it was opened, by what its former reports said of the worker. A connection can be opened to an agent that is suspended, cut off in one direction or behind a proxy while it is down. If its lease had lapsed, each task that was assigned to it was lost at the next check of the leases, 100 ms later, and counted as under a crash; three such counts within 300 ms ended a job that was not to blame.

Change: opening or closing a connection makes the worker unavailable until the next report. Nothing is assigned or ordered while the lease of a host has lapsed, for example by a leader that was suspended and checks leases before it reads the reports that have arrived meanwhile.

Two tests of DispatcherTests expected a start on a worker that had not reported for 7 s and 21 s. Its agent now reports before each check; the expectations are unchanged.

--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -243,7 +243,8 @@
 	}
 
 	boolean schedulable(HostState host) {
-		return host.available() && !host.quarantined(this.clock.nanoTime())
+		long now = this.clock.nanoTime();
+		return host.available() && !host.quarantined(now) && !host.leaseLapsed(this.settings.leaseTimeout(), now)
 				&& !this.evacuated.contains(host.worker().getFailureDomain());
 	}
 
@@ -462,6 +463,7 @@
 				continue;
 			}
 			if (!mayStart || tracked.job().state().terminal() || !host.available()
+					|| host.leaseLapsed(this.settings.leaseTimeout(), this.clock.nanoTime())
 					|| placement.task().workerStartMillis() != host.worker().getBorn() || host.overCapacity()
 					|| this.evacuated.contains(host.worker().getFailureDomain())) {
 				cancelUnsentStart(host, placement);
--- a/src/main/java/org/crocuspost/dispatch/HostState.java
+++ b/src/main/java/org/crocuspost/dispatch/HostState.java
@@ -136,8 +136,9 @@
 	}
 
 	/**
-	 * Returns whether the worker can get new tasks at all: its agent is connected, and
-	 * the worker is known, responds, does not drain and has not left.
+	 * Returns whether the worker can get new tasks at all: its agent is connected and has
+	 * reported on this connection, and the worker is known, responds, does not drain and
+	 * has not left.
 	 * @return true if it can
 	 */
 	boolean available() {
@@ -363,6 +364,17 @@
 		return this.leaseStarted;
 	}
 
+	/**
+	 * Returns whether the lease of the worker may have lapsed since the last extension.
+	 * Whatever is started then is lost at the next check of the leases.
+	 * @param timeout the time after which a lease has lapsed
+	 * @param nowNanos the current time
+	 * @return true if nothing may start before the next report
+	 */
+	boolean leaseLapsed(Duration timeout, long nowNanos) {
+		return this.leaseStarted && nowNanos - this.lastExtensionNanos > timeout.toNanos();
+	}
+
 	long lastExtensionNanos() {
 		return this.lastExtensionNanos;
 	}
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -74,6 +74,9 @@
 	public void connected(String name, boolean connected) {
 		HostState host = this.dispatcher.host(name);
 		host.connected(connected);
+		// A connection can be opened to an agent that is suspended or cannot be heard, so
+		// what former reports said of the worker no longer counts.
+		host.workerResponds(false);
 		if (connected) {
 			host.countConnection();
 		}
--- a/src/test/java/org/crocuspost/dispatch/CrashLoopSimulation.java
+++ b/src/test/java/org/crocuspost/dispatch/CrashLoopSimulation.java
@@ -121,16 +121,27 @@
 	}
 
 	/**
-	 * Cuts off the reports of the host to which a task is assigned, while the orders of
-	 * the leader still arrive. The leader closes the connection after some time and
-	 * connects again at the end.
+	 * Cuts off the reports of the host to which a task is assigned.
 	 * @param task the task
 	 * @param duration the time without reports
 	 */
-	void cutReports(TaskKey task, Duration duration) {
-		String name = this.fixture.job(task.job()).task(task).host();
-		SimulatedHost host = this.hosts.get(name);
-		host.silentSinceMillis = now();
+	void cutReportsOfHost(TaskKey task, Duration duration) {
+		cutReports(this.hosts.get(this.fixture.job(task.job()).task(task).host()), duration);
+	}
+
+	/**
+	 * Cuts off the reports of a host, while the orders of the leader still arrive. The
+	 * leader closes each connection without reports after some time, and can connect
+	 * again at once.
+	 * @param number the number of the host
+	 * @param duration the time without reports
+	 */
+	void cutReports(int number, Duration duration) {
+		cutReports(host(number), duration);
+	}
+
+	private void cutReports(SimulatedHost host, Duration duration) {
+		host.connectedMillis = now();
 		host.silentUntilMillis = now() + duration.toMillis();
 	}
 
@@ -208,7 +219,7 @@
 
 		private long reachableMillis;
 
-		private long silentSinceMillis;
+		private long connectedMillis;
 
 		private long silentUntilMillis;
 
@@ -246,14 +257,13 @@
 				this.worker.running
 					.replaceAll((task, run) -> run.toBuilder().setProgress((run.getProgress() + 1) % 100).build());
 			}
-			boolean unresponsive = now() < this.silentUntilMillis
-					&& now() - this.silentSinceMillis > REPORT_TIMEOUT.toMillis();
-			if (now() < this.reachableMillis || unresponsive) {
+			if (now() < this.reachableMillis) {
 				CrashLoopSimulation.this.fixture.reports.connected(this.worker.host, false);
 				this.newConnection = true;
 				return;
 			}
 			if (now() < this.silentUntilMillis) {
+				reconnectIfUnresponsive();
 				return;
 			}
 			if (this.newConnection) {
@@ -269,6 +279,15 @@
 			this.newConnection = false;
 		}
 
+		private void reconnectIfUnresponsive() {
+			if (now() - this.connectedMillis > REPORT_TIMEOUT.toMillis()) {
+				this.connectedMillis = now();
+				this.newConnection = true;
+				CrashLoopSimulation.this.fixture.reports.connected(this.worker.host, false);
+				CrashLoopSimulation.this.fixture.reports.connected(this.worker.host, true);
+			}
+		}
+
 		private HostReport report() {
 			if (isUp() || this.lastLists.isEmpty()) {
 				this.lastLists = Optional.of(this.worker.report());
--- a/src/test/java/org/crocuspost/dispatch/DispatcherTests.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatcherTests.java
@@ -111,10 +111,12 @@
 		long takeover = this.fixture.time.nanoTime();
 		SimulatedWorker other = this.fixture.worker("two", 1_000);
 		this.fixture.time.advance(Duration.ofSeconds(19));
+		this.fixture.report(other);
 		this.fixture.reports.expireLeases(Duration.ofSeconds(20), takeover);
 		this.fixture.runSchedulingRound();
 		assertThat(other.executedOrders).isEmpty();
 		this.fixture.time.advance(Duration.ofSeconds(2));
+		this.fixture.report(other);
 		this.fixture.reports.expireLeases(Duration.ofSeconds(20), takeover);
 		this.fixture.runSchedulingRound();
 		assertThat(other.executedOrders).hasSize(1);
@@ -130,10 +132,12 @@
 		this.fixture.reports.connected("one", false);
 		SimulatedWorker second = this.fixture.worker("two", 1_000);
 		this.fixture.time.advance(Duration.ofSeconds(6));
+		this.fixture.report(second);
 		this.fixture.reports.expireLeases(Duration.ofSeconds(20), 0);
 		this.fixture.runSchedulingRound();
 		assertThat(second.executedOrders).isEmpty();
 		this.fixture.time.advance(Duration.ofSeconds(1));
+		this.fixture.report(second);
 		this.fixture.reports.expireLeases(Duration.ofSeconds(20), 0);
 		this.fixture.runSchedulingRound();
 		assertThat(second.executedOrders).extracting(StartOrder::getRun).containsExactly(2);
--- a/src/test/java/org/crocuspost/dispatch/TaskThatCrashesWorkersTests.java
+++ b/src/test/java/org/crocuspost/dispatch/TaskThatCrashesWorkersTests.java
@@ -138,7 +138,7 @@
 			simulation.step();
 			if (simulation.crashes() > crashes) {
 				crashes = simulation.crashes();
-				simulation.cutReports(new TaskKey(DEADLY, 0, 0, 0), Duration.ofMillis(4_500));
+				simulation.cutReportsOfHost(new TaskKey(DEADLY, 0, 0, 0), Duration.ofMillis(4_500));
 			}
 		}
 		assertGivenUp(simulation);
@@ -233,6 +233,27 @@
 		assertThat(simulation.starts(new TaskKey(innocent(0), 0, 0, 0))).isGreaterThanOrEqualTo(3);
 	}
 
+	/**
+	 * Guards against tasks that are assigned again and again to a host that accepts
+	 * connections but sends no reports: each assignment was given up at once, since the
+	 * lease had lapsed, and counted as a crash.
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4 })
+	void noTaskIsGivenUpWhereConnectionsCarryNoReports(long seed) {
+		CrashLoopSimulation simulation = new CrashLoopSimulation(seed, 3, DOWN_TIME, true);
+		for (int second = 0; second < 20; second++) {
+			submitInnocents(simulation, second * 3, 3);
+			if (second % 10 == 2) {
+				simulation.cutReports(second / 10, Duration.ofSeconds(12));
+				simulation.crash(second / 10);
+			}
+			simulation.run(Duration.ofSeconds(1));
+		}
+		simulation.run(Duration.ofSeconds(30));
+		assertInnocentsDone(simulation, 60);
+	}
+
 	/**
 	 * Several deadly jobs, crashes of other causes, cuts, and changes of leaders and
 	 * agents overlap.
--- a/src/test/java/org/crocuspost/dispatch/WorkerCrashTests.java
+++ b/src/test/java/org/crocuspost/dispatch/WorkerCrashTests.java
@@ -116,6 +116,60 @@
 			.satisfies((crash) -> assertThat(crash.recentStarts()).isEmpty());
 	}
 
+	/**
+	 * A connection can be opened to an agent that is suspended or cannot be heard.
+	 */
+	@Test
+	void nothingStartsOnNewConnectionBeforeItsFirstReport() {
+		SimulatedWorker worker = this.fixture.worker("host", 4_000);
+		this.fixture.reports.connected("host", false);
+		this.fixture.reports.connected("host", true);
+		this.fixture.submit(LONG_RUNNING, DispatchFixture.step(1, 1_000));
+		this.fixture.runSchedulingRound();
+		assertThat(worker.executedOrders).isEmpty();
+		this.fixture.report(worker);
+		this.fixture.runSchedulingRound();
+		assertThat(worker.executedOrders).hasSize(1);
+	}
+
+	/**
+	 * After the leader was suspended, it checks the leases before it reads the reports
+	 * that have arrived meanwhile. A task that was assigned then was lost at the next
+	 * check, and the crash that this counts for a worker had not happened.
+	 */
+	@Test
+	void nothingStartsOnceLeaseHasLapsed() {
+		SimulatedWorker worker = this.fixture.worker("host", 4_000);
+		this.fixture.time.advance(DispatchFixture.SETTINGS.leaseTimeout().plusMillis(1));
+		this.fixture.submit(LONG_RUNNING, DispatchFixture.step(1, 1_000));
+		this.fixture.runSchedulingRound();
+		this.fixture.reports.expireLeases(Duration.ofSeconds(18), 0);
+		assertThat(this.fixture.task(LONG_RUNNING, 0, 0).crashes()).isZero();
+		assertThat(worker.executedOrders).isEmpty();
+		this.fixture.report(worker);
+		this.fixture.runSchedulingRound();
+		assertThat(worker.executedOrders).hasSize(1);
+	}
+
+	/**
+	 * The lease can lapse while the assignment is being recorded, for as long as the
+	 * store does not respond.
+	 */
+	@Test
+	void startThatIsRecordedAfterLeaseHasLapsedIsNotOrdered() {
+		SimulatedWorker worker = this.fixture.worker("host", 4_000);
+		this.fixture.submit(LONG_RUNNING, DispatchFixture.step(1, 1_000));
+		this.fixture.dispatcher.schedule();
+		DispatchBatch batch = this.fixture.dispatcher.takeBatch(100);
+		this.fixture.time.advance(DispatchFixture.SETTINGS.leaseTimeout().plusMillis(1));
+		assertThat(this.fixture.dispatcher.recorded(batch, true)).isEmpty();
+		this.fixture.reports.expireLeases(Duration.ofSeconds(18), 0);
+		assertThat(this.fixture.task(LONG_RUNNING, 0, 0).crashes()).isZero();
+		this.fixture.report(worker);
+		this.fixture.runSchedulingRound();
+		assertThat(worker.executedOrders).hasSize(1);
+	}
+
 	@Test
 	void doesNotCountRefusedStart() {
 		SimulatedWorker worker = startOneTaskAfterTheOther();
