--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -243,7 +243,8 @@
 	}
 
 	boolean schedulable(HostState host) {
-		return host.available() && !host.quarantined(this.clock.nanoTime())
+		long now = this.clock.nanoTime();
+		return host.available() && !host.quarantined(now) && !host.leaseLapsed(this.settings.leaseTimeout(), now)
 				&& !this.evacuated.contains(host.worker().getFailureDomain());
 	}
 
@@ -462,12 +463,13 @@
 				continue;
 			}
 			if (!mayStart || tracked.job().state().terminal() || !host.available()
+					|| host.leaseLapsed(this.settings.leaseTimeout(), this.clock.nanoTime())
 					|| placement.task().workerStartMillis() != host.worker().getBorn() || host.overCapacity()
 					|| this.evacuated.contains(host.worker().getFailureDomain())) {
 				cancelUnsentStart(host, placement);
 				continue;
 			}
-			placement.ordered(host.nextOrderNumber(), this.clock.nanoTime());
+			placement.ordered(host.nextOrderNumber(), host.connections(), this.clock.nanoTime());
 			orders.computeIfAbsent(start.host(), (name) -> new ArrayList<>())
 				.add(startOrder(tracked.job(), placement, host));
 		}
--- a/src/main/java/org/crocuspost/dispatch/HostState.java
+++ b/src/main/java/org/crocuspost/dispatch/HostState.java
@@ -26,6 +26,8 @@
 
 	private boolean connected;
 
+	private long connections;
+
 	private boolean workerResponds;
 
 	private boolean leaseStarted;
@@ -134,8 +136,9 @@
 	}
 
 	/**
-	 * Returns whether the worker can get new tasks at all: its agent is connected, and
-	 * the worker is known, responds, does not drain and has not left.
+	 * Returns whether the worker can get new tasks at all: its agent is connected and has
+	 * reported on this connection, and the worker is known, responds, does not drain and
+	 * has not left.
 	 * @return true if it can
 	 */
 	boolean available() {
@@ -337,6 +340,22 @@
 		this.connected = value;
 	}
 
+	/**
+	 * Records that a connection to the agent was opened.
+	 */
+	void countConnection() {
+		this.connections++;
+	}
+
+	/**
+	 * Returns how many connections to the agent were opened, which is the number of the
+	 * present one.
+	 * @return the number of connections
+	 */
+	long connections() {
+		return this.connections;
+	}
+
 	void workerResponds(boolean value) {
 		this.workerResponds = value;
 	}
@@ -345,6 +364,17 @@
 		return this.leaseStarted;
 	}
 
+	/**
+	 * Returns whether the lease of the worker may have lapsed since the last extension.
+	 * Whatever is started then is lost at the next check of the leases.
+	 * @param timeout the time after which a lease has lapsed
+	 * @param nowNanos the current time
+	 * @return true if nothing may start before the next report
+	 */
+	boolean leaseLapsed(Duration timeout, long nowNanos) {
+		return this.leaseStarted && nowNanos - this.lastExtensionNanos > timeout.toNanos();
+	}
+
 	long lastExtensionNanos() {
 		return this.lastExtensionNanos;
 	}
--- a/src/test/java/org/crocuspost/dispatch/CrashLoopSimulation.java
+++ b/src/test/java/org/crocuspost/dispatch/CrashLoopSimulation.java
@@ -29,6 +29,11 @@
 
 	static final Duration STEP = Duration.ofMillis(50);
 
+	/**
+	 * Time without a report after which the leader closes a connection.
+	 */
+	private static final Duration REPORT_TIMEOUT = Duration.ofMillis(1_600);
+
 	private static final int MILLI_CORES = 16_000;
 
 	final DispatchFixture fixture = new DispatchFixture();
@@ -115,6 +120,31 @@
 		host(number).reachableMillis = now() + duration.toMillis();
 	}
 
+	/**
+	 * Cuts off the reports of the host to which a task is assigned.
+	 * @param task the task
+	 * @param duration the time without reports
+	 */
+	void cutReportsOfHost(TaskKey task, Duration duration) {
+		cutReports(this.hosts.get(this.fixture.job(task.job()).task(task).host()), duration);
+	}
+
+	/**
+	 * Cuts off the reports of a host, while the orders of the leader still arrive. The
+	 * leader closes each connection without reports after some time, and can connect
+	 * again at once.
+	 * @param number the number of the host
+	 * @param duration the time without reports
+	 */
+	void cutReports(int number, Duration duration) {
+		cutReports(host(number), duration);
+	}
+
+	private void cutReports(SimulatedHost host, Duration duration) {
+		host.connectedMillis = now();
+		host.silentUntilMillis = now() + duration.toMillis();
+	}
+
 	void crash(int number) {
 		SimulatedHost host = host(number);
 		if (host.isUp()) {
@@ -189,6 +219,12 @@
 
 		private long reachableMillis;
 
+		private long connectedMillis;
+
+		private long silentUntilMillis;
+
+		private boolean newConnection;
+
 		private int agentIncarnation;
 
 		private int lives;
@@ -223,13 +259,33 @@
 			}
 			if (now() < this.reachableMillis) {
 				CrashLoopSimulation.this.fixture.reports.connected(this.worker.host, false);
+				this.newConnection = true;
+				return;
+			}
+			if (now() < this.silentUntilMillis) {
+				reconnectIfUnresponsive();
 				return;
 			}
+			if (this.newConnection) {
+				CrashLoopSimulation.this.fixture.reports.connected(this.worker.host, true);
+			}
 			CrashLoopSimulation.this.fixture.reports.reported(report(), true).stops().forEach((stop) -> {
 				if (isUp()) {
 					this.worker.stop(stop);
 				}
 			});
+			// From the answer to its first report on a connection, the agent knows which
+			// orders were sent.
+			this.newConnection = false;
+		}
+
+		private void reconnectIfUnresponsive() {
+			if (now() - this.connectedMillis > REPORT_TIMEOUT.toMillis()) {
+				this.connectedMillis = now();
+				this.newConnection = true;
+				CrashLoopSimulation.this.fixture.reports.connected(this.worker.host, false);
+				CrashLoopSimulation.this.fixture.reports.connected(this.worker.host, true);
+			}
 		}
 
 		private HostReport report() {
@@ -240,7 +296,7 @@
 			return this.lastLists.get()
 				.toBuilder()
 				.setLife("agent-" + this.worker.host + "-" + this.agentIncarnation)
-				.setHandledOrder(this.worker.handledOrder)
+				.setHandledOrder(this.newConnection ? 0 : this.worker.handledOrder)
 				.setWorkerAnswers(isUp())
 				.setListsAgeMillis(now() - this.listsMillis)
 				.build();
--- a/src/test/java/org/crocuspost/dispatch/TaskThatCrashesWorkersTests.java
+++ b/src/test/java/org/crocuspost/dispatch/TaskThatCrashesWorkersTests.java
@@ -124,6 +124,27 @@
 		assertInnocentsDone(simulation, 5);
 	}
 
+	/**
+	 * Guards against crashes that are not counted because the first report on a new
+	 * connection does not show which orders were handled on the former one.
+	 */
+	@Test
+	void crashesCountWhileReportsAreCutOff() {
+		CrashLoopSimulation simulation = simulation(1);
+		submitInnocents(simulation, 0, 5);
+		simulation.submitDeadly(DEADLY, DispatchFixture.step(1, 500), 0);
+		int crashes = 0;
+		for (int step = 0; step < 1_200; step++) {
+			simulation.step();
+			if (simulation.crashes() > crashes) {
+				crashes = simulation.crashes();
+				simulation.cutReportsOfHost(new TaskKey(DEADLY, 0, 0, 0), Duration.ofMillis(4_500));
+			}
+		}
+		assertGivenUp(simulation);
+		assertInnocentsDone(simulation, 5);
+	}
+
 	/**
 	 * The runs of a worker that is down for longer than its lease are given up before its
 	 * successor shows that it has crashed.
@@ -212,6 +233,27 @@
 		assertThat(simulation.starts(new TaskKey(innocent(0), 0, 0, 0))).isGreaterThanOrEqualTo(3);
 	}
 
+	/**
+	 * Guards against tasks that are assigned again and again to a host that accepts
+	 * connections but sends no reports: each assignment was given up at once, since the
+	 * lease had lapsed, and counted as a crash.
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4 })
+	void noTaskIsGivenUpWhereConnectionsCarryNoReports(long seed) {
+		CrashLoopSimulation simulation = new CrashLoopSimulation(seed, 3, DOWN_TIME, true);
+		for (int second = 0; second < 20; second++) {
+			submitInnocents(simulation, second * 3, 3);
+			if (second % 10 == 2) {
+				simulation.cutReports(second / 10, Duration.ofSeconds(12));
+				simulation.crash(second / 10);
+			}
+			simulation.run(Duration.ofSeconds(1));
+		}
+		simulation.run(Duration.ofSeconds(30));
+		assertInnocentsDone(simulation, 60);
+	}
+
 	/**
 	 * Several deadly jobs, crashes of other causes, cuts, and changes of leaders and
 	 * agents overlap.
--- a/src/test/java/org/crocuspost/dispatch/WorkerCrashTests.java
+++ b/src/test/java/org/crocuspost/dispatch/WorkerCrashTests.java
@@ -5,6 +5,7 @@
 
 import org.crocuspost.dispatch.DispatchFixture.SimulatedWorker;
 import org.crocuspost.job.TaskKey;
+import org.crocuspost.wire.HostReport;
 import org.crocuspost.wire.RefusedStart;
 import org.junit.jupiter.api.Test;
 
@@ -58,13 +59,117 @@
 		this.fixture.report(worker);
 		this.fixture.time.advance(Duration.ofSeconds(2));
 		this.fixture.reports
-			.reported(worker.report().toBuilder().setWorkerAnswers(false).setListsAgeMillis(2_000).build(), true);
+			.reported(worker.reportWithLists(Duration.ofSeconds(2)).toBuilder().setWorkerAnswers(false).build(), true);
 		crash(worker);
 		assertThat(this.fixture.crashes).singleElement()
 			.extracting(WorkerCrash::recentStarts)
 			.isEqualTo(List.of(new TaskKey(STARTED_LAST, 0, 0, 0)));
 	}
 
+	/**
+	 * A report that is held up on its way, for example while the leader is suspended,
+	 * says nothing about the time after it was composed.
+	 */
+	@Test
+	void delayOfReportDoesNotShowThatRunGoesOn() {
+		SimulatedWorker worker = startOneTaskAfterTheOther();
+		this.fixture.report(worker);
+		this.fixture.time.advance(Duration.ofMillis(50));
+		HostReport delayed = worker.report();
+		this.fixture.time.advance(Duration.ofSeconds(2));
+		this.fixture.reports.reported(delayed, true);
+		crash(worker);
+		assertThat(this.fixture.crashes).singleElement()
+			.extracting(WorkerCrash::recentStarts)
+			.isEqualTo(List.of(new TaskKey(STARTED_LAST, 0, 0, 0)));
+	}
+
+	/**
+	 * Guards against a crash that is not counted because a report of the next agent,
+	 * which knows nothing of the order, has arrived before it.
+	 */
+	@Test
+	void countsStartThatWasOrderedThroughFormerAgent() {
+		SimulatedWorker worker = startOneTaskAfterTheOther();
+		TaskKey started = new TaskKey(STARTED_LAST, 0, 0, 0);
+		worker.running.remove(started);
+		this.fixture.reports.connected("host", false);
+		this.fixture.reports.connected("host", true);
+		this.fixture.reports.reported(worker.report().toBuilder().setLife("next").setHandledOrder(0).build(), true);
+		worker.restart();
+		this.fixture.reports.reported(worker.report().toBuilder().setLife("next").setHandledOrder(0).build(), true);
+		assertThat(this.fixture.crashes).singleElement()
+			.extracting(WorkerCrash::recentStarts)
+			.isEqualTo(List.of(started));
+	}
+
+	/**
+	 * An order that is still on its way on the present connection was not handled.
+	 */
+	@Test
+	void doesNotCountStartThatHasNotReachedAgent() {
+		SimulatedWorker worker = startOneTaskAfterTheOther();
+		worker.running.remove(new TaskKey(STARTED_LAST, 0, 0, 0));
+		worker.restart();
+		this.fixture.reports.reported(worker.report().toBuilder().setHandledOrder(1).build(), true);
+		assertThat(this.fixture.crashes).singleElement()
+			.satisfies((crash) -> assertThat(crash.recentStarts()).isEmpty());
+	}
+
+	/**
+	 * A connection can be opened to an agent that is suspended or cannot be heard.
+	 */
+	@Test
+	void nothingStartsOnNewConnectionBeforeItsFirstReport() {
+		SimulatedWorker worker = this.fixture.worker("host", 4_000);
+		this.fixture.reports.connected("host", false);
+		this.fixture.reports.connected("host", true);
+		this.fixture.submit(LONG_RUNNING, DispatchFixture.step(1, 1_000));
+		this.fixture.runSchedulingRound();
+		assertThat(worker.executedOrders).isEmpty();
+		this.fixture.report(worker);
+		this.fixture.runSchedulingRound();
+		assertThat(worker.executedOrders).hasSize(1);
+	}
+
+	/**
+	 * After the leader was suspended, it checks the leases before it reads the reports
+	 * that have arrived meanwhile. A task that was assigned then was lost at the next
+	 * check, and the crash that this counts for a worker had not happened.
+	 */
+	@Test
+	void nothingStartsOnceLeaseHasLapsed() {
+		SimulatedWorker worker = this.fixture.worker("host", 4_000);
+		this.fixture.time.advance(DispatchFixture.SETTINGS.leaseTimeout().plusMillis(1));
+		this.fixture.submit(LONG_RUNNING, DispatchFixture.step(1, 1_000));
+		this.fixture.runSchedulingRound();
+		this.fixture.reports.expireLeases(Duration.ofSeconds(18), 0);
+		assertThat(this.fixture.task(LONG_RUNNING, 0, 0).crashes()).isZero();
+		assertThat(worker.executedOrders).isEmpty();
+		this.fixture.report(worker);
+		this.fixture.runSchedulingRound();
+		assertThat(worker.executedOrders).hasSize(1);
+	}
+
+	/**
+	 * The lease can lapse while the assignment is being recorded, for as long as the
+	 * store does not respond.
+	 */
+	@Test
+	void startThatIsRecordedAfterLeaseHasLapsedIsNotOrdered() {
+		SimulatedWorker worker = this.fixture.worker("host", 4_000);
+		this.fixture.submit(LONG_RUNNING, DispatchFixture.step(1, 1_000));
+		this.fixture.dispatcher.schedule();
+		DispatchBatch batch = this.fixture.dispatcher.takeBatch(100);
+		this.fixture.time.advance(DispatchFixture.SETTINGS.leaseTimeout().plusMillis(1));
+		assertThat(this.fixture.dispatcher.recorded(batch, true)).isEmpty();
+		this.fixture.reports.expireLeases(Duration.ofSeconds(18), 0);
+		assertThat(this.fixture.task(LONG_RUNNING, 0, 0).crashes()).isZero();
+		this.fixture.report(worker);
+		this.fixture.runSchedulingRound();
+		assertThat(worker.executedOrders).hasSize(1);
+	}
+
 	@Test
 	void doesNotCountRefusedStart() {
 		SimulatedWorker worker = startOneTaskAfterTheOther();
