Spread submissions over partitions of their own

Cause: every submission, cancellation and transaction of the leader was in one partition of the store, which executes its transactions one after another.

Change: table submissions with eight partitions by the ID of the job; the leader reads it after the hosts, and cleans it up under the condition of each row's version, since its own row is in another partition. Jobs that the previous version stored are read and cleaned up where they are.

--- a/src/main/java/org/crocuspost/ingress/JobService.java
+++ b/src/main/java/org/crocuspost/ingress/JobService.java
@@ -182,8 +182,8 @@
 	private void storeJob(JobSubmission submission, int attempts, Verdict earlierVerdict, Consumer<JobAnswer> answer) {
 		String key = Tables.JOB_PREFIX + submission.id();
 		RowTransaction transaction = RowTransaction.of(
-				List.of(new RowTransaction.Condition(Tables.INTAKE, key, StoredRow.ABSENT)),
-				List.of(new RowTransaction.Write(Tables.INTAKE, key, SubmissionCodec.write(submission))));
+				List.of(new RowTransaction.Condition(Tables.SUBMISSIONS, key, StoredRow.ABSENT)),
+				List.of(new RowTransaction.Write(Tables.SUBMISSIONS, key, SubmissionCodec.write(submission))));
 		this.store.commit(transaction, (outcome) -> {
 			if (outcome.isRight() && isWithdrawn(outcome.get())) {
 				answer.accept(new JobAnswer.Refused(Verdict.NOT_RUN, false,
@@ -243,7 +243,7 @@
 			answer.accept(new JobAnswer.NoJob());
 			return;
 		}
-		this.store.read(Tables.INTAKE, Tables.JOB_PREFIX + id, (row) -> {
+		this.store.read(Tables.SUBMISSIONS, Tables.JOB_PREFIX + id, (row) -> {
 			if (row.isLeft()) {
 				answer.accept(unavailable(row.getLeft().message()));
 			}
@@ -292,8 +292,8 @@
 	private void withdraw(String id, int attempts, Consumer<JobAnswer> answer) {
 		String key = Tables.JOB_PREFIX + id;
 		RowTransaction transaction = RowTransaction.of(
-				List.of(new RowTransaction.Condition(Tables.INTAKE, key, StoredRow.ABSENT)),
-				List.of(new RowTransaction.Write(Tables.INTAKE, key, Tables.WITHDRAWN_JOB)));
+				List.of(new RowTransaction.Condition(Tables.SUBMISSIONS, key, StoredRow.ABSENT)),
+				List.of(new RowTransaction.Write(Tables.SUBMISSIONS, key, Tables.WITHDRAWN_JOB)));
 		this.store.commit(transaction, (outcome) -> {
 			if (outcome.isLeft() && attempts > 1) {
 				withdraw(id, attempts - 1, answer);
@@ -328,7 +328,7 @@
 	 */
 	private void storeCancellation(String id, int attempts, Verdict earlierVerdict, Consumer<JobAnswer> answer) {
 		RowTransaction transaction = RowTransaction.of(List.of(),
-				List.of(new RowTransaction.Write(Tables.INTAKE, Tables.CANCELLATION_PREFIX + id, "")));
+				List.of(new RowTransaction.Write(Tables.SUBMISSIONS, Tables.CANCELLATION_PREFIX + id, "")));
 		this.store.commit(transaction, (outcome) -> {
 			boolean notStored = outcome.isLeft() && outcome.getLeft().verdict() == Verdict.NOT_RUN;
 			Verdict verdict = notStored ? earlierVerdict : Verdict.MAY_HAVE_RUN;
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import io.netty.channel.EventLoop;
 import org.crocuspost.dispatch.DefaultPlacementPolicy;
@@ -75,6 +76,12 @@
 
 	private final RowWatch intakeWatch;
 
+	private final RowWatch submissionWatch;
+
+	private final SubmissionCleanup submissionCleanup;
+
+	private boolean hostsRead;
+
 	private final Map<String, HostLink> links = new HashMap<>();
 
 	private final Map<String, String> addresses = new HashMap<>();
@@ -120,7 +127,12 @@
 				new DecisionLog(metrics));
 		this.queueLoadLog = new QueueLoadLog(this.dispatcher, clock);
 		this.reportProcessor = new ReportProcessor(this.dispatcher, this.imagePressure);
-		this.intakeWatch = new RowWatch(store, Tables.INTAKE, TableWatchSettings.INTAKE_WATCH, this, clock, timer);
+		this.intakeWatch = new RowWatch(store, Tables.INTAKE, TableWatchSettings.INTAKE_WATCH, new IntakeListener(),
+				clock, timer);
+		this.submissionWatch = new RowWatch(store, Tables.SUBMISSIONS, TableWatchSettings.INTAKE_WATCH, this, clock,
+				timer);
+		this.submissionCleanup = new SubmissionCleanup(store, timer,
+				(job, removalVersion) -> this.removedJobs.add(List.of(job), removalVersion));
 		this.takeoverNanos = clock.nanoTime();
 		this.imagesRecordedNanos = this.takeoverNanos;
 		this.tickTimer = timer.repeat(LeadershipTimings.TICK_INTERVAL, this::tick);
@@ -206,7 +218,7 @@
 
 	@Override
 	public void tableRead(List<StoredRow> rows) {
-		rows.forEach(this::applyOrIgnore);
+		rows.forEach(this::applySubmission);
 		if (!this.restored) {
 			this.restored = true;
 			EventLog.info(LeadEvent.STATE_RESTORED, Field.of("epoch", this.record.epoch()),
@@ -220,7 +232,7 @@
 
 	@Override
 	public void rowsChanged(List<StoredRow> rows) {
-		rows.forEach(this::applyOrIgnore);
+		rows.forEach(this::applySubmission);
 		scheduleDecision();
 	}
 
@@ -262,6 +274,16 @@
 		}
 	}
 
+	private void applySubmission(StoredRow row) {
+		if (row.exists() && row.key().startsWith(Tables.JOB_PREFIX)) {
+			String id = row.key().substring(Tables.JOB_PREFIX.length());
+			if (!this.removedJobs.removedAfter(id, row.version())) {
+				this.submissionCleanup.seen(id, row.version());
+			}
+		}
+		applyOrIgnore(row);
+	}
+
 	private void applyJob(StoredRow row) {
 		String id = row.key().substring(Tables.JOB_PREFIX.length());
 		if (this.removedJobs.removedAfter(id, row.version())) {
@@ -442,17 +464,24 @@
 		List<RowTransaction.Removal> removals = new ArrayList<>();
 		DispatchBatch.Cleanup cleanup = batch.cleanup();
 		cleanup.tasks().forEach((task) -> removals.add(new RowTransaction.Removal(Tables.TASKS, task.toString())));
+		Predicate<String> storedEarlier = Predicate.not(this.submissionCleanup::knows);
 		cleanup.reduced()
+			.stream()
+			.filter(storedEarlier)
 			.forEach((id) -> writes
 				.add(new RowTransaction.Write(Tables.INTAKE, Tables.JOB_PREFIX + id, Tables.ENDED_JOB)));
 		for (String id : cleanup.expired()) {
 			removals.add(new RowTransaction.Removal(Tables.LEDGER, Tables.PROGRESS_PREFIX + id));
-			removals.add(new RowTransaction.Removal(Tables.INTAKE, Tables.JOB_PREFIX + id));
-			removals.add(new RowTransaction.Removal(Tables.INTAKE, Tables.CANCELLATION_PREFIX + id));
+			if (storedEarlier.test(id)) {
+				removals.add(new RowTransaction.Removal(Tables.INTAKE, Tables.JOB_PREFIX + id));
+				removals.add(new RowTransaction.Removal(Tables.INTAKE, Tables.CANCELLATION_PREFIX + id));
+			}
 		}
 		addModel(writes);
 		this.writer.write(this.record.name(), writes, removals, () -> {
-			this.removedJobs.add(cleanup.expired(), this.writer.version());
+			this.removedJobs.add(cleanup.expired().stream().filter(storedEarlier).toList(), this.writer.version());
+			this.submissionCleanup.reduce(cleanup.reduced());
+			this.submissionCleanup.remove(cleanup.expired());
 			handleChangesRecorded(batch);
 		});
 	}
@@ -494,7 +523,33 @@
 		this.tickTimer.cancel();
 		this.writer.close();
 		this.intakeWatch.close();
+		this.submissionWatch.close();
+		this.submissionCleanup.close();
 		this.links.values().forEach(HostLink::close);
 	}
 
+	/**
+	 * Receives the hosts and departures, and what earlier versions of the programs
+	 * accepted. The submissions are read after it, since they complete the state.
+	 */
+	private final class IntakeListener implements RowWatchListener {
+
+		@Override
+		public void tableRead(List<StoredRow> rows) {
+			rows.forEach(Leader.this::applyOrIgnore);
+			if (!Leader.this.hostsRead) {
+				Leader.this.hostsRead = true;
+				Leader.this.submissionWatch.start();
+			}
+			scheduleDecision();
+		}
+
+		@Override
+		public void rowsChanged(List<StoredRow> rows) {
+			rows.forEach(Leader.this::applyOrIgnore);
+			scheduleDecision();
+		}
+
+	}
+
 }
--- a/src/main/java/org/crocuspost/lead/Tables.java
+++ b/src/main/java/org/crocuspost/lead/Tables.java
@@ -6,11 +6,26 @@
 public final class Tables {
 
 	/**
-	 * Table that entry processes and agents write and the leader reads. Holds accepted
-	 * jobs, cancellations, hosts and departures of workers.
+	 * Table that agents write and the leader reads. Holds hosts and departures of
+	 * workers, and jobs and cancellations that earlier versions of the programs accepted.
 	 */
 	public static final String INTAKE = "intake";
 
+	/**
+	 * Table that entry processes write and the leader reads. Holds accepted jobs and
+	 * cancellations, spread over partitions by the ID of the job.
+	 */
+	public static final String SUBMISSIONS = "submissions";
+
+	/**
+	 * Number of partitions of {@link #SUBMISSIONS}. A partition executes its transactions
+	 * one after another; in a single one, which the leader also used, submissions and the
+	 * leader blocked each other for seconds while the store was slow. The number is part
+	 * of the stored format: with another one, a job would be found under another
+	 * partition.
+	 */
+	public static final int SUBMISSION_PARTITIONS = 8;
+
 	/**
 	 * Table that the leader writes and entry processes read. Holds the states of jobs and
 	 * the row that names the leader.
@@ -78,4 +93,19 @@
 	private Tables() {
 	}
 
+	/**
+	 * Returns the partition of a row. The rows of a transaction must be in one partition.
+	 * @param table the table
+	 * @param key the key of the row
+	 * @return 0 for the rows that the leader writes under its fence, otherwise a number
+	 * from 1 to {@link #SUBMISSION_PARTITIONS}
+	 */
+	public static int partition(String table, String key) {
+		if (!table.equals(SUBMISSIONS)) {
+			return 0;
+		}
+		String id = key.substring(key.indexOf('/') + 1);
+		return 1 + Math.floorMod(id.hashCode(), SUBMISSION_PARTITIONS);
+	}
+
 }
--- a/src/main/java/org/crocuspost/platform/hosted/HostedRowStore.java
+++ b/src/main/java/org/crocuspost/platform/hosted/HostedRowStore.java
@@ -18,10 +18,12 @@
 import org.crocuspost.error.ErrorCode;
 import org.crocuspost.error.Failure;
 import org.crocuspost.json.JsonTrees;
+import org.crocuspost.lead.Tables;
 import org.crocuspost.net.TrafficCounters;
 import org.crocuspost.platform.http.HttpCaller;
 import org.crocuspost.platform.http.HttpOutcome;
 import org.crocuspost.platform.http.HttpOutcome.Answered;
+import org.crocuspost.rows.PartitionedScan;
 import org.crocuspost.rows.RowChanges;
 import org.crocuspost.rows.RowCommit;
 import org.crocuspost.rows.RowPage;
@@ -99,11 +101,18 @@
 	}
 
 	private static ObjectNode row(ArrayNode rows, String table, String key) {
-		return rows.addObject().put("table", table).put("part", partition(table)).put("key", key);
+		return rows.addObject().put("table", table).put("part", partition(table, key)).put("key", key);
 	}
 
-	private static String partition(String table) {
-		return table.equals(OPERATOR_TABLE) ? "" : PARTITION;
+	private static String partition(String table, String key) {
+		if (table.equals(OPERATOR_TABLE)) {
+			return "";
+		}
+		return partitionName(Tables.partition(table, key));
+	}
+
+	private static String partitionName(int number) {
+		return (number == 0) ? PARTITION : PARTITION + "-" + number;
 	}
 
 	private static Either<Failure, RowCommit> commitResult(HttpOutcome outcome) {
@@ -129,7 +138,7 @@
 
 	@Override
 	public void read(String table, String key, Consumer<Either<Failure, StoredRow>> answer) {
-		String path = "/v1/rows-get?table=" + encode(table) + "&part=" + partition(table) + "&from=" + encode(key)
+		String path = "/v1/rows-get?table=" + encode(table) + "&part=" + partition(table, key) + "&from=" + encode(key)
 				+ "&target=" + encode(key + RowStore.KEY_SUCCESSOR_SUFFIX) + "&limit=1";
 		get("read", path, CALL_TIMEOUT,
 				(outcome) -> answer.accept(outcome.flatMap((answered) -> parse(answered,
@@ -141,9 +150,20 @@
 
 	@Override
 	public void scan(String table, String fromKey, Consumer<Either<Failure, RowPage>> answer) {
+		if (!table.equals(Tables.SUBMISSIONS)) {
+			scanPartition(table, partition(table, fromKey), fromKey, answer);
+			return;
+		}
+		PartitionedScan scan = new PartitionedScan(Tables.SUBMISSION_PARTITIONS, answer);
+		for (int number = 1; number <= Tables.SUBMISSION_PARTITIONS; number++) {
+			scanPartition(table, partitionName(number), fromKey, scan::received);
+		}
+	}
+
+	private void scanPartition(String table, String partition, String fromKey,
+			Consumer<Either<Failure, RowPage>> answer) {
 		String from = fromKey.isEmpty() ? "" : "&from=" + encode(fromKey);
-		String path = "/v1/rows-get?table=" + encode(table) + "&part=" + partition(table) + from + "&limit="
-				+ PAGE_ROWS;
+		String path = "/v1/rows-get?table=" + encode(table) + "&part=" + partition + from + "&limit=" + PAGE_ROWS;
 		get("scan", path, CALL_TIMEOUT, (outcome) -> answer.accept(outcome.flatMap((answered) -> parse(answered,
 				(body) -> new RowPage(rows(body), !body.path("has_more").asBoolean(), version(body))))));
 	}
--- a/src/main/java/org/crocuspost/rows/RowStore.java
+++ b/src/main/java/org/crocuspost/rows/RowStore.java
@@ -23,7 +23,8 @@
 	String KEY_SUCCESSOR_SUFFIX = "!";
 
 	/**
-	 * Applies all writes and removals of a transaction or none.
+	 * Applies all writes and removals of a transaction or none. All rows of a transaction
+	 * must be in one partition.
 	 * @param transaction the transaction
 	 * @param answer receives the outcome
 	 */
--- a/src/test/java/org/crocuspost/ingress/JobServiceTests.java
+++ b/src/test/java/org/crocuspost/ingress/JobServiceTests.java
@@ -70,7 +70,7 @@
 	@Test
 	void anAcceptedJobIsStored() {
 		assertThat(send(JobRequest.Method.SUBMIT, "/queue/" + ID)).isInstanceOf(JobAnswer.Accepted.class);
-		assertThat(this.store.row(Tables.INTAKE, Tables.JOB_PREFIX + ID).exists()).isTrue();
+		assertThat(this.store.row(Tables.SUBMISSIONS, Tables.JOB_PREFIX + ID).exists()).isTrue();
 		assertThat(send(JobRequest.Method.SHOW, "/queue/" + ID)).isEqualTo(new JobAnswer.State(JobState.QUEUED));
 		assertThat(send(JobRequest.Method.SHOW, "/queue/")).isEqualTo(new JobAnswer.Pending(1));
 	}
@@ -78,9 +78,9 @@
 	@Test
 	void aJobSubmittedTwiceIsStoredOnce() {
 		send(JobRequest.Method.SUBMIT, "/queue/" + ID);
-		long version = this.store.row(Tables.INTAKE, Tables.JOB_PREFIX + ID).version();
+		long version = this.store.row(Tables.SUBMISSIONS, Tables.JOB_PREFIX + ID).version();
 		assertThat(send(JobRequest.Method.SUBMIT, "/queue/" + ID)).isInstanceOf(JobAnswer.Accepted.class);
-		assertThat(this.store.row(Tables.INTAKE, Tables.JOB_PREFIX + ID).version()).isEqualTo(version);
+		assertThat(this.store.row(Tables.SUBMISSIONS, Tables.JOB_PREFIX + ID).version()).isEqualTo(version);
 	}
 
 	@Test
@@ -125,7 +125,7 @@
 	void aCancellationIsStoredBeforeItIsConfirmed() {
 		send(JobRequest.Method.SUBMIT, "/queue/" + ID);
 		assertThat(send(JobRequest.Method.CANCEL, "/queue/" + ID)).isInstanceOf(JobAnswer.Accepted.class);
-		assertThat(this.store.row(Tables.INTAKE, Tables.CANCELLATION_PREFIX + ID).exists()).isTrue();
+		assertThat(this.store.row(Tables.SUBMISSIONS, Tables.CANCELLATION_PREFIX + ID).exists()).isTrue();
 	}
 
 	/**
@@ -138,7 +138,7 @@
 		this.store.failNextCommits(Fault.LATE, Fault.REFUSED);
 		JobAnswer.Refused refused = (JobAnswer.Refused) send(JobRequest.Method.CANCEL, "/queue/" + ID);
 		this.store.applyHeld();
-		assertThat(this.store.row(Tables.INTAKE, Tables.CANCELLATION_PREFIX + ID).exists()).isTrue();
+		assertThat(this.store.row(Tables.SUBMISSIONS, Tables.CANCELLATION_PREFIX + ID).exists()).isTrue();
 		assertThat(refused.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
 	}
 
@@ -155,9 +155,9 @@
 		JobAnswer cancelled = send(JobRequest.Method.CANCEL, "/queue/" + ID);
 		assertThat(cancelled).isInstanceOfAny(JobAnswer.Accepted.class, JobAnswer.NoJob.class);
 		this.store.applyHeld();
-		StoredRow row = this.store.row(Tables.INTAKE, Tables.JOB_PREFIX + ID);
+		StoredRow row = this.store.row(Tables.SUBMISSIONS, Tables.JOB_PREFIX + ID);
 		boolean runs = row.exists() && !row.value().equals(Tables.WITHDRAWN_JOB);
-		assertThat(runs && !this.store.row(Tables.INTAKE, Tables.CANCELLATION_PREFIX + ID).exists()).isFalse();
+		assertThat(runs && !this.store.row(Tables.SUBMISSIONS, Tables.CANCELLATION_PREFIX + ID).exists()).isFalse();
 	}
 
 	@Test
@@ -175,14 +175,14 @@
 		this.store.failNextCommits(Fault.ANSWER_LOST, Fault.LATE);
 		send(JobRequest.Method.SUBMIT, "/queue/" + ID);
 		assertThat(send(JobRequest.Method.CANCEL, "/queue/" + ID)).isEqualTo(new JobAnswer.Accepted());
-		assertThat(this.store.row(Tables.INTAKE, Tables.CANCELLATION_PREFIX + ID).exists()).isTrue();
+		assertThat(this.store.row(Tables.SUBMISSIONS, Tables.CANCELLATION_PREFIX + ID).exists()).isTrue();
 	}
 
 	@Test
 	void anEndedJobWhoseStateIsNotReadYetIsNotReportedAsUnknown() {
 		this.store.commit(
-				RowTransaction.of(List.of(),
-						List.of(new RowTransaction.Write(Tables.INTAKE, Tables.JOB_PREFIX + ID, Tables.ENDED_JOB))),
+				RowTransaction.of(List.of(), List
+					.of(new RowTransaction.Write(Tables.SUBMISSIONS, Tables.JOB_PREFIX + ID, Tables.ENDED_JOB))),
 				(answer) -> {
 				});
 		assertThat(send(JobRequest.Method.SHOW, "/queue/" + ID)).isInstanceOf(JobAnswer.Refused.class);
--- a/src/test/java/org/crocuspost/lead/LeaderTests.java
+++ b/src/test/java/org/crocuspost/lead/LeaderTests.java
@@ -65,7 +65,7 @@
 				"", "", 0, false, false, "", Duration.ZERO, false, -1);
 		JobSubmission submission = new JobSubmission(id, "queue", 0,
 				new JobSpecification("text", List.of(step), 1, false, 0, 0));
-		writeRow(Tables.INTAKE, Tables.JOB_PREFIX + id, SubmissionCodec.write(submission));
+		writeRow(Tables.SUBMISSIONS, Tables.JOB_PREFIX + id, SubmissionCodec.write(submission));
 	}
 
 	private void startLeader() {
@@ -102,7 +102,7 @@
 		this.store.rows.applyHeld();
 		this.time.advance(Duration.ofSeconds(2));
 		assertThat(this.store.rows.row(Tables.LEDGER, Tables.PROGRESS_PREFIX + WAITING_JOB).exists()).isTrue();
-		assertThat(this.store.rows.row(Tables.INTAKE, Tables.JOB_PREFIX + ENDED_JOB).exists()).isFalse();
+		assertThat(this.store.rows.row(Tables.SUBMISSIONS, Tables.JOB_PREFIX + ENDED_JOB).exists()).isFalse();
 		assertThat(this.store.rows.row(Tables.LEDGER, Tables.PROGRESS_PREFIX + ENDED_JOB).value()).isEmpty();
 	}
 
--- a/src/test/java/org/crocuspost/rows/MemoryRowStore.java
+++ b/src/test/java/org/crocuspost/rows/MemoryRowStore.java
@@ -7,12 +7,15 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 
 import io.vavr.control.Either;
 import org.crocuspost.error.ErrorCode;
 import org.crocuspost.error.Failure;
+import org.crocuspost.lead.Tables;
 
 /**
  * In-memory store of rows that answers immediately. Tests can make its commits fail.
@@ -95,6 +98,7 @@
 	@Override
 	public void commit(RowTransaction transaction, Consumer<Either<Failure, RowCommit>> answer) {
 		this.commits++;
+		requireOnePartition(transaction);
 		Fault current = this.faultsInTurn.isEmpty() ? this.fault : this.faultsInTurn.remove();
 		switch (current) {
 			case REFUSED -> answer.accept(Either.left(ErrorCode.STORE_UNAVAILABLE.with("refused")));
@@ -110,6 +114,17 @@
 		}
 	}
 
+	// The platform refuses a transaction over several partitions.
+	private static void requireOnePartition(RowTransaction transaction) {
+		Set<Integer> partitions = new TreeSet<>();
+		transaction.conditions().forEach((row) -> partitions.add(Tables.partition(row.table(), row.key())));
+		transaction.writes().forEach((row) -> partitions.add(Tables.partition(row.table(), row.key())));
+		transaction.removals().forEach((row) -> partitions.add(Tables.partition(row.table(), row.key())));
+		if (partitions.size() > 1) {
+			throw new IllegalArgumentException("the transaction spans the partitions " + partitions);
+		}
+	}
+
 	private RowCommit apply(RowTransaction transaction) {
 		List<StoredRow> current = new ArrayList<>();
 		boolean conditionsMet = true;
