Write submissions in groups and read the outcome of unanswered writes

Cause: every submission was a transaction of its own in the one serial partition, and its caller was answered after 0.4 of its time whatever the store did.

Change: GroupCommitter collects what arrives while a transaction is in flight, reads overdue and unanswered ones until the answer is due, sends a lost row once more, and rejects before sending what cannot be answered in time. The answer is due after 0.78 of the caller's time, or 0.4 if the store has answered nothing since the request arrived. JobService.answerWithin bounds the open requests of a stopping process.

--- a/src/main/java/org/crocuspost/ingress/IngressEvent.java
+++ b/src/main/java/org/crocuspost/ingress/IngressEvent.java
@@ -33,6 +33,43 @@
 	 */
 	ANSWER_TOO_LATE,
 
+	/**
+	 * A row of a caller was not sent to the store, since the outcome was not expected
+	 * before the caller's answer is due.
+	 */
+	WRITE_REJECTED,
+
+	/**
+	 * The caller of a row was answered before the outcome of the write was known.
+	 */
+	WRITE_ABANDONED,
+
+	/**
+	 * A read has found the row of a write that the store has not answered.
+	 */
+	WRITE_FOUND,
+
+	/**
+	 * Rows are sent again, since a read has shown that they do not exist.
+	 */
+	WRITES_REPEATED,
+
+	/**
+	 * The store has not answered a transaction; its outcome is read.
+	 */
+	GROUP_UNRESOLVED,
+
+	/**
+	 * A row of a transaction exists already; the other rows are sent again.
+	 */
+	GROUP_SPLIT,
+
+	/**
+	 * The entry process is stopping, and the open requests must be answered within a time
+	 * limit.
+	 */
+	ANSWERS_LIMITED,
+
 	/**
 	 * A stored progress row of a job cannot be parsed and was ignored.
 	 */
--- a/src/main/java/org/crocuspost/ingress/IngressMetrics.java
+++ b/src/main/java/org/crocuspost/ingress/IngressMetrics.java
@@ -1,5 +1,6 @@
 package org.crocuspost.ingress;
 
+import java.time.Duration;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
@@ -16,6 +17,12 @@
 
 	private final Histogram seconds;
 
+	private final Histogram groupRows;
+
+	private final Histogram waitSeconds;
+
+	private final Counter resolvedWrites;
+
 	/**
 	 * Creates the metrics and registers them.
 	 * @param registry the metrics registry of the process
@@ -33,6 +40,23 @@
 			.classicUpperBounds(0.005, 0.01, 0.03, 0.1, 0.3, 1, 3)
 			.labelNames("method")
 			.register(registry);
+		this.groupRows = Histogram.builder()
+			.name("crocuspost_write_group_rows")
+			.help("Rows that were sent to the store in one transaction for callers.")
+			.classicOnly()
+			.classicUpperBounds(1, 2, 4, 8, 16, 40)
+			.register(registry);
+		this.waitSeconds = Histogram.builder()
+			.name("crocuspost_write_wait_seconds")
+			.help("Time that a row of a caller waited until it was sent to the store, in seconds.")
+			.classicOnly()
+			.classicUpperBounds(0.005, 0.03, 0.1, 0.3, 1, 3)
+			.register(registry);
+		this.resolvedWrites = Counter.builder()
+			.name("crocuspost_writes_without_answer_total")
+			.help("Rows of callers that ended without an answer to their transaction, by how they ended.")
+			.labelNames("end")
+			.register(registry);
 	}
 
 	/**
@@ -47,4 +71,55 @@
 		this.seconds.labelValues(name).observe(nanos / (double) TimeUnit.SECONDS.toNanos(1));
 	}
 
+	/**
+	 * Records a transaction that is sent for callers.
+	 * @param rows the number of its rows
+	 */
+	void recordGroup(int rows) {
+		this.groupRows.observe(rows);
+	}
+
+	/**
+	 * Records the time that a row waited until it was sent.
+	 * @param wait the time
+	 */
+	void recordWriteWait(Duration wait) {
+		this.waitSeconds.observe(wait.toNanos() / (double) TimeUnit.SECONDS.toNanos(1));
+	}
+
+	/**
+	 * Records a row that ended without an answer to its transaction.
+	 * @param end how it ended
+	 */
+	void recordWriteEnd(WriteEnd end) {
+		this.resolvedWrites.labelValues(end.name().toLowerCase(Locale.ROOT)).inc();
+	}
+
+	/**
+	 * How the write of a row ends without an answer to its transaction.
+	 */
+	enum WriteEnd {
+
+		/**
+		 * A read has found the row.
+		 */
+		FOUND,
+
+		/**
+		 * The row was not sent, since its outcome was not expected in time.
+		 */
+		REJECTED,
+
+		/**
+		 * The caller was answered before the row was sent.
+		 */
+		UNSENT,
+
+		/**
+		 * The caller was answered before the outcome was known.
+		 */
+		UNRESOLVED
+
+	}
+
 }
--- a/src/main/java/org/crocuspost/ingress/JobService.java
+++ b/src/main/java/org/crocuspost/ingress/JobService.java
@@ -1,13 +1,18 @@
 package org.crocuspost.ingress;
 
 import java.time.Duration;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import io.vavr.control.Either;
+import org.crocuspost.error.Failure;
 import org.crocuspost.error.Verdict;
+import org.crocuspost.ingress.IngressMetrics.WriteEnd;
 import org.crocuspost.job.JobSpecification;
 import org.crocuspost.job.JobState;
 import org.crocuspost.job.JobSubmission;
@@ -18,9 +23,7 @@
 import org.crocuspost.lead.Tables;
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
-import org.crocuspost.rows.RowCommit;
 import org.crocuspost.rows.RowStore;
-import org.crocuspost.rows.RowTransaction;
 import org.crocuspost.rows.StoredRow;
 import org.crocuspost.time.Cancellable;
 import org.crocuspost.time.Clock;
@@ -39,12 +42,6 @@
 	 */
 	private static final Duration STORE_RETRY_AFTER = Duration.ofSeconds(1);
 
-	/**
-	 * Maximum number of store calls for one write. If none succeeds and one may still
-	 * take effect, the outcome is reported as unknown.
-	 */
-	private static final int STORE_ATTEMPTS = 2;
-
 	/**
 	 * Age of the view of the operator's rows below which a request for an unknown queue
 	 * is answered with {@link JobAnswer.NoQueue}. An older view may lack a new queue.
@@ -52,10 +49,18 @@
 	private static final Duration MAXIMUM_CONFIGURATION_AGE = Duration.ofMillis(1_900);
 
 	/**
-	 * Share of the caller's time after which it gets its final answer even if the store
-	 * has not answered. The rest is enough for the caller to ask another entry process.
+	 * Share of the caller's time after which it gets its final answer if the store has
+	 * answered nothing since the request arrived. The rest is enough for the caller to
+	 * ask another entry process.
+	 */
+	private static final double SILENT_ANSWER_TIME_SHARE = 0.4;
+
+	/**
+	 * Share of the caller's time after which a submission or a cancellation gets its
+	 * final answer even if its outcome is unknown. Callers must be left a fifth of their
+	 * time; the difference covers the way of the answer.
 	 */
-	private static final double ANSWER_TIME_SHARE = 0.4;
+	private static final double ANSWER_TIME_SHARE = 0.78;
 
 	/**
 	 * Time after which a caller that does not say how long it waits gets its answer.
@@ -74,6 +79,12 @@
 
 	private final Timer timer;
 
+	private final GroupCommitter committer;
+
+	private final Set<FinalAnswer> openAnswers = new LinkedHashSet<>();
+
+	private OptionalLong stopNanos = OptionalLong.empty();
+
 	/**
 	 * Creates a service.
 	 * @param store the store
@@ -85,12 +96,28 @@
 	 */
 	public JobService(RowStore store, OperatorView operator, JobDirectory directory, IngressMetrics metrics,
 			Clock clock, Timer timer) {
+		this(store, store, operator, directory, metrics, clock, timer);
+	}
+
+	/**
+	 * Creates a service that reads the outcomes of writes past the circuit breaker.
+	 * @param store the store
+	 * @param outcomes the store from which the outcomes of writes are read
+	 * @param operator the view of the operator's configuration
+	 * @param directory the states of jobs
+	 * @param metrics the metrics of requests
+	 * @param clock the clock of the process
+	 * @param timer the timer of the event loop
+	 */
+	public JobService(RowStore store, RowStore outcomes, OperatorView operator, JobDirectory directory,
+			IngressMetrics metrics, Clock clock, Timer timer) {
 		this.store = store;
 		this.operator = operator;
 		this.directory = directory;
 		this.metrics = metrics;
 		this.clock = clock;
 		this.timer = timer;
+		this.committer = new GroupCommitter(store, outcomes, metrics, clock, timer);
 	}
 
 	/**
@@ -100,24 +127,61 @@
 	 */
 	public void handle(JobRequest request, Consumer<JobAnswer> answer) {
 		long started = this.clock.nanoTime();
-		FinalAnswer finalAnswer = new FinalAnswer(request, (result) -> {
+		Duration silentTime = answerTime(request, SILENT_ANSWER_TIME_SHARE);
+		Duration latestTime = writes(request) ? answerTime(request, ANSWER_TIME_SHARE) : silentTime;
+		FinalAnswer finalAnswer = new FinalAnswer(request, started + latestTime.toNanos(), (result) -> {
 			this.metrics.recordRequest(request.method(), result, this.clock.nanoTime() - started);
 			answer.accept(result);
 		});
-		Duration answerTime = request.timeRemaining()
-			.map((time) -> Duration.ofMillis((long) (time.toMillis() * ANSWER_TIME_SHARE)))
-			.orElse(DEFAULT_ANSWER_TIME);
-		finalAnswer.timeout = this.timer.schedule(answerTime, () -> finalAnswer.accept(timedOut(request)));
+		this.openAnswers.add(finalAnswer);
+		finalAnswer.timeout = this.timer.schedule(untilStop(silentTime), () -> {
+			Duration remaining = untilStop(latestTime.minus(silentTime));
+			if (remaining.compareTo(Duration.ZERO) > 0 && this.committer.answeredSince(started)) {
+				finalAnswer.timeout = this.timer.schedule(remaining, () -> timeOut(finalAnswer));
+			}
+			else {
+				timeOut(finalAnswer);
+			}
+		});
 		process(request, finalAnswer);
 	}
 
-	private static JobAnswer timedOut(JobRequest request) {
-		boolean writes = request.method() == JobRequest.Method.SUBMIT || request.method() == JobRequest.Method.CANCEL;
-		return new JobAnswer.Refused(writes ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN, false,
-				"the platform's store has not answered in time", Optional.of(STORE_RETRY_AFTER));
+	private static Duration answerTime(JobRequest request, double share) {
+		return request.timeRemaining()
+			.map((time) -> Duration.ofMillis((long) (time.toMillis() * share)))
+			.orElse(DEFAULT_ANSWER_TIME);
+	}
+
+	private Duration untilStop(Duration duration) {
+		if (this.stopNanos.isEmpty()) {
+			return duration;
+		}
+		long remaining = Math.max(0, this.stopNanos.getAsLong() - this.clock.nanoTime());
+		return Duration.ofNanos(Math.min(remaining, duration.toNanos()));
+	}
+
+	/**
+	 * Limits the time until all requests are answered, those that arrive later included,
+	 * since the process stops.
+	 * @param limit the time until the last answer
+	 */
+	public void answerWithin(Duration limit) {
+		this.stopNanos = OptionalLong.of(this.clock.nanoTime() + limit.toNanos());
+		EventLog.info(IngressEvent.ANSWERS_LIMITED, Field.of("open", this.openAnswers.size()),
+				Field.of("limit", limit));
+		this.timer.schedule(limit, () -> List.copyOf(this.openAnswers).forEach(this::timeOut));
+	}
+
+	private static boolean writes(JobRequest request) {
+		return request.method() == JobRequest.Method.SUBMIT || request.method() == JobRequest.Method.CANCEL;
+	}
+
+	private void timeOut(FinalAnswer answer) {
+		answer.accept(new JobAnswer.Refused(answer.abandon(), false, "the platform's store has not answered in time",
+				Optional.of(STORE_RETRY_AFTER)));
 	}
 
-	private void process(JobRequest request, Consumer<JobAnswer> answer) {
+	private void process(JobRequest request, FinalAnswer answer) {
 		Optional<QueueConfiguration> configuration = this.operator.configuration();
 		if (configuration.isEmpty()) {
 			answer.accept(unavailable("no configuration is known yet"));
@@ -142,8 +206,7 @@
 		return new JobAnswer.Refused(Verdict.NOT_RUN, false, reason, Optional.of(STORE_RETRY_AFTER));
 	}
 
-	private void submit(Queue queue, String id, Supplier<Either<String, JobSpecification>> parser,
-			Consumer<JobAnswer> answer) {
+	private void submit(Queue queue, String id, Supplier<Either<String, JobSpecification>> parser, FinalAnswer answer) {
 		if (!JobRequest.validId(id)) {
 			answer.accept(new JobAnswer.Malformed("a job is identified by 16 hexadecimal digits"));
 			return;
@@ -154,7 +217,7 @@
 			return;
 		}
 		JobSubmission submission = new JobSubmission(id, queue.name(), this.clock.millis(), specification.get());
-		storeJob(submission, STORE_ATTEMPTS, Verdict.NOT_RUN, (result) -> {
+		storeJob(submission, answer, (result) -> {
 			logSubmission(submission, result);
 			answer.accept(result);
 		});
@@ -175,40 +238,40 @@
 	/**
 	 * Stores a job.
 	 * @param submission the job
-	 * @param attempts the maximum number of calls to the store
-	 * @param earlierVerdict whether an earlier call may still take effect
-	 * @param answer receives the answer
+	 * @param finalAnswer the answer to the caller
+	 * @param answer receives the outcome
 	 */
-	private void storeJob(JobSubmission submission, int attempts, Verdict earlierVerdict, Consumer<JobAnswer> answer) {
-		String key = Tables.JOB_PREFIX + submission.id();
-		RowTransaction transaction = RowTransaction.of(
-				List.of(new RowTransaction.Condition(Tables.INTAKE, key, StoredRow.ABSENT)),
-				List.of(new RowTransaction.Write(Tables.INTAKE, key, SubmissionCodec.write(submission))));
-		this.store.commit(transaction, (outcome) -> {
-			if (outcome.isRight() && isWithdrawn(outcome.get())) {
+	private void storeJob(JobSubmission submission, FinalAnswer finalAnswer, Consumer<JobAnswer> answer) {
+		write(Tables.JOB_PREFIX + submission.id(), SubmissionCodec.write(submission), true, finalAnswer, (row) -> {
+			if (row.isLeft()) {
+				answer.accept(refused(row.getLeft()));
+			}
+			else if (isWithdrawn(row.get())) {
 				answer.accept(new JobAnswer.Refused(Verdict.NOT_RUN, false,
 						"the job was cancelled before it was stored", Optional.empty()));
 			}
-			else if (outcome.isRight()) {
-				// If the row already exists, the same job was submitted before.
+			else {
+				// If the row already existed, the same job was submitted before.
 				this.directory.addAccepted(submission.id(), submission.queue());
 				answer.accept(new JobAnswer.Accepted());
 			}
-			else if (outcome.getLeft().verdict() == Verdict.NOT_RUN && earlierVerdict == Verdict.NOT_RUN) {
-				answer.accept(unavailable(outcome.getLeft().message()));
-			}
-			else if (attempts > 1) {
-				storeJob(submission, attempts - 1, Verdict.MAY_HAVE_RUN, answer);
-			}
-			else {
-				answer.accept(new JobAnswer.Refused(Verdict.MAY_HAVE_RUN, false, outcome.getLeft().message(),
-						Optional.of(STORE_RETRY_AFTER)));
-			}
 		});
 	}
 
-	private static boolean isWithdrawn(RowCommit commit) {
-		return !commit.applied() && commit.current().stream().anyMatch(JobService::isWithdrawn);
+	private void write(String key, String value, boolean ifAbsent, FinalAnswer finalAnswer,
+			Consumer<Either<Failure, StoredRow>> outcome) {
+		if (finalAnswer.given) {
+			// The answer may promise that nothing is written.
+			return;
+		}
+		PendingWrite write = new PendingWrite(key, value, ifAbsent, this.clock.nanoTime(), finalAnswer.dueNanos,
+				outcome);
+		finalAnswer.write = Optional.of(write);
+		this.committer.write(write);
+	}
+
+	private static JobAnswer.Refused refused(Failure failure) {
+		return new JobAnswer.Refused(failure.verdict(), false, failure.message(), Optional.of(STORE_RETRY_AFTER));
 	}
 
 	private static boolean isWithdrawn(StoredRow row) {
@@ -248,27 +311,28 @@
 				answer.accept(unavailable(row.getLeft().message()));
 			}
 			else {
+				this.committer.recordAnswer();
 				reader.accept(row.get());
 			}
 		});
 	}
 
-	private void cancel(String id, Consumer<JobAnswer> answer) {
+	private void cancel(String id, FinalAnswer answer) {
 		Optional<JobState> state = this.directory.state(id);
 		if (state.filter(JobState::terminal).isPresent()) {
 			answer.accept(new JobAnswer.Accepted());
 		}
 		else if (state.isPresent()) {
-			storeCancellation(id, STORE_ATTEMPTS, Verdict.NOT_RUN, answer);
+			storeCancellation(id, answer);
 		}
 		else {
 			readJob(id, answer, (row) -> cancelStored(id, row, answer));
 		}
 	}
 
-	private void cancelStored(String id, StoredRow row, Consumer<JobAnswer> answer) {
+	private void cancelStored(String id, StoredRow row, FinalAnswer answer) {
 		if (!row.exists()) {
-			withdraw(id, STORE_ATTEMPTS, answer);
+			withdraw(id, answer);
 		}
 		else if (isWithdrawn(row)) {
 			answer.accept(new JobAnswer.NoJob());
@@ -277,7 +341,7 @@
 			answer.accept(new JobAnswer.Accepted());
 		}
 		else {
-			storeCancellation(id, STORE_ATTEMPTS, Verdict.NOT_RUN, answer);
+			storeCancellation(id, answer);
 		}
 	}
 
@@ -286,82 +350,66 @@
 	 * of the job that was not answered, and the caller must not be told that there is no
 	 * job while it can still run.
 	 * @param id the ID of the job
-	 * @param attempts the maximum number of calls to the store
 	 * @param answer receives the answer
 	 */
-	private void withdraw(String id, int attempts, Consumer<JobAnswer> answer) {
-		String key = Tables.JOB_PREFIX + id;
-		RowTransaction transaction = RowTransaction.of(
-				List.of(new RowTransaction.Condition(Tables.INTAKE, key, StoredRow.ABSENT)),
-				List.of(new RowTransaction.Write(Tables.INTAKE, key, Tables.WITHDRAWN_JOB)));
-		this.store.commit(transaction, (outcome) -> {
-			if (outcome.isLeft() && attempts > 1) {
-				withdraw(id, attempts - 1, answer);
-				return;
-			}
-			EventLog.info(IngressEvent.JOB_WITHDRAWN, Field.of("job", id), Field.of("stored", outcome.isRight()));
-			if (outcome.isLeft()) {
-				answer.accept(new JobAnswer.Refused(outcome.getLeft().verdict(), false, outcome.getLeft().message(),
-						Optional.of(STORE_RETRY_AFTER)));
-			}
-			else if (outcome.get().applied()) {
-				answer.accept(new JobAnswer.NoJob());
+	private void withdraw(String id, FinalAnswer answer) {
+		write(Tables.JOB_PREFIX + id, Tables.WITHDRAWN_JOB, true, answer, (row) -> {
+			boolean withdrawn = row.isRight() && isWithdrawn(row.get());
+			EventLog.info(IngressEvent.JOB_WITHDRAWN, Field.of("job", id), Field.of("stored", withdrawn));
+			if (row.isLeft()) {
+				answer.accept(refused(row.getLeft()));
 			}
 			else {
-				outcome.get()
-					.current()
-					.stream()
-					.filter((row) -> row.key().equals(key) && row.exists())
-					.findFirst()
-					.ifPresentOrElse((row) -> cancelStored(id, row, answer),
-							() -> answer.accept(unavailable("the store does not show the job")));
+				cancelStored(id, row.get(), answer);
 			}
 		});
 	}
 
-	/**
-	 * Stores a cancellation.
-	 * @param id the ID of the job
-	 * @param attempts the maximum number of calls to the store
-	 * @param earlierVerdict whether an earlier call may still take effect
-	 * @param answer receives the answer
-	 */
-	private void storeCancellation(String id, int attempts, Verdict earlierVerdict, Consumer<JobAnswer> answer) {
-		RowTransaction transaction = RowTransaction.of(List.of(),
-				List.of(new RowTransaction.Write(Tables.INTAKE, Tables.CANCELLATION_PREFIX + id, "")));
-		this.store.commit(transaction, (outcome) -> {
-			boolean notStored = outcome.isLeft() && outcome.getLeft().verdict() == Verdict.NOT_RUN;
-			Verdict verdict = notStored ? earlierVerdict : Verdict.MAY_HAVE_RUN;
-			if (outcome.isLeft() && attempts > 1) {
-				storeCancellation(id, attempts - 1, verdict, answer);
-				return;
-			}
-			EventLog.info(IngressEvent.CANCELLATION_ANSWERED, Field.of("job", id),
-					Field.of("stored", outcome.isRight()));
-			answer.accept(outcome.isRight() ? new JobAnswer.Accepted() : new JobAnswer.Refused(verdict, false,
-					outcome.getLeft().message(), Optional.of(STORE_RETRY_AFTER)));
+	private void storeCancellation(String id, FinalAnswer answer) {
+		write(Tables.CANCELLATION_PREFIX + id, "", false, answer, (row) -> {
+			EventLog.info(IngressEvent.CANCELLATION_ANSWERED, Field.of("job", id), Field.of("stored", row.isRight()));
+			answer.accept(row.isRight() ? new JobAnswer.Accepted() : refused(row.getLeft()));
 		});
 	}
 
 	/**
 	 * Passes on the first of two answers: the real one or that of the timeout.
 	 */
-	private static final class FinalAnswer implements Consumer<JobAnswer> {
+	private final class FinalAnswer implements Consumer<JobAnswer> {
 
 		private final JobRequest request;
 
+		private final long dueNanos;
+
 		private final Consumer<JobAnswer> target;
 
+		private Optional<PendingWrite> write = Optional.empty();
+
 		private Cancellable timeout = () -> {
 		};
 
 		private boolean given;
 
-		private FinalAnswer(JobRequest request, Consumer<JobAnswer> target) {
+		private FinalAnswer(JobRequest request, long dueNanos, Consumer<JobAnswer> target) {
 			this.request = request;
+			this.dueNanos = dueNanos;
 			this.target = target;
 		}
 
+		/**
+		 * Stops the write of the request, since its caller is answered now.
+		 * @return whether the request may have been carried out or may still be
+		 */
+		private Verdict abandon() {
+			if (this.write.isPresent()) {
+				Verdict verdict = this.write.get().abandon();
+				JobService.this.metrics
+					.recordWriteEnd((verdict == Verdict.NOT_RUN) ? WriteEnd.UNSENT : WriteEnd.UNRESOLVED);
+				return verdict;
+			}
+			return (this.request.method() == JobRequest.Method.CANCEL) ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+		}
+
 		@Override
 		public void accept(JobAnswer result) {
 			if (this.given) {
@@ -371,6 +419,7 @@
 			}
 			this.given = true;
 			this.timeout.cancel();
+			JobService.this.openAnswers.remove(this);
 			this.target.accept(result);
 		}
 
--- a/src/main/java/org/crocuspost/platform/hosted/EntryProgram.java
+++ b/src/main/java/org/crocuspost/platform/hosted/EntryProgram.java
@@ -108,8 +108,8 @@
 						settings.limits().remotePenalty()),
 				new LeaderMetrics(this.registry), traffic, loop, clock, timer);
 		electorReference.set(this.leaderElector);
-		this.jobService = new JobService(protectedStore, this.operator, directory, new IngressMetrics(this.registry),
-				clock, timer);
+		this.jobService = new JobService(protectedStore, store, this.operator, directory,
+				new IngressMetrics(this.registry), clock, timer);
 		timer.repeat(Duration.ofMillis(100), this::updateReadiness);
 	}
 
