End a request whose caller has left, and send writes after an unexpected error

Cause: found by reading. A request counted as in flight until its response was sent; for a caller that closes its connection first that may never be reported, and a stopping entry would wait 2.4 s for it. An exception of an answer's receiver would have left GroupCommitter marked as sending, so that no later row was sent; rejections ran while the queue was iterated.

Change: the closing of a connection ends its request; the mark is reset in a finally block; rows are rejected after the iteration, and rows that their answers lead to are sent.

Before: InFlightRequestsTests.aRequestEndsWhenItsCallerClosesTheConnection is new, not run on the former class. After: mvn verify of ingress, platform.hosted and CataloguePageTests: 96 tests, none failed.

--- a/src/main/java/org/crocuspost/ingress/GroupCommitter.java
+++ b/src/main/java/org/crocuspost/ingress/GroupCommitter.java
@@ -206,18 +206,22 @@
 			return;
 		}
 		this.sending = true;
-		while (this.inFlight == null) {
-			List<PendingWrite> writes = takeGroup();
-			if (writes.isEmpty()) {
-				break;
+		try {
+			while (this.inFlight == null && !this.waiting.isEmpty()) {
+				List<PendingWrite> writes = takeGroup();
+				if (!writes.isEmpty()) {
+					new Group(writes).send();
+				}
 			}
-			new Group(writes).send();
 		}
-		this.sending = false;
+		finally {
+			this.sending = false;
+		}
 	}
 
 	private List<PendingWrite> takeGroup() {
 		List<PendingWrite> group = new ArrayList<>();
+		List<PendingWrite> rejected = new ArrayList<>();
 		Set<String> keys = new HashSet<>();
 		Duration expected = expectedDuration();
 		int length = 0;
@@ -230,7 +234,7 @@
 			if (write.remaining(now()).compareTo(expected) < 0) {
 				iterator.remove();
 				if (!write.mayTakeEffect()) {
-					reject(write, expected);
+					rejected.add(write);
 				}
 				continue;
 			}
@@ -246,6 +250,8 @@
 				length += write.length();
 			}
 		}
+		// An answer may lead to another write.
+		rejected.forEach((write) -> reject(write, expected));
 		return group;
 	}
 
--- a/src/main/java/org/crocuspost/platform/hosted/InFlightRequests.java
+++ b/src/main/java/org/crocuspost/platform/hosted/InFlightRequests.java
@@ -1,5 +1,6 @@
 package org.crocuspost.platform.hosted;
 
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -15,7 +16,7 @@
 
 	private final AtomicInteger count = new AtomicInteger();
 
-	private final Set<Channel> connections = ConcurrentHashMap.newKeySet();
+	private final Map<Channel, Runnable> lastRequests = new ConcurrentHashMap<>();
 
 	private final Set<Channel> idleConnections = ConcurrentHashMap.newKeySet();
 
@@ -31,23 +32,30 @@
 	Runnable begin(Channel connection) {
 		this.count.incrementAndGet();
 		this.idleConnections.remove(connection);
-		if (this.connections.add(connection)) {
-			connection.closeFuture().addListener((closed) -> {
-				this.connections.remove(connection);
-				this.idleConnections.remove(connection);
-			});
-		}
 		AtomicBoolean ended = new AtomicBoolean();
-		return () -> {
+		Runnable end = () -> {
 			if (ended.compareAndSet(false, true)) {
 				end(connection);
 			}
 		};
+		if (this.lastRequests.put(connection, end) == null) {
+			connection.closeFuture().addListener((closed) -> handleClosed(connection));
+		}
+		return end;
+	}
+
+	private void handleClosed(Channel connection) {
+		// A response to a caller that has left may never be reported as sent.
+		Runnable end = this.lastRequests.remove(connection);
+		if (end != null) {
+			end.run();
+		}
+		this.idleConnections.remove(connection);
 	}
 
 	private void end(Channel connection) {
 		this.count.decrementAndGet();
-		if (this.connections.contains(connection)) {
+		if (this.lastRequests.containsKey(connection)) {
 			this.idleConnections.add(connection);
 		}
 	}
--- a/src/test/java/org/crocuspost/platform/hosted/InFlightRequestsTests.java
+++ b/src/test/java/org/crocuspost/platform/hosted/InFlightRequestsTests.java
@@ -46,10 +46,15 @@
 		assertThat(this.connection.isOpen()).isTrue();
 	}
 
+	/**
+	 * Guards against a stop that waits for a request whose caller has left.
+	 */
 	@Test
-	void forgetsConnectionsThatCallersClose() {
+	void aRequestEndsWhenItsCallerClosesTheConnection() {
 		Runnable end = this.requests.begin(this.connection);
 		this.connection.close();
+		this.connection.runPendingTasks();
+		assertThat(this.requests.count()).isZero();
 		end.run();
 		assertThat(this.requests.count()).isZero();
 	}
