Limit the leader's transactions by size, and divide those that the store rejects

Cause: a transaction had at most 93 entries (90 rows, the model, the leader's row and its condition), but no limit of its size: a task's row contains the checkpoint of its worker, and 90 rows of 60,000 characters are over 7 MB once encoded. A transaction that the store answers with status 400 or 413 was sent again every 150 ms for ever, and nothing else was recorded meanwhile.

Ruled out: more than 100 entries; the removals of expired jobs count three rows each and were within the limit before.

Change: a batch holds at most 500,000 characters of rows, or one row. The adapter reports status 400 and 413 as STORE_REJECTED. The leader logs such a transaction, divides it and records the parts before any later batch. A single row of a task is recorded without its checkpoint, and the task ignores checkpoints of that length from then on. A row that is rejected even so waits behind all other changes, and no end is acknowledged before it. Each transaction has a sequence number of its own, so that a late copy of a rejected one cannot be taken for a part of it. A rejection does not open the circuit breaker of the store.

Before (the same tests with the rejection retried and without the limit): rejectedTransactionIsRecordedInSmallerParts, rejectedTransactionIsNotRetried and longCheckpointsAreRecordedInBatchesThatFit fail.

--- a/src/main/java/org/crocuspost/dispatch/DispatchBatch.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchBatch.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 
 import org.crocuspost.job.TaskKey;
 
@@ -33,6 +35,67 @@
 		return this.jobs.isEmpty() && this.tasks.isEmpty() && this.ends.isEmpty() && this.cleanup.isEmpty();
 	}
 
+	/**
+	 * Returns the number of rows, where the rows of an expired job count once.
+	 * @return the number of rows that {@link #divide()} distributes
+	 */
+	public int rows() {
+		return this.jobs.size() + this.tasks.size() + this.cleanup.tasks.size() + this.cleanup.reduced.size()
+				+ this.cleanup.expired.size();
+	}
+
+	/**
+	 * Returns the length of the rows to write.
+	 * @return the number of characters without the keys
+	 */
+	public int characters() {
+		int total = 0;
+		for (String row : this.jobs.values()) {
+			total += row.length();
+		}
+		for (String row : this.tasks.values()) {
+			total += row.length();
+		}
+		return total;
+	}
+
+	/**
+	 * Divides the batch into two of about the same number of rows, to be recorded one
+	 * after the other. The ends are in the second one, since their acknowledgement must
+	 * not precede the record of any task.
+	 * @return both parts
+	 */
+	public List<DispatchBatch> divide() {
+		int half = rows() / 2;
+		return List.of(part(0, half, Map.of()), part(half, rows(), this.ends));
+	}
+
+	private DispatchBatch part(int from, int to, Map<String, WorkerEnds> partEnds) {
+		int offset = 0;
+		Map<String, String> partJobs = slice(List.copyOf(this.jobs.keySet()), from, to).stream()
+			.collect(Collectors.toMap(Function.identity(), this.jobs::get));
+		offset += this.jobs.size();
+		Map<TaskKey, String> partTasks = slice(List.copyOf(this.tasks.keySet()), from - offset, to - offset).stream()
+			.collect(Collectors.toMap(Function.identity(), this.tasks::get));
+		offset += this.tasks.size();
+		List<TaskKey> removedTasks = slice(this.cleanup.tasks, from - offset, to - offset);
+		offset += this.cleanup.tasks.size();
+		List<String> reduced = slice(this.cleanup.reduced, from - offset, to - offset);
+		offset += this.cleanup.reduced.size();
+		List<String> expired = slice(this.cleanup.expired, from - offset, to - offset);
+		// A start whose task needs no row any more is in the first part.
+		List<Start> partStarts = this.starts.stream()
+			.filter((start) -> this.tasks.containsKey(start.task()) ? partTasks.containsKey(start.task()) : from == 0)
+			.toList();
+		return new DispatchBatch(partJobs, partTasks, partStarts, partEnds,
+				new Cleanup(removedTasks, reduced, expired));
+	}
+
+	private static <T> List<T> slice(List<T> list, int from, int to) {
+		int start = Math.min(Math.max(from, 0), list.size());
+		return list.subList(start, Math.max(start, Math.min(to, list.size())));
+	}
+
 	/**
 	 * A run to start on a host.
 	 *
--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -397,10 +397,12 @@
 	/**
 	 * Takes the next batch of decisions that have to be recorded.
 	 * @param limit the maximum number of rows in the batch
+	 * @param characterLimit the maximum length of the rows in the batch, exceeded only by
+	 * a single row
 	 * @return the batch
 	 */
-	public DispatchBatch takeBatch(int limit) {
-		DispatchBatch changed = this.changes.take(limit, this::jobRow, this::taskRow);
+	public DispatchBatch takeBatch(int limit, int characterLimit) {
+		DispatchBatch changed = this.changes.take(limit, characterLimit, this::jobRow, this::taskRow);
 		long nowMillis = this.clock.millis();
 		if (!this.endedJobs.isDue(nowMillis)) {
 			return changed;
@@ -410,6 +412,34 @@
 				this.endedJobs.next(remaining, nowMillis, jobsWithRuns()));
 	}
 
+	/**
+	 * Reduces a batch of one row that the store rejects: the row of a task is recorded
+	 * without its checkpoint. The task keeps no checkpoint of that length any more, so
+	 * its next run may repeat work.
+	 * @param batch the batch
+	 * @return the reduced batch; empty if there is nothing to omit
+	 */
+	public List<DispatchBatch> reduce(DispatchBatch batch) {
+		for (TaskKey key : batch.tasks().keySet()) {
+			Optional<TaskProgress> task = job(key.job()).map((found) -> found.task(key))
+				.filter((found) -> !found.checkpoint().isEmpty());
+			if (task.isPresent()) {
+				task.get().rejectCheckpoint();
+				return List.of(new DispatchBatch(batch.jobs(), Map.of(key, task.get().write()), batch.starts(),
+						batch.ends(), batch.cleanup()));
+			}
+		}
+		return List.of();
+	}
+
+	/**
+	 * Takes back a batch that was not recorded, to be recorded after all other changes.
+	 * @param batch the batch
+	 */
+	public void postpone(DispatchBatch batch) {
+		this.changes.takeBack(batch);
+	}
+
 	private String jobRow(String id) {
 		TrackedJob tracked = this.jobs.get(id);
 		return (tracked != null) ? tracked.job().summary().write() : "";
--- a/src/main/java/org/crocuspost/error/ErrorCode.java
+++ b/src/main/java/org/crocuspost/error/ErrorCode.java
@@ -116,6 +116,12 @@
 	 */
 	STORE_UNAVAILABLE(503, Verdict.NOT_RUN, "the platform's store is unavailable: %s"),
 
+	/**
+	 * The platform's store rejects a transaction for what it contains, so that the same
+	 * transaction is rejected again.
+	 */
+	STORE_REJECTED(503, Verdict.NOT_RUN, "the platform's store rejects the transaction: %s"),
+
 	/**
 	 * The platform's store did not respond to a write, which may have taken effect.
 	 */
--- a/src/main/java/org/crocuspost/job/TaskProgress.java
+++ b/src/main/java/org/crocuspost/job/TaskProgress.java
@@ -29,6 +29,8 @@
 
 	private String checkpoint = "";
 
+	private int maximumCheckpointLength = Integer.MAX_VALUE;
+
 	private int crashes;
 
 	private int crashedRuns;
@@ -132,15 +134,24 @@
 
 	/**
 	 * Records a checkpoint that replaces the previous one.
-	 * @param newCheckpoint opaque text from the worker; if empty, the previous checkpoint
-	 * stays
+	 * @param newCheckpoint opaque text from the worker; if empty or too long, the
+	 * previous checkpoint stays
 	 */
 	public void saveCheckpoint(String newCheckpoint) {
-		if (!newCheckpoint.isEmpty()) {
+		if (!newCheckpoint.isEmpty() && newCheckpoint.length() <= this.maximumCheckpointLength) {
 			this.checkpoint = newCheckpoint;
 		}
 	}
 
+	/**
+	 * Discards the checkpoint, since the store does not accept it, and ignores all later
+	 * ones of at least its length.
+	 */
+	public void rejectCheckpoint() {
+		this.maximumCheckpointLength = this.checkpoint.length() - 1;
+		this.checkpoint = "";
+	}
+
 	/**
 	 * Returns whether the task has been assigned or run at least once.
 	 * @return true if the task has been assigned or run
--- a/src/main/java/org/crocuspost/lead/FencedWriter.java
+++ b/src/main/java/org/crocuspost/lead/FencedWriter.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 import io.vavr.control.Either;
+import org.crocuspost.error.ErrorCode;
 import org.crocuspost.error.Failure;
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
@@ -38,6 +40,8 @@
 
 	private LeaderRecord record;
 
+	private long sequence;
+
 	private long version;
 
 	private ClockReading confirmed;
@@ -52,6 +56,7 @@
 			Runnable onLeadershipLost) {
 		this.store = store;
 		this.record = record;
+		this.sequence = record.sequence();
 		this.version = version;
 		this.clock = clock;
 		this.timer = timer;
@@ -59,31 +64,56 @@
 		this.confirmed = ClockReading.of(clock);
 	}
 
+	/**
+	 * Sends a transaction that only writes the leader's row. Must not be called while
+	 * another transaction is in progress.
+	 * @param nextName the name to write to the leader's row; empty to resign
+	 * @param onApplied runs once the transaction has been applied
+	 */
+	void writeLeaderRow(String nextName, Runnable onApplied) {
+		// Such a transaction cannot be reduced, so a rejected one is sent again as well.
+		write(nextName, List.of(), List.of(), onApplied,
+				(failure) -> this.timer.schedule(LeadershipTimings.RETRY_DELAY, () -> {
+					if (!this.closed && !this.busy) {
+						writeLeaderRow(nextName, onApplied);
+					}
+				}));
+	}
+
 	/**
 	 * Sends a transaction. Must not be called while another transaction is in progress.
 	 * @param nextName the name to write to the leader's row; empty to resign
 	 * @param writes the rows to write besides the leader's row
 	 * @param removals the rows to remove
 	 * @param onApplied runs once the transaction has been applied
+	 * @param onRejected runs if the store rejects the transaction for what it contains;
+	 * it had no effect and is not sent again
 	 */
 	void write(String nextName, List<RowTransaction.Write> writes, List<RowTransaction.Removal> removals,
-			Runnable onApplied) {
+			Runnable onApplied, Consumer<Failure> onRejected) {
 		this.busy = true;
-		LeaderRecord next = new LeaderRecord(this.record.epoch(), this.record.sequence() + 1, nextName);
+		// A number is not used again after a rejection: the content of the leader's row
+		// identifies one transaction.
+		LeaderRecord next = new LeaderRecord(this.record.epoch(), ++this.sequence, nextName);
 		List<RowTransaction.Write> allWrites = new ArrayList<>(writes);
 		allWrites.add(new RowTransaction.Write(Tables.LEDGER, Tables.LEADER_KEY, next.write()));
 		send(new RowTransaction(List.of(new RowTransaction.Condition(Tables.LEDGER, Tables.LEADER_KEY, this.version)),
-				allWrites, removals), next, onApplied);
+				allWrites, removals), next, onApplied, onRejected);
 	}
 
-	private void send(RowTransaction transaction, LeaderRecord next, Runnable onApplied) {
+	private void send(RowTransaction transaction, LeaderRecord next, Runnable onApplied, Consumer<Failure> onRejected) {
 		ClockReading sent = ClockReading.of(this.clock);
 		this.store.commit(transaction, (answer) -> {
 			if (this.closed) {
 				return;
 			}
+			if (answer.isLeft() && answer.getLeft().code() == ErrorCode.STORE_REJECTED) {
+				this.busy = false;
+				onRejected.accept(answer.getLeft());
+				return;
+			}
 			if (answer.isLeft()) {
-				retryLater(answer, () -> send(transaction, next, onApplied));
+				retryLater(answer, () -> send(transaction, next, onApplied, onRejected));
 				return;
 			}
 			RowCommit commit = answer.get();
--- a/src/main/java/org/crocuspost/lead/LeadEvent.java
+++ b/src/main/java/org/crocuspost/lead/LeadEvent.java
@@ -37,6 +37,12 @@
 	 */
 	RECORD_DELAYED,
 
+	/**
+	 * The store rejects a transaction of the leader for what it contains. It is tried
+	 * again in smaller parts.
+	 */
+	RECORD_REJECTED,
+
 	/**
 	 * A transaction of the leader was applied after failed attempts.
 	 */
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -1,7 +1,9 @@
 package org.crocuspost.lead;
 
 import java.io.IOException;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -17,6 +19,7 @@
 import org.crocuspost.dispatch.Dispatcher;
 import org.crocuspost.dispatch.ImagePressure;
 import org.crocuspost.dispatch.ReportProcessor;
+import org.crocuspost.error.Failure;
 import org.crocuspost.hostlink.HostLink;
 import org.crocuspost.hostlink.HostLinkListener;
 import org.crocuspost.job.JobSummary;
@@ -89,6 +92,12 @@
 
 	private long imagesRecordedNanos;
 
+	/**
+	 * Parts of a batch that the store has rejected. They are recorded before any later
+	 * batch, so that no row is replaced by an earlier state.
+	 */
+	private final Deque<DispatchBatch> rejectedParts = new ArrayDeque<>();
+
 	private final RemovedJobs removedJobs = new RemovedJobs();
 
 	private final long takeoverNanos;
@@ -417,7 +426,10 @@
 		if (this.operator.age().compareTo(LeadershipTimings.MAXIMUM_OPERATOR_VIEW_AGE) < 0 && this.writer.confirmed()) {
 			this.dispatcher.schedule();
 		}
-		DispatchBatch batch = this.dispatcher.takeBatch(LeadershipTimings.MAXIMUM_ROWS_PER_TRANSACTION);
+		DispatchBatch batch = this.rejectedParts.isEmpty()
+				? this.dispatcher.takeBatch(LeadershipTimings.MAXIMUM_ROWS_PER_TRANSACTION,
+						LeadershipTimings.MAXIMUM_ROW_CHARACTERS_PER_TRANSACTION)
+				: this.rejectedParts.remove();
 		if (batch.isEmpty()) {
 			renewIfDue();
 		}
@@ -428,7 +440,7 @@
 
 	private void renewIfDue() {
 		if (this.writer.confirmationAge().compareTo(LeadershipTimings.RENEWAL_INTERVAL) > 0) {
-			this.writer.write(this.record.name(), List.of(), List.of(), this::scheduleDecision);
+			this.writer.writeLeaderRow(this.record.name(), this::scheduleDecision);
 		}
 	}
 
@@ -454,7 +466,31 @@
 		this.writer.write(this.record.name(), writes, removals, () -> {
 			this.removedJobs.add(cleanup.expired(), this.writer.version());
 			handleChangesRecorded(batch);
-		});
+		}, (failure) -> handleRejection(batch, failure));
+	}
+
+	/**
+	 * Divides a batch that the store has rejected. A single row is recorded without the
+	 * checkpoint of its task, which is the only content of a row whose size a worker
+	 * determines. If even that is rejected, the row waits behind all other changes, and
+	 * no ends are acknowledged before it is recorded.
+	 */
+	private void handleRejection(DispatchBatch batch, Failure failure) {
+		EventLog.warn(LeadEvent.RECORD_REJECTED, Field.of("epoch", this.record.epoch()), Field.of("rows", batch.rows()),
+				Field.of("characters", batch.characters()), Field.of("reason", failure.message()));
+		this.recordedImages = "";
+		List<DispatchBatch> parts = (batch.rows() > 1) ? batch.divide() : this.dispatcher.reduce(batch);
+		for (int part = parts.size() - 1; part >= 0; part--) {
+			this.rejectedParts.addFirst(parts.get(part));
+		}
+		if (parts.isEmpty()) {
+			this.dispatcher.postpone(batch);
+			List.copyOf(this.rejectedParts).forEach(this.dispatcher::postpone);
+			this.rejectedParts.clear();
+		}
+		// A rejected transaction does not show that this process is still the leader, so
+		// the pause is that of a failed one.
+		this.timer.schedule(LeadershipTimings.RETRY_DELAY, this::scheduleDecision);
 	}
 
 	private void handleChangesRecorded(DispatchBatch batch) {
@@ -467,7 +503,7 @@
 				LeaderMessage.newBuilder()
 					.addAllStarts(starts)
 					.setRecordedEnds(this.reportProcessor.recordedEnds(host))));
-		if (this.dispatcher.hasChanges()) {
+		if (this.dispatcher.hasChanges() || !this.rejectedParts.isEmpty()) {
 			scheduleDecision();
 		}
 	}
@@ -483,7 +519,7 @@
 			return;
 		}
 		EventLog.info(LeadEvent.LEADERSHIP_RESIGNED, Field.of("epoch", this.record.epoch()));
-		this.writer.write("", List.of(), List.of(), () -> {
+		this.writer.writeLeaderRow("", () -> {
 			close();
 			onResigned.run();
 		});
--- a/src/main/java/org/crocuspost/lead/LeadershipTimings.java
+++ b/src/main/java/org/crocuspost/lead/LeadershipTimings.java
@@ -72,6 +72,12 @@
 	 */
 	static final int MAXIMUM_ROWS_PER_TRANSACTION = 90;
 
+	/**
+	 * Maximum length of the rows in a transaction, in characters. The store accepts 1 MB,
+	 * the encoding adds a third, and the remainder is for the keys and the model.
+	 */
+	static final int MAXIMUM_ROW_CHARACTERS_PER_TRANSACTION = 500_000;
+
 	private LeadershipTimings() {
 	}
 
--- a/src/main/java/org/crocuspost/platform/hosted/HostedRowStore.java
+++ b/src/main/java/org/crocuspost/platform/hosted/HostedRowStore.java
@@ -41,6 +41,10 @@
 
 	private static final int GONE = 410;
 
+	private static final int BAD_REQUEST = 400;
+
+	private static final int TOO_LARGE = 413;
+
 	/**
 	 * Table that only the platform and the operator write. Its partition name is empty.
 	 */
@@ -118,6 +122,8 @@
 			return switch (answered.status()) {
 				case OK -> Either.right(new RowCommit(true, version(JsonTrees.read(answered.body())), List.of()));
 				case CONDITION_FAILED -> Either.right(new RowCommit(false, 0, rows(JsonTrees.read(answered.body()))));
+				case BAD_REQUEST, TOO_LARGE ->
+					Either.left(ErrorCode.STORE_REJECTED.with("status " + answered.status()));
 				// Any other status means that the transaction had no effect.
 				default -> unavailable("status " + answered.status());
 			};
--- a/src/main/java/org/crocuspost/rows/CircuitBreakingRowStore.java
+++ b/src/main/java/org/crocuspost/rows/CircuitBreakingRowStore.java
@@ -63,7 +63,7 @@
 
 	private <T> Consumer<Either<Failure, T>> recordingOutcome(Consumer<Either<Failure, T>> answer) {
 		return (outcome) -> {
-			if (outcome.isRight()) {
+			if (outcome.isRight() || outcome.getLeft().code() == ErrorCode.STORE_REJECTED) {
 				this.breaker.recordSuccess();
 			}
 			else {
--- a/src/main/java/org/crocuspost/rows/RowStore.java
+++ b/src/main/java/org/crocuspost/rows/RowStore.java
@@ -12,7 +12,9 @@
  *
  * <p>
  * A call that fails with {@code STORE_UNAVAILABLE} had no effect. Only {@link #commit}
- * fails with {@code STORE_UNKNOWN}; the transaction may then still take effect.
+ * fails with {@code STORE_UNKNOWN}; the transaction may then still take effect. A commit
+ * that fails with {@code STORE_REJECTED} had no effect, and the same transaction fails
+ * again.
  */
 public interface RowStore {
 
--- a/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
@@ -108,7 +108,7 @@
 	void runSchedulingRound() {
 		this.dispatcher.schedule();
 		while (this.dispatcher.hasChanges()) {
-			DispatchBatch batch = this.dispatcher.takeBatch(100);
+			DispatchBatch batch = this.dispatcher.takeBatch(100, Integer.MAX_VALUE);
 			store(batch);
 			this.dispatcher.recorded(batch, true).forEach((host, orders) -> this.workers.get(host).execute(orders));
 		}
--- a/src/test/java/org/crocuspost/dispatch/DispatcherTests.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatcherTests.java
@@ -27,7 +27,7 @@
 		this.fixture.submit("job", DispatchFixture.step(2, 1_000));
 		this.fixture.dispatcher.schedule();
 		assertThat(worker.executedOrders).isEmpty();
-		DispatchBatch batch = this.fixture.dispatcher.takeBatch(10);
+		DispatchBatch batch = this.fixture.dispatcher.takeBatch(10, Integer.MAX_VALUE);
 		assertThat(batch.tasks().values()).hasSize(2).allMatch((row) -> row.contains("one worker-one"));
 		assertThat(this.fixture.dispatcher.recorded(batch, true).get("one")).hasSize(2);
 	}
@@ -215,7 +215,7 @@
 		worker.endAll("failed");
 		this.fixture.report(worker);
 		while (this.fixture.dispatcher.hasChanges()) {
-			this.fixture.store(this.fixture.dispatcher.takeBatch(10));
+			this.fixture.store(this.fixture.dispatcher.takeBatch(10, Integer.MAX_VALUE));
 		}
 		this.fixture.takeOver();
 		this.fixture.report(worker);
@@ -265,7 +265,7 @@
 		SimulatedWorker worker = this.fixture.worker("one", 4_000);
 		this.fixture.submit("job", DispatchFixture.step(1, 1_000));
 		this.fixture.dispatcher.schedule();
-		DispatchBatch batch = this.fixture.dispatcher.takeBatch(10);
+		DispatchBatch batch = this.fixture.dispatcher.takeBatch(10, Integer.MAX_VALUE);
 		this.fixture.dispatcher.setEvacuatedDomains(Set.of("domain-one"));
 		assertThat(this.fixture.dispatcher.recorded(batch, true)).isEmpty();
 		this.fixture.runSchedulingRound();
@@ -280,12 +280,12 @@
 		this.fixture.worker("one", 4_000);
 		this.fixture.submit("cancelled", DispatchFixture.step(1, 1_000));
 		this.fixture.dispatcher.schedule();
-		DispatchBatch first = this.fixture.dispatcher.takeBatch(10);
+		DispatchBatch first = this.fixture.dispatcher.takeBatch(10, Integer.MAX_VALUE);
 		this.fixture.dispatcher.cancelled("cancelled");
 		assertThat(this.fixture.dispatcher.recorded(first, true)).isEmpty();
 		this.fixture.submit("waiting", DispatchFixture.step(1, 1_000));
 		this.fixture.dispatcher.schedule();
-		DispatchBatch second = this.fixture.dispatcher.takeBatch(10);
+		DispatchBatch second = this.fixture.dispatcher.takeBatch(10, Integer.MAX_VALUE);
 		this.fixture.reports.connected("one", false);
 		assertThat(this.fixture.dispatcher.recorded(second, true)).isEmpty();
 	}
--- a/src/test/java/org/crocuspost/dispatch/LostRunTests.java
+++ b/src/test/java/org/crocuspost/dispatch/LostRunTests.java
@@ -56,12 +56,12 @@
 		this.fixture.report(worker);
 		this.fixture.runSchedulingRound();
 		this.fixture.time.advance(DispatchFixture.SETTINGS.retention().plusSeconds(1));
-		DispatchBatch reduction = this.fixture.dispatcher.takeBatch(10);
+		DispatchBatch reduction = this.fixture.dispatcher.takeBatch(10, Integer.MAX_VALUE);
 		assertThat(reduction.cleanup().reduced()).containsExactly("0123456789abcdef");
 		this.fixture.submit("0123456789abcdef", DispatchFixture.step(1, 1_000));
 		this.fixture.dispatcher.recorded(reduction, true);
 		this.fixture.submit("0123456789abcdef", DispatchFixture.step(1, 1_000));
-		DispatchBatch removal = this.fixture.dispatcher.takeBatch(10);
+		DispatchBatch removal = this.fixture.dispatcher.takeBatch(10, Integer.MAX_VALUE);
 		assertThat(removal.cleanup().expired()).containsExactly("0123456789abcdef");
 		this.fixture.submit("0123456789abcdef", DispatchFixture.step(1, 1_000));
 		this.fixture.dispatcher.recorded(removal, true);
--- a/src/test/java/org/crocuspost/dispatch/MixedLoadSimulation.java
+++ b/src/test/java/org/crocuspost/dispatch/MixedLoadSimulation.java
@@ -153,7 +153,7 @@
 	private void schedule() {
 		this.dispatcher.schedule();
 		while (this.dispatcher.hasChanges()) {
-			DispatchBatch batch = this.dispatcher.takeBatch(90);
+			DispatchBatch batch = this.dispatcher.takeBatch(90, Integer.MAX_VALUE);
 			this.dispatcher.recorded(batch, true)
 				.forEach((host, orders) -> orders.forEach(this.hosts.get(host)::start));
 		}
--- a/src/test/java/org/crocuspost/dispatch/RecordingTests.java
+++ b/src/test/java/org/crocuspost/dispatch/RecordingTests.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 
 import org.crocuspost.dispatch.DispatchFixture.SimulatedWorker;
 import org.crocuspost.job.JobState;
@@ -31,14 +32,18 @@
 	 * Records batches until there is nothing left to record or to clean up.
 	 */
 	private List<DispatchBatch> recordAll() {
+		return recordAll(Integer.MAX_VALUE);
+	}
+
+	private List<DispatchBatch> recordAll(int characterLimit) {
 		List<DispatchBatch> batches = new ArrayList<>();
-		DispatchBatch batch = this.fixture.dispatcher.takeBatch(LIMIT);
+		DispatchBatch batch = this.fixture.dispatcher.takeBatch(LIMIT, characterLimit);
 		while (!batch.isEmpty()) {
 			batches.add(batch);
 			this.fixture.store(batch);
 			this.fixture.dispatcher.recorded(batch, true)
 				.forEach((host, orders) -> this.fixture.workers.get(host).execute(orders));
-			batch = this.fixture.dispatcher.takeBatch(LIMIT);
+			batch = this.fixture.dispatcher.takeBatch(LIMIT, characterLimit);
 		}
 		return batches;
 	}
@@ -55,7 +60,7 @@
 		recordAll();
 		worker.end(this.fixture.task("job", 0, 0).key(), "failed");
 		this.fixture.report(worker);
-		DispatchBatch batch = this.fixture.dispatcher.takeBatch(LIMIT);
+		DispatchBatch batch = this.fixture.dispatcher.takeBatch(LIMIT, Integer.MAX_VALUE);
 		assertThat(batch.tasks()).containsOnlyKeys(this.fixture.task("job", 0, 0).key());
 		assertThat(batch.jobs()).isEmpty();
 		assertThat(batch.tasks().get(this.fixture.task("job", 0, 0).key())).hasSizeLessThan(60);
@@ -71,6 +76,70 @@
 		assertThat(worker.executedOrders).hasSize(200);
 	}
 
+	/**
+	 * The rows of tasks contain checkpoints of the workers. The store accepts 1 MB in a
+	 * transaction, in which each row is encoded in four bytes for three.
+	 */
+	@Test
+	void longCheckpointsAreRecordedInBatchesThatFit() {
+		SimulatedWorker worker = runWithCheckpoints(100, 60_000);
+		worker.endAll("failed");
+		this.fixture.report(worker);
+		List<DispatchBatch> batches = recordAll(500_000);
+		assertThat(batches).flatExtracting((batch) -> batch.tasks().keySet()).hasSize(100);
+		assertThat(batches).allMatch((batch) -> rows(batch) <= LIMIT)
+			.allMatch((batch) -> batch.characters() * 4L / 3 + rows(batch) * 500L <= 1_000_000);
+		assertThat(this.fixture.reports.recordedEnds("one")).isEqualTo(100);
+	}
+
+	@Test
+	void partsOfBatchContainEachRowAndStartOnce() {
+		this.fixture.worker("one", 1_000_000);
+		this.fixture.submit("job", DispatchFixture.step(20, 1_000));
+		this.fixture.dispatcher.schedule();
+		DispatchBatch batch = this.fixture.dispatcher.takeBatch(LIMIT, Integer.MAX_VALUE);
+		List<DispatchBatch> parts = new ArrayList<>(List.of(batch));
+		while (parts.stream().anyMatch((part) -> part.rows() > 1)) {
+			parts = new ArrayList<>(parts.stream()
+				.flatMap((part) -> (part.rows() > 1) ? part.divide().stream() : Stream.of(part))
+				.toList());
+		}
+		assertThat(parts).hasSize(21);
+		assertThat(parts).flatExtracting(DispatchBatch::starts).containsExactlyInAnyOrderElementsOf(batch.starts());
+		assertThat(parts).flatExtracting((part) -> part.tasks().entrySet())
+			.containsExactlyInAnyOrderElementsOf(batch.tasks().entrySet());
+	}
+
+	/**
+	 * Guards against a row that is rejected again and again, since the worker reports the
+	 * same checkpoint after it was discarded.
+	 */
+	@Test
+	void rejectedCheckpointIsOmittedAndNotTakenAgain() {
+		SimulatedWorker worker = runWithCheckpoints(1, 60_000);
+		worker.endAll("failed");
+		this.fixture.report(worker);
+		DispatchBatch rejected = this.fixture.dispatcher.takeBatch(LIMIT, Integer.MAX_VALUE);
+		DispatchBatch reduced = this.fixture.dispatcher.reduce(rejected).get(0);
+		assertThat(reduced.characters()).isLessThan(100);
+		assertThat(reduced.ends()).isEqualTo(rejected.ends());
+		this.fixture.task("job", 0, 0).saveCheckpoint("x".repeat(60_000));
+		assertThat(this.fixture.task("job", 0, 0).checkpoint()).isEmpty();
+		assertThat(this.fixture.dispatcher.reduce(reduced)).isEmpty();
+		this.fixture.dispatcher.postpone(reduced);
+		assertThat(this.fixture.dispatcher.takeBatch(LIMIT, Integer.MAX_VALUE)).isEqualTo(reduced);
+	}
+
+	private SimulatedWorker runWithCheckpoints(int tasks, int length) {
+		SimulatedWorker worker = this.fixture.worker("one", 1_000_000);
+		this.fixture.submit("job", DispatchFixture.step(tasks, 1_000));
+		this.fixture.dispatcher.schedule();
+		recordAll();
+		worker.running.replaceAll((task, run) -> run.toBuilder().setCheckpoint("x".repeat(length)).build());
+		this.fixture.report(worker);
+		return worker;
+	}
+
 	@Test
 	void endIsAcknowledgedOnlyAfterAllChangesAreRecorded() {
 		SimulatedWorker worker = this.fixture.worker("one", 1_000_000);
@@ -79,7 +148,7 @@
 		recordAll();
 		worker.endAll("failed");
 		this.fixture.report(worker);
-		DispatchBatch first = this.fixture.dispatcher.takeBatch(LIMIT);
+		DispatchBatch first = this.fixture.dispatcher.takeBatch(LIMIT, Integer.MAX_VALUE);
 		assertThat(first.ends()).isEmpty();
 		this.fixture.dispatcher.recorded(first, true);
 		assertThat(this.fixture.reports.recordedEnds("one")).isZero();
--- a/src/test/java/org/crocuspost/dispatch/WorkerCapacityTests.java
+++ b/src/test/java/org/crocuspost/dispatch/WorkerCapacityTests.java
@@ -34,7 +34,7 @@
 		SimulatedWorker worker = this.fixture.worker("host", 4_000);
 		this.fixture.submit(JOB, DispatchFixture.step(3, 1_000));
 		this.fixture.dispatcher.schedule();
-		DispatchBatch batch = this.fixture.dispatcher.takeBatch(100);
+		DispatchBatch batch = this.fixture.dispatcher.takeBatch(100, Integer.MAX_VALUE);
 		resize(worker, 1_000);
 		Map<String, List<StartOrder>> orders = this.fixture.dispatcher.recorded(batch, true);
 		assertThat(orders.get("host")).hasSize(1);
--- a/src/test/java/org/crocuspost/dispatch/WorkerCrashTests.java
+++ b/src/test/java/org/crocuspost/dispatch/WorkerCrashTests.java
@@ -160,7 +160,7 @@
 		SimulatedWorker worker = this.fixture.worker("host", 4_000);
 		this.fixture.submit(LONG_RUNNING, DispatchFixture.step(1, 1_000));
 		this.fixture.dispatcher.schedule();
-		DispatchBatch batch = this.fixture.dispatcher.takeBatch(100);
+		DispatchBatch batch = this.fixture.dispatcher.takeBatch(100, Integer.MAX_VALUE);
 		this.fixture.time.advance(DispatchFixture.SETTINGS.leaseTimeout().plusMillis(1));
 		assertThat(this.fixture.dispatcher.recorded(batch, true)).isEmpty();
 		this.fixture.reports.expireLeases(Duration.ofSeconds(18), 0);
--- a/src/test/java/org/crocuspost/lead/FencedWriterTests.java
+++ b/src/test/java/org/crocuspost/lead/FencedWriterTests.java
@@ -27,6 +27,8 @@
 
 	private int leadershipLosses;
 
+	private int rejections;
+
 	private FencedWriter writer;
 
 	@BeforeEach
@@ -47,7 +49,7 @@
 
 	private void write(String key) {
 		this.writer.write("leader-1", List.of(new RowTransaction.Write(Tables.LEDGER, key, "value")), List.of(),
-				() -> this.appliedTransactions++);
+				() -> this.appliedTransactions++, (failure) -> this.rejections++);
 	}
 
 	@Test
@@ -63,6 +65,33 @@
 		assertThat(this.writer.confirmed()).isTrue();
 	}
 
+	/**
+	 * A late copy of a rejected transaction must not be taken for the next transaction.
+	 */
+	@Test
+	void rejectedTransactionIsNotRetried() {
+		this.store.setFault(Fault.REJECTED);
+		write("key");
+		this.time.advance(Duration.ofSeconds(2));
+		assertThat(this.rejections).isEqualTo(1);
+		assertThat(this.writer.busy()).isFalse();
+		this.store.setFault(Fault.NONE);
+		write("other");
+		assertThat(this.appliedTransactions).isEqualTo(1);
+		LeaderRecord written = LeaderRecord.read(this.store.row(Tables.LEDGER, Tables.LEADER_KEY).value());
+		assertThat(written.sequence()).isEqualTo(2);
+	}
+
+	@Test
+	void rejectedRenewalIsRetried() {
+		this.store.setFault(Fault.REJECTED);
+		this.writer.writeLeaderRow("leader-1", () -> this.appliedTransactions++);
+		this.time.advance(Duration.ofSeconds(1));
+		this.store.setFault(Fault.NONE);
+		this.time.advance(Duration.ofSeconds(1));
+		assertThat(this.appliedTransactions).isEqualTo(1);
+	}
+
 	@Test
 	void lostAnswerOfAppliedTransactionIsRecoveredFromLeaderRow() {
 		this.store.setFault(Fault.ANSWER_LOST);
--- a/src/test/java/org/crocuspost/lead/LeaderTests.java
+++ b/src/test/java/org/crocuspost/lead/LeaderTests.java
@@ -13,6 +13,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.vavr.control.Either;
 import org.crocuspost.dispatch.DispatchSettings;
+import org.crocuspost.error.ErrorCode;
 import org.crocuspost.error.Failure;
 import org.crocuspost.job.JobSpecification;
 import org.crocuspost.job.JobState;
@@ -107,7 +108,29 @@
 	}
 
 	/**
-	 * In-memory store that can lose its history.
+	 * Guards against a leader that sends a transaction again for ever that the store
+	 * rejects for its size, so that nothing is recorded any more.
+	 */
+	@Test
+	void rejectedTransactionIsRecordedInSmallerParts() {
+		for (int number = 0; number < 100; number++) {
+			submitJob("%016x".formatted(number));
+			writeRow(Tables.LEDGER, Tables.PROGRESS_PREFIX + "%016x".formatted(number),
+					new JobSummary("queue", JobState.COMPLETED, 0).write());
+		}
+		submitJob(WAITING_JOB);
+		this.store.maximumEntries = 8;
+		startLeader();
+		this.time.advance(Duration.ofSeconds(60));
+		assertThat(this.store.rows.row(Tables.LEDGER, Tables.PROGRESS_PREFIX + WAITING_JOB).exists()).isTrue();
+		for (int number = 0; number < 100; number++) {
+			assertThat(this.store.rows.row(Tables.INTAKE, Tables.JOB_PREFIX + "%016x".formatted(number)).exists())
+				.isFalse();
+		}
+	}
+
+	/**
+	 * In-memory store that can lose its history and limits the entries of a transaction.
 	 */
 	private static final class HistoryLosingStore implements RowStore {
 
@@ -115,8 +138,14 @@
 
 		private boolean historyLost;
 
+		private int maximumEntries = 100;
+
 		@Override
 		public void commit(RowTransaction transaction, Consumer<Either<Failure, RowCommit>> answer) {
+			if (transaction.writes().size() + transaction.removals().size() > this.maximumEntries) {
+				answer.accept(Either.left(ErrorCode.STORE_REJECTED.with("too many entries")));
+				return;
+			}
 			this.rows.commit(transaction, answer);
 		}
 
--- a/src/test/java/org/crocuspost/rows/MemoryRowStore.java
+++ b/src/test/java/org/crocuspost/rows/MemoryRowStore.java
@@ -46,6 +46,11 @@
 		 */
 		REFUSED,
 
+		/**
+		 * The transaction is not applied, and the answer says that it never will be.
+		 */
+		REJECTED,
+
 		/**
 		 * The transaction is applied, but the answer is lost.
 		 */
@@ -98,6 +103,7 @@
 		Fault current = this.faultsInTurn.isEmpty() ? this.fault : this.faultsInTurn.remove();
 		switch (current) {
 			case REFUSED -> answer.accept(Either.left(ErrorCode.STORE_UNAVAILABLE.with("refused")));
+			case REJECTED -> answer.accept(Either.left(ErrorCode.STORE_REJECTED.with("rejected")));
 			case ANSWER_LOST -> {
 				apply(transaction);
 				answer.accept(Either.left(ErrorCode.STORE_UNKNOWN.with("lost")));
