--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -474,6 +474,8 @@
 	 * checkpoint of its task, which is the only content of a row whose size a worker
 	 * determines. If even that is rejected, the row waits behind all other changes, and
 	 * no ends are acknowledged before it is recorded.
+	 * @param batch the batch
+	 * @param failure why the store rejected it
 	 */
 	private void handleRejection(DispatchBatch batch, Failure failure) {
 		EventLog.warn(LeadEvent.RECORD_REJECTED, Field.of("epoch", this.record.epoch()), Field.of("rows", batch.rows()),
--- a/src/test/java/org/crocuspost/soak/FaultSoakTests.java
+++ b/src/test/java/org/crocuspost/soak/FaultSoakTests.java
@@ -3,7 +3,6 @@
 import java.nio.file.Path;
 import java.time.Duration;
 
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -44,7 +43,12 @@
 	 * Leaders and agents are killed, paused and cut off while tasks crash one worker
 	 * after the other.
 	 */
-	@Tag("known-red")
+	// Failures that this seed found:
+	// A crash was not counted if the next connection to the agent began after it, so a
+	// deadly task was started three more times after its third crash.
+	// Tasks were assigned to a host that accepted connections after its lease had lapsed.
+	// Each assignment counted as a crash, and a job that was not to blame ended as
+	// failed.
 	@ParameterizedTest
 	@ValueSource(longs = { 3 })
 	void deadlyTasksAreGivenUpUnderFaults(long seed) throws Exception {
