Free several workers of services per attempt and pack small short tasks

Cause: an attempt to free a worker moved at most four tasks, and a full worker of 16 cores holds four or five. It freed one worker at a time, chosen by the number of tasks. Short tasks were spread over all workers with services, so the gaps were too small for tasks of services.

Ruled out: packing all short tasks, or placing them where most is reserved.

Change: an attempt wants as many workers as the waiting fillers fill, moves at most eight tasks, tries all of them together and waits for earlier moves. Short tasks of at most 0.025 of a worker are packed. The wanted and actual numbers of free workers are logged and are gauges.

--- a/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
+++ b/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
@@ -59,6 +59,14 @@
 	 */
 	private static final double COLD_START_PENALTY = 2;
 
+	/**
+	 * Share of a worker up to which a short task is packed on the fullest worker with
+	 * services. Spread over all of them, such tasks leave many gaps that are too small
+	 * for a task of a service. Larger ones, if packed, leave light fillers too little
+	 * processor capacity on the same workers.
+	 */
+	private static final double MAXIMUM_PACKED_SHARE = 0.025;
+
 	/**
 	 * Smallest increase that is reported for a known image, since 0 means that the image
 	 * is unknown.
@@ -222,7 +230,9 @@
 					- (candidate.isVacated() ? VACATED_PENALTY : 0);
 		}
 		else {
-			score = (withService ? SERVICE_WEIGHT : 0) + candidate.freeMilliCores() / capacity;
+			double freeShare = candidate.freeMilliCores() / capacity;
+			boolean packed = withService && step.milliCores() <= capacity * MAXIMUM_PACKED_SHARE;
+			score = (withService ? SERVICE_WEIGHT : 0) + (packed ? -freeShare : freeShare);
 		}
 		if (!step.dataRack().isEmpty() && step.dataRack().equals(candidate.rack())) {
 			score += DATA_LOCALITY_WEIGHT;
--- a/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
@@ -135,10 +135,10 @@
 	static final Duration CONSOLIDATION_INTERVAL = Duration.ofSeconds(1);
 
 	/**
-	 * Maximum number of tasks of services that are moved to free a worker. Each is
-	 * interrupted for about half a second.
+	 * Maximum number of tasks of services that one attempt moves. Each is interrupted for
+	 * about half a second. A full worker with 16 cores holds four or five.
 	 */
-	static final int MAXIMUM_MOVED_TASKS = 4;
+	static final int MAXIMUM_MOVED_TASKS = 8;
 
 	/**
 	 * Time for which a run must have been listed as running before it no longer counts as
@@ -173,8 +173,8 @@
 	static final int CRASHES_BEFORE_ISOLATION = 2;
 
 	/**
-	 * Maximum number of workers that an attempt tries to free. Each trial looks at all
-	 * workers that run services.
+	 * Maximum number of workers that an attempt tries to free in vain. Each trial looks
+	 * at all workers that run services.
 	 */
 	static final int MAXIMUM_CONSOLIDATION_TRIALS = 8;
 
--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -343,8 +343,8 @@
 					continue;
 				}
 				if (task.step().filler()) {
-					queueOf(tracked.job())
-						.ifPresent((queue) -> this.consolidation.noticeWaitingFiller(queue.service()));
+					queueOf(tracked.job()).ifPresent((queue) -> this.consolidation.noticeWaitingFillers(queue.service(),
+							task.step(), countWaiting(tasks)));
 				}
 				return;
 			}
@@ -353,6 +353,10 @@
 		}
 	}
 
+	private static int countWaiting(List<TaskProgress> tasks) {
+		return (int) tasks.stream().filter((task) -> task.status().waiting()).count();
+	}
+
 	private void place(TrackedJob tracked, TaskProgress task, CandidateHost candidate, int run) {
 		HostState host = candidate.host();
 		long now = this.clock.nanoTime();
@@ -393,6 +397,15 @@
 		return (int) this.hosts.values().stream().filter((host) -> schedulable(host) && !host.runsService()).count();
 	}
 
+	/**
+	 * Returns the number of workers without services that fillers could fill: those that
+	 * there are, and those that the waiting fillers need beyond them.
+	 * @return the number of workers
+	 */
+	public int wantedWorkersWithoutServices() {
+		return workersWithoutServices() + this.consolidation.wantedMore();
+	}
+
 	/**
 	 * Takes the next batch of decisions that have to be recorded.
 	 * @param limit the maximum number of rows in the batch
--- a/src/main/java/org/crocuspost/dispatch/ServiceConsolidation.java
+++ b/src/main/java/org/crocuspost/dispatch/ServiceConsolidation.java
@@ -11,9 +11,10 @@
 import java.util.Set;
 
 import org.crocuspost.job.StepSpecification;
+import org.jspecify.annotations.Nullable;
 
 /**
- * Moves services together while fillers wait, so that a worker becomes free for fillers.
+ * Moves services together while fillers wait, so that workers become free for fillers.
  *
  * <p>
  * The load pattern is a fleet on which services come and go, workers crash and failure
@@ -23,79 +24,112 @@
  * services. Fillers that press hard on services have no worker any more, although three
  * workers could be freed a minute later, when other services have ended. Placing services
  * with more care cannot avoid this, since their end is not known in advance.
+ *
+ * <p>
+ * An attempt frees the workers whose services reserve the smallest share of them, and
+ * prefers failure domains with few free workers. All tasks of an attempt are tried out
+ * together on the room that is left, and no attempt begins while tasks of an earlier one
+ * still have to stop.
  */
 final class ServiceConsolidation {
 
+	/**
+	 * Weight of the share of the free workers that are in the worker's failure domain,
+	 * against the share of the worker that its services reserve. If all free workers were
+	 * in one domain, fillers that press hard on services would have none while it is out
+	 * of service.
+	 */
+	private static final double DOMAIN_BALANCE_WEIGHT = 0.25;
+
 	private final PlacementPolicy policy;
 
 	private final DispatchListener listener;
 
-	private final Set<String> servicesWithWaitingFillers = new HashSet<>();
+	private final Map<String, Long> waitingMilliCores = new HashMap<>();
 
 	private final Map<String, Long> waitingSinceNanos = new HashMap<>();
 
 	private final Map<String, Long> nextAttemptNanos = new HashMap<>();
 
+	private final Map<String, Integer> wantedMore = new HashMap<>();
+
 	ServiceConsolidation(PlacementPolicy policy, DispatchListener listener) {
 		this.policy = policy;
 		this.listener = listener;
 	}
 
 	/**
-	 * Records that this scheduling pass found no worker for a filler.
-	 * @param service the service whose workers the filler may use
+	 * Records that this scheduling pass found no worker for fillers.
+	 * @param service the service whose workers the fillers may use
+	 * @param step the step of the fillers
+	 * @param tasks the number of tasks of the step that wait
 	 */
-	void noticeWaitingFiller(String service) {
-		this.servicesWithWaitingFillers.add(service);
+	void noticeWaitingFillers(String service, StepSpecification step, int tasks) {
+		this.waitingMilliCores.merge(service, (long) tasks * step.milliCores(), Long::sum);
 	}
 
 	/**
-	 * Ends a scheduling pass: requests moves if fillers have waited for some time and a
-	 * worker can be freed.
+	 * Ends a scheduling pass: requests moves if fillers have waited for some time and
+	 * workers can be freed.
 	 * @param service the service
 	 * @param candidates the hosts whose workers accept tasks of the service, with what
 	 * the pass has left of their resources
 	 * @param nowNanos the current time
 	 */
 	void consolidate(String service, Collection<CandidateHost> candidates, long nowNanos) {
-		if (!this.servicesWithWaitingFillers.remove(service)) {
+		Long waiting = this.waitingMilliCores.remove(service);
+		if (waiting == null) {
 			this.waitingSinceNanos.remove(service);
+			this.wantedMore.remove(service);
 			return;
 		}
 		long waitingSince = this.waitingSinceNanos.computeIfAbsent(service, (name) -> nowNanos);
+		int wanted = wantedMore(waiting, candidates);
+		this.wantedMore.put(service, wanted);
 		if (nowNanos - waitingSince < DispatchSettings.WAIT_BEFORE_CONSOLIDATION.toNanos()
-				|| nowNanos < this.nextAttemptNanos.getOrDefault(service, nowNanos)) {
+				|| nowNanos < this.nextAttemptNanos.getOrDefault(service, nowNanos)
+				|| candidates.stream().anyMatch((candidate) -> isBeingVacated(candidate.host(), nowNanos))) {
 			return;
 		}
 		this.nextAttemptNanos.put(service, nowNanos + DispatchSettings.CONSOLIDATION_INTERVAL.toNanos());
-		List<ServingHost> serving = new ArrayList<>();
-		for (CandidateHost candidate : candidates) {
-			List<Placement> services = candidate.host().services();
-			if (!services.isEmpty() && !candidate.hasSuspects()) {
-				serving.add(new ServingHost(candidate, services));
-			}
-		}
-		serving.sort(Comparator.comparingInt((host) -> host.services().size()));
-		List<ServingHost> vacatable = serving.stream()
-			.filter((host) -> hasFewMovableServices(host, nowNanos))
-			.limit(DispatchSettings.MAXIMUM_CONSOLIDATION_TRIALS)
-			.toList();
-		for (ServingHost host : vacatable) {
-			if (fitElsewhere(host, serving)) {
-				host.candidate().host().vacate(host.services(), nowNanos);
-				this.listener.hostChanged(host.candidate().host().name(), "vacated",
-						host.services().size() + " services are moved, fillers have waited for "
-								+ Duration.ofNanos(nowNanos - waitingSince).toMillis() + " ms");
-				return;
-			}
+		for (ServingHost host : new Attempt(candidates, nowNanos).select(wanted)) {
+			host.candidate().host().vacate(host.services(), nowNanos);
+			this.listener.hostChanged(host.candidate().host().name(), "vacated",
+					host.services().size() + " services are moved, fillers that need " + waiting
+							+ " millicores have waited for " + Duration.ofNanos(nowNanos - waitingSince).toMillis()
+							+ " ms");
 		}
 	}
 
-	private static boolean hasFewMovableServices(ServingHost host, long nowNanos) {
-		return host.services().size() <= DispatchSettings.MAXIMUM_MOVED_TASKS
-				&& host.services().stream().allMatch((placement) -> movable(placement, nowNanos));
+	/**
+	 * Returns how many free workers the fillers would fill that found no worker in the
+	 * last scheduling pass.
+	 * @return the number of workers of all services, in addition to those that are free
+	 */
+	int wantedMore() {
+		return this.wantedMore.values().stream().mapToInt(Integer::intValue).sum();
 	}
 
+	/**
+	 * Returns how many more free workers are wanted. Work for less than half a worker
+	 * waits for its turn on the free workers, if there are any.
+	 * @param waitingMilliCores the capacity that the waiting fillers need
+	 * @param candidates the hosts
+	 * @return the number of workers
+	 */
+	private static int wantedMore(long waitingMilliCores, Collection<CandidateHost> candidates) {
+		double capacity = candidates.stream().mapToInt(CandidateHost::capacityMilliCores).average().orElse(1);
+		boolean anyFree = candidates.stream().anyMatch((candidate) -> !candidate.host().runsService());
+		int wanted = (int) Math.min(candidates.size(), Math.round(waitingMilliCores / capacity));
+		return (wanted == 0 && !anyFree) ? 1 : wanted;
+	}
+
+	private static boolean isBeingVacated(HostState host, long nowNanos) {
+		return host.isVacated(nowNanos) && host.services().stream().anyMatch(Placement::moveRequested);
+	}
+
+	// A step with a limit of unavailable tasks is not moved: a crash elsewhere during the
+	// move could make one task more unavailable than the limit allows.
 	private static boolean movable(Placement placement, long nowNanos) {
 		StepSpecification step = placement.task().step();
 		return placement.current() && placement.phase() == Placement.Phase.REPORTED && !step.gang()
@@ -103,31 +137,105 @@
 				&& placement.age(nowNanos).compareTo(DispatchSettings.MINIMUM_TIME_BETWEEN_MOVES) >= 0;
 	}
 
-	private boolean fitElsewhere(ServingHost vacated, List<ServingHost> serving) {
-		List<CandidateHost> targets = new ArrayList<>();
-		for (ServingHost host : serving) {
-			if (host != vacated) {
-				targets.add(host.candidate().copy());
+	/**
+	 * Selection of the workers that one attempt frees.
+	 */
+	private final class Attempt {
+
+		private final long nowNanos;
+
+		private final Map<String, Integer> freeByDomain = new HashMap<>();
+
+		private int free;
+
+		private List<ServingHost> serving = new ArrayList<>();
+
+		private Attempt(Collection<CandidateHost> candidates, long nowNanos) {
+			this.nowNanos = nowNanos;
+			for (CandidateHost candidate : candidates) {
+				List<Placement> services = candidate.host().services();
+				if (services.isEmpty()) {
+					countFree(candidate.host());
+				}
+				else if (!candidate.hasSuspects() && !candidate.isVacated()) {
+					this.serving.add(new ServingHost(candidate.copy(), services));
+				}
+			}
+		}
+
+		private void countFree(HostState host) {
+			this.freeByDomain.merge(host.worker().getFailureDomain(), 1, Integer::sum);
+			this.free++;
+		}
+
+		private List<ServingHost> select(int wanted) {
+			List<ServingHost> selected = new ArrayList<>();
+			Set<ServingHost> rejected = new HashSet<>();
+			int moves = DispatchSettings.MAXIMUM_MOVED_TASKS;
+			while (selected.size() < wanted && rejected.size() < DispatchSettings.MAXIMUM_CONSOLIDATION_TRIALS) {
+				ServingHost host = cheapest(moves, rejected);
+				if (host == null) {
+					break;
+				}
+				List<ServingHost> others = fitElsewhere(host);
+				if (others == null) {
+					rejected.add(host);
+					continue;
+				}
+				this.serving = others;
+				countFree(host.candidate().host());
+				selected.add(host);
+				moves -= host.services().size();
 			}
+			return selected;
 		}
-		List<Placement> largestFirst = vacated.services()
-			.stream()
-			.sorted(Comparator.comparingInt((placement) -> -placement.task().step().milliCores()))
-			.toList();
-		for (Placement placement : largestFirst) {
-			CandidateHost target = this.policy.choose(placement.task(), targets);
-			if (target == null) {
-				return false;
+
+		private @Nullable ServingHost cheapest(int moves, Set<ServingHost> rejected) {
+			return this.serving.stream()
+				.filter((host) -> !rejected.contains(host) && host.services().size() <= moves
+						&& host.services().stream().allMatch((placement) -> movable(placement, this.nowNanos)))
+				.min(Comparator.comparingDouble(this::cost))
+				.orElse(null);
+		}
+
+		private double cost(ServingHost host) {
+			String domain = host.candidate().host().worker().getFailureDomain();
+			double moved = host.services()
+				.stream()
+				.mapToInt((placement) -> placement.task().step().reservedMilliCores())
+				.sum();
+			return moved / host.candidate().capacityMilliCores()
+					+ DOMAIN_BALANCE_WEIGHT * this.freeByDomain.getOrDefault(domain, 0) / Math.max(1, this.free);
+		}
+
+		private @Nullable List<ServingHost> fitElsewhere(ServingHost vacated) {
+			List<ServingHost> others = new ArrayList<>();
+			for (ServingHost host : this.serving) {
+				if (host != vacated) {
+					others.add(new ServingHost(host.candidate().copy(), host.services()));
+				}
 			}
-			target.reserveForTrial(placement.task());
+			List<CandidateHost> targets = others.stream().map(ServingHost::candidate).toList();
+			List<Placement> largestFirst = vacated.services()
+				.stream()
+				.sorted(Comparator.comparingInt((placement) -> -placement.task().step().reservedMilliCores()))
+				.toList();
+			for (Placement placement : largestFirst) {
+				CandidateHost target = ServiceConsolidation.this.policy.choose(placement.task(), targets);
+				if (target == null) {
+					return null;
+				}
+				target.reserveForTrial(placement.task());
+			}
+			return others;
 		}
-		return true;
+
 	}
 
 	/**
 	 * A host whose worker runs services.
 	 *
-	 * @param candidate the host
+	 * @param candidate the host, with the room that is left in the attempt
 	 * @param services the runs of services on its worker
 	 */
 	private record ServingHost(CandidateHost candidate, List<Placement> services) {
--- a/src/main/java/org/crocuspost/lead/LeaderMetrics.java
+++ b/src/main/java/org/crocuspost/lead/LeaderMetrics.java
@@ -26,6 +26,10 @@
 
 	private final Gauge leader;
 
+	private final Gauge workersWithoutServices;
+
+	private final Gauge wantedWorkersWithoutServices;
+
 	/**
 	 * Registers the metrics.
 	 * @param registry the registry of the process
@@ -61,6 +65,14 @@
 			.classicOnly()
 			.classicUpperBounds(0.02, 0.05, 0.1, 0.3, 1, 3, 10, 30)
 			.register(registry);
+		this.workersWithoutServices = Gauge.builder()
+			.name("crocuspost_workers_without_services")
+			.help("Workers that accept tasks and run no service, as this process last saw them as leader.")
+			.register(registry);
+		this.wantedWorkersWithoutServices = Gauge.builder()
+			.name("crocuspost_workers_without_services_wanted")
+			.help("Workers without services that present and waiting fillers could fill.")
+			.register(registry);
 		this.leader = Gauge.builder()
 			.name("crocuspost_leader")
 			.help("1 while this process leads, otherwise 0.")
@@ -91,6 +103,11 @@
 		this.placementSeconds.observe(waitedMillis / (double) TimeUnit.SECONDS.toMillis(1));
 	}
 
+	void workersWithoutServices(int actual, int wanted) {
+		this.workersWithoutServices.set(actual);
+		this.wantedWorkersWithoutServices.set(wanted);
+	}
+
 	void setLeader(boolean leading) {
 		this.leader.set(leading ? 1 : 0);
 	}
--- a/src/main/java/org/crocuspost/lead/QueueLoadLog.java
+++ b/src/main/java/org/crocuspost/lead/QueueLoadLog.java
@@ -18,12 +18,15 @@
 
 	private final Dispatcher dispatcher;
 
+	private final LeaderMetrics metrics;
+
 	private final Clock clock;
 
 	private long loggedNanos;
 
-	QueueLoadLog(Dispatcher dispatcher, Clock clock) {
+	QueueLoadLog(Dispatcher dispatcher, LeaderMetrics metrics, Clock clock) {
 		this.dispatcher = dispatcher;
+		this.metrics = metrics;
 		this.clock = clock;
 		this.loggedNanos = clock.nanoTime();
 	}
@@ -39,6 +42,8 @@
 		}
 		this.loggedNanos = now;
 		int workersWithoutServices = this.dispatcher.workersWithoutServices();
+		int wanted = this.dispatcher.wantedWorkersWithoutServices();
+		this.metrics.workersWithoutServices(workersWithoutServices, wanted);
 		for (QueueLoad load : this.dispatcher.queueLoads()) {
 			EventLog.info(LeadEvent.QUEUE_LOAD, Field.of("queue", load.queue()),
 					Field.of("waitingJobs", load.waitingJobs()), Field.of("begunJobs", load.begunJobs()),
@@ -46,7 +51,8 @@
 					Field.of("assignedTasks", load.assignedTasks()),
 					Field.of("assignedMilliCores", load.assignedMilliCores()),
 					Field.of("usedMilliCores", load.usedMilliCores()),
-					Field.of("workersWithoutServices", workersWithoutServices));
+					Field.of("workersWithoutServices", workersWithoutServices),
+					Field.of("wantedWorkersWithoutServices", wanted));
 		}
 	}
 
--- a/src/test/java/org/crocuspost/dispatch/MixedLoadSimulation.java
+++ b/src/test/java/org/crocuspost/dispatch/MixedLoadSimulation.java
@@ -90,6 +90,12 @@
 
 	private long serviceTicks;
 
+	private long stoppedServices;
+
+	private long ticks;
+
+	private long freeWorkerTicks;
+
 	MixedLoadSimulation(long seed, Load load) {
 		this.random = new SplittableRandom(seed);
 		this.load = load;
@@ -146,6 +152,8 @@
 				}
 			}
 			schedule();
+			this.ticks += traffic ? 1 : 0;
+			this.freeWorkerTicks += traffic ? this.dispatcher.workersWithoutServices() : 0;
 			this.jobs.values().forEach(SubmittedJob::noticeEnd);
 		}
 	}
@@ -275,7 +283,8 @@
 				earned.get(FILLER_QUEUE) / owed.get(FILLER_QUEUE), served(fillerJobs),
 				served(fillerJobs.subList(0, tenth)), served(fillerJobs.subList(tenth, 3 * tenth)),
 				this.earlyStops / (double) Math.max(1, this.startedFillers),
-				this.missedTargetTicks / (double) Math.max(1, this.serviceTicks));
+				this.missedTargetTicks / (double) Math.max(1, this.serviceTicks),
+				this.freeWorkerTicks / (double) Math.max(1, this.ticks), this.stoppedServices);
 	}
 
 	/**
@@ -378,9 +387,11 @@
 	 * @param earlyStops the share of the starts of fillers that were stopped within two
 	 * seconds
 	 * @param missedTargets the share of the time in which services missed their target
+	 * @param freeWorkers the mean number of workers without services
+	 * @param movedServices the number of runs of services that were stopped to move them
 	 */
 	record Result(double shortJobs, double fillers, double servedFillers, double servedLargest, double servedLarge,
-			double earlyStops, double missedTargets) {
+			double earlyStops, double missedTargets, double freeWorkers, long movedServices) {
 	}
 
 	private final class SubmittedJob {
@@ -602,6 +613,7 @@
 			SimulatedRun run = this.running.get(TaskNames.key(order.getTask()));
 			if (run != null && run.order.getRun() == order.getRun()) {
 				long age = MixedLoadSimulation.this.time.nanoTime() - run.startedNanos;
+				MixedLoadSimulation.this.stoppedServices += order.getReason().startsWith("moved") ? 1 : 0;
 				MixedLoadSimulation.this.earlyStops += (run.filler() && age < 2e9) ? 1 : 0;
 				end(run, "stopped");
 			}
--- a/src/test/java/org/crocuspost/dispatch/ServiceConsolidationTests.java
+++ b/src/test/java/org/crocuspost/dispatch/ServiceConsolidationTests.java
@@ -6,6 +6,7 @@
 import org.crocuspost.dispatch.DispatchFixture.SimulatedWorker;
 import org.crocuspost.dispatch.DispatchFixture.StepBuilder;
 import org.crocuspost.job.TaskStatus;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -129,4 +130,115 @@
 		assertThat(this.fixture.task("service", 0, 0).run()).isEqualTo(1);
 	}
 
+	/**
+	 * Fourteen full workers with room for one more task each, which short jobs take, and
+	 * six free workers. A service with 14 tasks, at most two per worker, takes two rests
+	 * and all free workers; then the short jobs end. The unreserved cores would make six
+	 * workers.
+	 */
+	private void scatterServiceOverFreeWorkers() {
+		trainPressureModel();
+		for (int number = 0; number < 14; number++) {
+			this.fixture.worker("full-" + number, 16_000);
+			this.fixture.submit("service-" + number, new StepBuilder().tasks(4).milliCores(3_200).service().build());
+			if (number >= 2) {
+				this.fixture.submit("blocker-" + number, DispatchFixture.step(1, 3_200));
+			}
+			this.fixture.runSchedulingRound();
+		}
+		for (int number = 0; number < 6; number++) {
+			this.fixture.worker("free-" + number, 16_000);
+		}
+		this.fixture.submit("service", new StepBuilder().tasks(14).perWorker(2).milliCores(3_200).service().build());
+		this.fixture.runSchedulingRound();
+		assertThat(workersWithServices()).isEqualTo(20);
+		play(Duration.ofSeconds(6));
+		this.fixture.workers.values().forEach(ServiceConsolidationTests::endBlocker);
+		play(ROUND);
+	}
+
+	/**
+	 * Six workers were free before the service came, and none after it. The fillers have
+	 * an objective of 3 s, so the workers must be free again by then.
+	 */
+	@Test
+	@Tag("known-red")
+	void workersTakenByOneServiceAreFreedWithinObjectiveOfFillers() {
+		scatterServiceOverFreeWorkers();
+		this.fixture.submit("filler", new StepBuilder().tasks(48).milliCores(2_000).filler("heavy").build());
+		play(Duration.ofSeconds(3));
+		assertThat(workersWithServices()).isEqualTo(14);
+		assertThat(this.fixture.job("service").tasks(0, 0)).allMatch((task) -> task.status() == TaskStatus.PLACED);
+	}
+
+	/**
+	 * A limit of four moved tasks left fillers without any worker on fleets whose full
+	 * workers run five tasks of services.
+	 */
+	@Test
+	void workerWithFiveTasksIsFreed() {
+		trainPressureModel();
+		for (int number = 0; number < 6; number++) {
+			this.fixture.worker("host-" + number, 16_000);
+			this.fixture.submit("service-" + number, new StepBuilder().tasks(5).milliCores(2_600).service().build());
+			this.fixture.submit("blocker-" + number, DispatchFixture.step(1, 3_000));
+			this.fixture.runSchedulingRound();
+		}
+		play(Duration.ofSeconds(6));
+		this.fixture.workers.values().forEach(ServiceConsolidationTests::endBlocker);
+		this.fixture.submit("filler", new StepBuilder().tasks(8).milliCores(2_000).filler("heavy").build());
+		play(Duration.ofSeconds(3));
+		assertThat(workersWithServices()).isEqualTo(5);
+	}
+
+	/**
+	 * The next leader knows nothing of the moves under way. Each task must still run
+	 * once, and no worker may get more than its capacity.
+	 */
+	@Test
+	void leaderReplacedWhileServicesAreMovedLosesNone() {
+		scatterServiceOverFreeWorkers();
+		this.fixture.submit("filler", new StepBuilder().tasks(48).milliCores(2_000).filler("heavy").build());
+		for (int round = 0; round < 20 && !this.fixture.hostAssessments.contains("vacated"); round++) {
+			play(ROUND);
+		}
+		assertThat(this.fixture.hostAssessments).contains("vacated");
+		this.fixture.report(this.fixture.workers.get("free-0"));
+		this.fixture.takeOver();
+		for (int round = 0; round < 40; round++) {
+			play(ROUND);
+			assertThat(this.fixture.workers.values()).allMatch((worker) -> reservedTasks(worker) <= 5);
+		}
+		assertThat(this.fixture.workers.values().stream().mapToLong(ServiceConsolidationTests::reservedTasks).sum())
+			.isEqualTo(14 * 4 + 14);
+		assertThat(this.fixture.job("service").tasks(0, 0)).allMatch((task) -> task.status() == TaskStatus.PLACED);
+	}
+
+	/**
+	 * A worker that is lost while its tasks are moved must not take a second attempt's
+	 * moves with it: its tasks start elsewhere after the lease.
+	 */
+	@Test
+	void hostLostWhileServicesAreMovedKeepsNoTask() {
+		scatterServiceOverFreeWorkers();
+		this.fixture.submit("filler", new StepBuilder().tasks(48).milliCores(2_000).filler("heavy").build());
+		for (int round = 0; round < 20 && !this.fixture.hostAssessments.contains("vacated"); round++) {
+			play(ROUND);
+		}
+		assertThat(this.fixture.hostAssessments).contains("vacated");
+		SimulatedWorker lost = this.fixture.workers.remove("free-0");
+		this.fixture.reports.connected(lost.host, false);
+		for (int round = 0; round < 60; round++) {
+			play(ROUND);
+			this.fixture.reports.expireLeases(Duration.ofSeconds(7), 0);
+			assertThat(this.fixture.workers.values()).allMatch((worker) -> reservedTasks(worker) <= 5);
+		}
+		assertThat(this.fixture.workers.values().stream().mapToLong(ServiceConsolidationTests::reservedTasks).sum())
+			.isEqualTo(14 * 4 + 14);
+	}
+
+	private static long reservedTasks(SimulatedWorker worker) {
+		return worker.running.keySet().stream().filter((task) -> task.job().startsWith("service")).count();
+	}
+
 }
