Defer jobs of fillers that cannot end while of use

Cause: a job with a step of a heavy image starts although no worker without services is foreseeable, and its light tasks take capacity from jobs that could end.

Ruled out: excluding deferred jobs, since idle capacity would remain; preempting them, since stopped runs lose work; one order by deadline.

Change: JobSelection ranks jobs by the work ahead and the capacity of both kinds. Events job-deferred and job-resumed, gauge crocuspost_deferred_jobs.

--- a/src/main/java/org/crocuspost/dispatch/DispatchListener.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchListener.java
@@ -77,6 +77,14 @@
 	 */
 	void runStopped(TaskProgress task, int run, String host, String reason, StopEvidence evidence);
 
+	/**
+	 * Called when a job is deferred, that is, ranked behind all jobs of use, or resumed.
+	 * @param job the job
+	 * @param deferred whether it is deferred
+	 * @param evidence the information on which the decision is based
+	 */
+	void selectionChanged(JobProgress job, boolean deferred, SelectionEvidence evidence);
+
 	/**
 	 * Called when the leader's assessment of a host changes.
 	 * @param host the host
--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 
 import org.crocuspost.job.JobProgress;
 import org.crocuspost.job.JobState;
@@ -45,6 +46,10 @@
 
 	private final ServiceConsolidation consolidation;
 
+	private final FillerCapacitySurvey fillerCapacity = new FillerCapacitySurvey();
+
+	private final JobSelection selection;
+
 	private final Clock clock;
 
 	private final DispatchListener listener;
@@ -78,6 +83,7 @@
 		this.policy = policy;
 		this.probationPlacement = new ProbationPlacement(policy);
 		this.consolidation = new ServiceConsolidation(policy, listener);
+		this.selection = new JobSelection(policy, listener);
 		this.clock = clock;
 		this.listener = listener;
 	}
@@ -220,6 +226,7 @@
 					.add(new CandidateHost(host, now));
 			}
 		}
+		candidatesByService.forEach((service, candidates) -> this.fillerCapacity.observe(service, candidates, now));
 		if (candidatesByService.isEmpty()) {
 			return;
 		}
@@ -266,20 +273,22 @@
 	}
 
 	private List<TrackedJob> waitingJobs(long now) {
-		List<TrackedJob> waiting = new ArrayList<>();
+		List<JobSelection.WaitingJob> waiting = new ArrayList<>();
+		Map<String, FillerCapacity> capacities = new HashMap<>();
 		for (TrackedJob tracked : this.jobs.values()) {
 			if (tracked.job().state().terminal()) {
 				continue;
 			}
 			Optional<Queue> queue = this.configuration.findByName(tracked.job().submission().queue());
 			if (queue.isPresent()) {
-				tracked.rank(WaitingOrder.rank(tracked.job(), queue.get(), tracked.acceptedNanos(), now,
-						this.meanWork.mean(queue.get().name())));
-				waiting.add(tracked);
+				double mean = this.meanWork.mean(queue.get().name());
+				tracked.rank(WaitingOrder.rank(tracked.job(), queue.get(), tracked.acceptedNanos(), now, mean));
+				waiting.add(new JobSelection.WaitingJob(tracked, queue.get(), mean));
+				String service = queue.get().service();
+				this.fillerCapacity.find(service, now).ifPresent((capacity) -> capacities.put(service, capacity));
 			}
 		}
-		waiting.sort((first, second) -> first.rank().compareTo(second.rank()));
-		return waiting;
+		return this.selection.order(waiting, capacities, now);
 	}
 
 	private void assign(TrackedJob tracked, List<CandidateHost> candidates, Set<TaskKey> unassigned) {
@@ -393,6 +402,21 @@
 		return (int) this.hosts.values().stream().filter((host) -> schedulable(host) && !host.runsService()).count();
 	}
 
+	/**
+	 * Returns the number of deferred jobs, which are ranked behind all jobs of use.
+	 * @return the number by queue; 0 for a configured queue without deferred jobs
+	 */
+	public Map<String, Integer> deferredJobs() {
+		Map<String, Integer> deferred = new TreeMap<>();
+		this.configuration.queues().forEach((queue) -> deferred.put(queue.name(), 0));
+		for (TrackedJob tracked : this.jobs.values()) {
+			if (tracked.deferred() && !tracked.job().state().terminal()) {
+				deferred.merge(tracked.job().submission().queue(), 1, Integer::sum);
+			}
+		}
+		return deferred;
+	}
+
 	/**
 	 * Takes the next batch of decisions that have to be recorded.
 	 * @param limit the maximum number of rows in the batch
--- a/src/main/java/org/crocuspost/dispatch/HostState.java
+++ b/src/main/java/org/crocuspost/dispatch/HostState.java
@@ -62,6 +62,8 @@
 
 	private long vacatedUntilNanos = Long.MIN_VALUE;
 
+	private long reportedNanos;
+
 	private double pressure;
 
 	private double unreportedIncrease;
@@ -201,6 +203,20 @@
 		return free;
 	}
 
+	/**
+	 * Returns the processor capacity that fillers can use in total, given the assumed use
+	 * of the other tasks.
+	 * @return thousandths of a core
+	 */
+	double fillerMilliCores() {
+		double free = freeFillerMilliCores();
+		for (Placement placement : this.placements.values()) {
+			StepSpecification step = placement.task().step();
+			free += step.filler() ? step.milliCores() : 0;
+		}
+		return free;
+	}
+
 	/**
 	 * Returns whether a task with a latency target is assigned to the worker.
 	 * @return true if fillers on the worker could slow down a service
@@ -446,6 +462,18 @@
 		this.increaseUpdatedNanos = nowNanos;
 	}
 
+	/**
+	 * Returns the time of the last report that described the worker.
+	 * @return the time in nanoseconds of the process clock
+	 */
+	long reportedNanos() {
+		return this.reportedNanos;
+	}
+
+	void reportedNanos(long value) {
+		this.reportedNanos = value;
+	}
+
 	double pressure() {
 		return this.pressure;
 	}
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -92,6 +92,7 @@
 			host.workerResponds(false);
 			return Response.NONE;
 		}
+		host.reportedNanos(now);
 		updateWorker(host, report);
 		boolean newIncarnation = !report.getLife().equals(host.agentIncarnation());
 		host.agentIncarnation(report.getLife());
--- a/src/main/java/org/crocuspost/dispatch/TrackedJob.java
+++ b/src/main/java/org/crocuspost/dispatch/TrackedJob.java
@@ -17,6 +17,8 @@
 
 	private long lastRunningNanos;
 
+	private boolean deferred;
+
 	private WaitingOrder.Rank rank = new WaitingOrder.Rank(0, 0, 0);
 
 	/**
@@ -58,6 +60,18 @@
 		return nowNanos - this.lastRunningNanos > DispatchSettings.STARVATION_TIMEOUT.toNanos();
 	}
 
+	/**
+	 * Returns whether the selection ranks the job behind all jobs of use.
+	 * @return true if it is deferred
+	 */
+	boolean deferred() {
+		return this.deferred;
+	}
+
+	void deferred(boolean value) {
+		this.deferred = value;
+	}
+
 	WaitingOrder.Rank rank() {
 		return this.rank;
 	}
--- a/src/main/java/org/crocuspost/dispatch/WaitingOrder.java
+++ b/src/main/java/org/crocuspost/dispatch/WaitingOrder.java
@@ -34,19 +34,24 @@
 
 	private static final double MILLIS = 1_000;
 
-	private static final int LASTING = 0;
+	static final int LASTING = 0;
 
-	private static final int IN_TIME = 1;
+	static final int IN_TIME = 1;
 
-	private static final int LATE = 2;
+	static final int LATE = 2;
 
-	private static final int LATE_BEYOND_USE = 3;
+	static final int LATE_BEYOND_USE = 3;
+
+	/**
+	 * Group of the jobs that {@link JobSelection} defers.
+	 */
+	static final int DEFERRED = 4;
 
 	/**
 	 * Multiple of the objective up to which a late job is of use to its caller, according
 	 * to the documentation of the platform.
 	 */
-	private static final int MAXIMUM_LATENESS = 3;
+	static final int MAXIMUM_LATENESS = 3;
 
 	/**
 	 * Minimum ratio of the time left until the objective to the estimated remaining run
@@ -168,7 +173,12 @@
 		return remaining;
 	}
 
-	private static double work(StepSpecification step) {
+	/**
+	 * Returns the estimated work of a task.
+	 * @param step the step of the task
+	 * @return the work, in core-seconds
+	 */
+	static double work(StepSpecification step) {
 		return step.milliCores() / MILLIS * estimate(step).toMillis() / MILLIS;
 	}
 
@@ -177,11 +187,17 @@
 	 *
 	 * @param group the group of the job; the smallest goes first
 	 * @param priority the priority of the queue; 0 goes first
-	 * @param order the order within the group and priority; the smallest goes first. For
-	 * services, the time in milliseconds at which the job was accepted; for other jobs,
-	 * the remaining work in relation to the value of the job
+	 * @param selection the class within the group and priority by {@link JobSelection};
+	 * the smallest goes first
+	 * @param order the order within the class; the smallest goes first. For services, the
+	 * time in milliseconds at which the job was accepted; for other jobs, the remaining
+	 * work in relation to the value of the job
 	 */
-	record Rank(int group, int priority, double order) implements Comparable<Rank> {
+	record Rank(int group, int priority, int selection, double order) implements Comparable<Rank> {
+
+		Rank(int group, int priority, double order) {
+			this(group, priority, 0, order);
+		}
 
 		@Override
 		public int compareTo(Rank other) {
@@ -191,6 +207,9 @@
 			if (this.priority != other.priority) {
 				return Integer.compare(this.priority, other.priority);
 			}
+			if (this.selection != other.selection) {
+				return Integer.compare(this.selection, other.selection);
+			}
 			return Double.compare(this.order, other.order);
 		}
 
--- a/src/main/java/org/crocuspost/lead/DecisionLog.java
+++ b/src/main/java/org/crocuspost/lead/DecisionLog.java
@@ -5,6 +5,7 @@
 import org.crocuspost.dispatch.DispatchListener;
 import org.crocuspost.dispatch.Evidence;
 import org.crocuspost.dispatch.JobTiming;
+import org.crocuspost.dispatch.SelectionEvidence;
 import org.crocuspost.dispatch.StopEvidence;
 import org.crocuspost.dispatch.WorkerCrash;
 import org.crocuspost.job.JobProgress;
@@ -102,6 +103,18 @@
 				Field.of("ageMillis", evidence.age().toMillis()));
 	}
 
+	@Override
+	public void selectionChanged(JobProgress job, boolean deferred, SelectionEvidence evidence) {
+		EventLog.info(deferred ? LeadEvent.JOB_DEFERRED : LeadEvent.JOB_RESUMED, Field.of("job", job.id()),
+				Field.of("queue", job.submission().queue()), Field.of("state", job.state().label()),
+				Field.of("heavyWork", evidence.heavyWork()), Field.of("totalWork", evidence.totalWork()),
+				Field.of("heavyWorkAhead", evidence.heavyWorkAhead()),
+				Field.of("totalWorkAhead", evidence.totalWorkAhead()),
+				Field.of("exclusiveCores", evidence.exclusiveCores()), Field.of("sharedCores", evidence.sharedCores()),
+				Field.of("timeLeftMillis", evidence.timeLeft().toMillis()),
+				Field.of("evidenceAgeMillis", evidence.age().toMillis()));
+	}
+
 	@Override
 	public void hostChanged(String host, String state, String detail) {
 		this.metrics.hostChanged(state);
--- a/src/main/java/org/crocuspost/lead/LeadEvent.java
+++ b/src/main/java/org/crocuspost/lead/LeadEvent.java
@@ -109,6 +109,16 @@
 	/**
 	 * Waiting and running work of a queue, at a fixed interval.
 	 */
-	QUEUE_LOAD
+	QUEUE_LOAD,
+
+	/**
+	 * A job is ranked behind all jobs of use, since it cannot end while of use.
+	 */
+	JOB_DEFERRED,
+
+	/**
+	 * A deferred job is ranked with the jobs of use again.
+	 */
+	JOB_RESUMED
 
 }
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -118,7 +118,7 @@
 		this.writer = new FencedWriter(store, record, version, clock, timer, onLeadershipLost);
 		this.dispatcher = new Dispatcher(settings, new DefaultPlacementPolicy(this.imagePressure), clock,
 				new DecisionLog(metrics));
-		this.queueLoadLog = new QueueLoadLog(this.dispatcher, clock);
+		this.queueLoadLog = new QueueLoadLog(this.dispatcher, metrics, clock);
 		this.reportProcessor = new ReportProcessor(this.dispatcher, this.imagePressure);
 		this.intakeWatch = new RowWatch(store, Tables.INTAKE, TableWatchSettings.INTAKE_WATCH, this, clock, timer);
 		this.takeoverNanos = clock.nanoTime();
--- a/src/main/java/org/crocuspost/lead/LeaderMetrics.java
+++ b/src/main/java/org/crocuspost/lead/LeaderMetrics.java
@@ -24,6 +24,8 @@
 
 	private final Histogram placementSeconds;
 
+	private final Gauge deferredJobs;
+
 	private final Gauge leader;
 
 	/**
@@ -61,6 +63,11 @@
 			.classicOnly()
 			.classicUpperBounds(0.02, 0.05, 0.1, 0.3, 1, 3, 10, 30)
 			.register(registry);
+		this.deferredJobs = Gauge.builder()
+			.name("crocuspost_deferred_jobs")
+			.help("Jobs ranked behind all jobs of use, by queue.")
+			.labelNames("queue")
+			.register(registry);
 		this.leader = Gauge.builder()
 			.name("crocuspost_leader")
 			.help("1 while this process leads, otherwise 0.")
@@ -91,6 +98,10 @@
 		this.placementSeconds.observe(waitedMillis / (double) TimeUnit.SECONDS.toMillis(1));
 	}
 
+	void deferredJobs(String queue, int number) {
+		this.deferredJobs.labelValues(queue).set(number);
+	}
+
 	void setLeader(boolean leading) {
 		this.leader.set(leading ? 1 : 0);
 	}
--- a/src/main/java/org/crocuspost/lead/QueueLoadLog.java
+++ b/src/main/java/org/crocuspost/lead/QueueLoadLog.java
@@ -18,19 +18,22 @@
 
 	private final Dispatcher dispatcher;
 
+	private final LeaderMetrics metrics;
+
 	private final Clock clock;
 
 	private long loggedNanos;
 
-	QueueLoadLog(Dispatcher dispatcher, Clock clock) {
+	QueueLoadLog(Dispatcher dispatcher, LeaderMetrics metrics, Clock clock) {
 		this.dispatcher = dispatcher;
+		this.metrics = metrics;
 		this.clock = clock;
 		this.loggedNanos = clock.nanoTime();
 	}
 
 	/**
-	 * Writes a line for each queue with work if the interval since the previous lines has
-	 * passed.
+	 * Writes a line for each queue with work, and sets the metric of deferred jobs, if
+	 * the interval since the previous lines has passed.
 	 */
 	void writeIfDue() {
 		long now = this.clock.nanoTime();
@@ -38,6 +41,7 @@
 			return;
 		}
 		this.loggedNanos = now;
+		this.dispatcher.deferredJobs().forEach(this.metrics::deferredJobs);
 		int workersWithoutServices = this.dispatcher.workersWithoutServices();
 		for (QueueLoad load : this.dispatcher.queueLoads()) {
 			EventLog.info(LeadEvent.QUEUE_LOAD, Field.of("queue", load.queue()),
--- a/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
@@ -55,6 +55,8 @@
 
 	final List<String> hostAssessments = new ArrayList<>();
 
+	final List<String> selectionChanges = new ArrayList<>();
+
 	Dispatcher dispatcher = newDispatcher();
 
 	ReportProcessor reports = new ReportProcessor(this.dispatcher, this.imagePressure);
@@ -387,6 +389,11 @@
 			DispatchFixture.this.crashes.add(crash);
 		}
 
+		@Override
+		public void selectionChanged(JobProgress job, boolean deferred, SelectionEvidence evidence) {
+			DispatchFixture.this.selectionChanges.add((deferred ? "deferred " : "resumed ") + job.id());
+		}
+
 		@Override
 		public void hostChanged(String host, String assessment, String detail) {
 			DispatchFixture.this.hostAssessments.add(assessment);
--- a/src/test/java/org/crocuspost/dispatch/SilentDispatchListener.java
+++ b/src/test/java/org/crocuspost/dispatch/SilentDispatchListener.java
@@ -43,6 +43,10 @@
 	public void runStopped(TaskProgress task, int run, String host, String reason, StopEvidence evidence) {
 	}
 
+	@Override
+	public void selectionChanged(JobProgress job, boolean deferred, SelectionEvidence evidence) {
+	}
+
 	@Override
 	public void hostChanged(String host, String assessment, String detail) {
 	}
