Keep the leadership and record all other rows while one row is rejected for good

Cause: a row that the store rejects even alone was taken back together with all parts behind it. If it was the first of each batch, nothing else was ever recorded.

Change: only the rejected row and the acknowledgement of ends are taken back; the other parts are recorded. After a rejection the leader renews its row once the renewal interval has passed.

Before: rowThatIsAlwaysRejectedDelaysNothingElse fails at the other rows without the first change and at the leader's row without the second. After: it passes, with the other tests of leader and batches.

--- a/src/main/java/org/crocuspost/dispatch/DispatchBatch.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchBatch.java
@@ -70,6 +70,22 @@
 		return List.of(part(0, half, Map.of()), part(half, rows(), this.ends));
 	}
 
+	/**
+	 * Returns the batch without the ends.
+	 * @return a batch that acknowledges nothing
+	 */
+	public DispatchBatch withoutEnds() {
+		return new DispatchBatch(this.jobs, this.tasks, this.starts, Map.of(), this.cleanup);
+	}
+
+	/**
+	 * Returns the ends of the batch.
+	 * @return a batch without rows
+	 */
+	public DispatchBatch onlyEnds() {
+		return new DispatchBatch(Map.of(), Map.of(), List.of(), this.ends, Cleanup.NONE);
+	}
+
 	private DispatchBatch part(int from, int to, Map<String, WorkerEnds> partEnds) {
 		int offset = 0;
 		Map<String, String> partJobs = slice(List.copyOf(this.jobs.keySet()), from, to).stream()
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -112,6 +112,8 @@
 
 	private boolean resigning;
 
+	private boolean rejected;
+
 	Leader(RowStore store, LeaderRecord record, long version, OperatorView operator, DispatchSettings settings,
 			LeaderMetrics metrics, TrafficCounters traffic, EventLoop loop, Clock clock, Timer timer,
 			Runnable onLeadershipLost) {
@@ -426,6 +428,12 @@
 		if (this.operator.age().compareTo(LeadershipTimings.MAXIMUM_OPERATOR_VIEW_AGE) < 0 && this.writer.confirmed()) {
 			this.dispatcher.schedule();
 		}
+		if (this.rejected && this.writer.confirmationAge().compareTo(LeadershipTimings.RENEWAL_INTERVAL) > 0) {
+			// Rejected transactions do not renew the leader's row, however many follow.
+			this.rejected = false;
+			renewIfDue();
+			return;
+		}
 		DispatchBatch batch = this.rejectedParts.isEmpty()
 				? this.dispatcher.takeBatch(LeadershipTimings.MAXIMUM_ROWS_PER_TRANSACTION,
 						LeadershipTimings.MAXIMUM_ROW_CHARACTERS_PER_TRANSACTION)
@@ -487,12 +495,14 @@
 		}
 		if (parts.isEmpty()) {
 			this.dispatcher.postpone(batch);
-			List.copyOf(this.rejectedParts).forEach(this.dispatcher::postpone);
+			List<DispatchBatch> remaining = List.copyOf(this.rejectedParts);
 			this.rejectedParts.clear();
+			for (DispatchBatch part : remaining) {
+				this.dispatcher.postpone(part.onlyEnds());
+				this.rejectedParts.add(part.withoutEnds());
+			}
 		}
-		// A rejected transaction does not show that this process is still the leader, so
-		// the pause is that of a failed one.
-		this.timer.schedule(LeadershipTimings.RETRY_DELAY, this::scheduleDecision);
+		this.rejected = true;
 	}
 
 	private void handleChangesRecorded(DispatchBatch batch) {
--- a/src/test/java/org/crocuspost/lead/LeaderTests.java
+++ b/src/test/java/org/crocuspost/lead/LeaderTests.java
@@ -129,6 +129,31 @@
 		}
 	}
 
+	/**
+	 * Guards against the loss of the leadership, and of all other changes, because of one
+	 * row that the store never accepts.
+	 */
+	@Test
+	void rowThatIsAlwaysRejectedDelaysNothingElse() {
+		for (int number = 0; number < 10; number++) {
+			submitJob("%016x".formatted(number));
+		}
+		submitJob(WAITING_JOB);
+		this.store.rejectedKey = Tables.PROGRESS_PREFIX + WAITING_JOB;
+		startLeader();
+		this.time.advance(Duration.ofSeconds(10));
+		for (int number = 0; number < 10; number++) {
+			assertThat(this.store.rows.row(Tables.LEDGER, Tables.PROGRESS_PREFIX + "%016x".formatted(number)).exists())
+				.isTrue();
+		}
+		String before = this.store.rows.row(Tables.LEDGER, Tables.LEADER_KEY).value();
+		this.time.advance(LeadershipTimings.TAKEOVER_TIMEOUT);
+		assertThat(this.store.rows.row(Tables.LEDGER, Tables.LEADER_KEY).value()).isNotEqualTo(before);
+		this.store.rejectedKey = "";
+		this.time.advance(Duration.ofSeconds(1));
+		assertThat(this.store.rows.row(Tables.LEDGER, Tables.PROGRESS_PREFIX + WAITING_JOB).exists()).isTrue();
+	}
+
 	/**
 	 * In-memory store that can lose its history and limits the entries of a transaction.
 	 */
@@ -140,12 +165,18 @@
 
 		private int maximumEntries = 100;
 
+		private String rejectedKey = "";
+
 		@Override
 		public void commit(RowTransaction transaction, Consumer<Either<Failure, RowCommit>> answer) {
 			if (transaction.writes().size() + transaction.removals().size() > this.maximumEntries) {
 				answer.accept(Either.left(ErrorCode.STORE_REJECTED.with("too many entries")));
 				return;
 			}
+			if (transaction.writes().stream().anyMatch((write) -> write.key().equals(this.rejectedKey))) {
+				answer.accept(Either.left(ErrorCode.STORE_REJECTED.with("row")));
+				return;
+			}
 			this.rows.commit(transaction, answer);
 		}
 
