--- a/src/main/java/org/crocuspost/lead/LeaderMetrics.java
+++ b/src/main/java/org/crocuspost/lead/LeaderMetrics.java
@@ -24,6 +24,8 @@
 
 	private final Histogram placementSeconds;
 
+	private final Gauge deferredJobs;
+
 	private final Gauge leader;
 
 	private final Gauge workersWithoutServices;
@@ -73,6 +75,11 @@
 			.name("crocuspost_workers_without_services_wanted")
 			.help("Workers without services that present and waiting fillers could fill.")
 			.register(registry);
+		this.deferredJobs = Gauge.builder()
+			.name("crocuspost_deferred_jobs")
+			.help("Jobs ranked behind all jobs of use, by queue.")
+			.labelNames("queue")
+			.register(registry);
 		this.leader = Gauge.builder()
 			.name("crocuspost_leader")
 			.help("1 while this process leads, otherwise 0.")
@@ -108,6 +115,10 @@
 		this.wantedWorkersWithoutServices.set(wanted);
 	}
 
+	void deferredJobs(String queue, int number) {
+		this.deferredJobs.labelValues(queue).set(number);
+	}
+
 	void setLeader(boolean leading) {
 		this.leader.set(leading ? 1 : 0);
 	}
--- a/src/main/java/org/crocuspost/lead/QueueLoadLog.java
+++ b/src/main/java/org/crocuspost/lead/QueueLoadLog.java
@@ -32,8 +32,8 @@
 	}
 
 	/**
-	 * Writes a line for each queue with work if the interval since the previous lines has
-	 * passed.
+	 * Writes a line for each queue with work, and sets the metric of deferred jobs, if
+	 * the interval since the previous lines has passed.
 	 */
 	void writeIfDue() {
 		long now = this.clock.nanoTime();
@@ -41,6 +41,7 @@
 			return;
 		}
 		this.loggedNanos = now;
+		this.dispatcher.deferredJobs().forEach(this.metrics::deferredJobs);
 		int workersWithoutServices = this.dispatcher.workersWithoutServices();
 		int wanted = this.dispatcher.wantedWorkersWithoutServices();
 		this.metrics.workersWithoutServices(workersWithoutServices, wanted);
