Reject jobs that could not end while of use, by the leader's backlog

Cause: everything that the store takes is accepted, so in a lasting overload most jobs end when their result is of no use.

Ruled out: reading the row before a rejection (a write on its way may land after the read), the value "withdrawn" (permanent), and removing marks in the leader's fenced transaction (it could remove a job accepted in the meantime).

Change: the leader measures the work ahead and its drain rate and publishes them in the row "admission".

--- a/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
+++ b/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
@@ -26,7 +26,7 @@
 	 * ratio of the service's tail latency to its target. Leaves a margin, because the
 	 * load of a service fluctuates by half.
 	 */
-	private static final double MAXIMUM_PRESSURE = 0.65;
+	static final double MAXIMUM_PRESSURE = 0.65;
 
 	/**
 	 * Score added for a worker in the rack that holds the data; exceeds any difference in
--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -25,6 +25,7 @@
 import org.crocuspost.time.Clock;
 import org.crocuspost.wire.StartOrder;
 import org.crocuspost.wire.TaskTraits;
+import org.crocuspost.wire.WorkerDescription;
 
 /**
  * Assigns tasks to workers, based on the leader's working copy of all jobs and hosts. The
@@ -61,6 +62,8 @@
 
 	private final EndedJobs endedJobs;
 
+	private final AdmissionEstimator admissionEstimator = new AdmissionEstimator();
+
 	private QueueConfiguration configuration = new QueueConfiguration(0, List.of(), List.of(), 0);
 
 	private Set<String> evacuated = Set.of();
@@ -393,6 +396,34 @@
 		return (int) this.hosts.values().stream().filter((host) -> schedulable(host) && !host.runsService()).count();
 	}
 
+	/**
+	 * Measures the work ahead of a new job. Must be called about once a second, since the
+	 * rate at which work is completed is measured between the calls.
+	 * @param epoch the epoch of this leader
+	 * @param validity the time for which the figures may be used
+	 * @return the figures
+	 */
+	public AdmissionFigures measureAdmission(long epoch, Duration validity) {
+		Map<String, AdmissionEstimator.IdleCapacity> idle = new HashMap<>();
+		int largest = 1;
+		for (HostState host : this.hosts.values()) {
+			if (schedulable(host)) {
+				largest = Math.max(largest, host.worker().getMilliCores());
+				long forFillers = host.runsService() ? 0 : Math.max(0, (long) host.freeFillerMilliCores());
+				idle.merge(host.worker().getService(),
+						new AdmissionEstimator.IdleCapacity(Math.max(0, host.freeMilliCores()), forFillers),
+						AdmissionEstimator.IdleCapacity::plus);
+			}
+		}
+		WorkerDescription largestWorker = WorkerDescription.newBuilder().setMilliCores(largest).build();
+		AdmissionEstimator.Result result = this.admissionEstimator.survey(this.jobs.values(), this::queueOf,
+				(step) -> step.filler()
+						&& this.policy.addedPressure(step, largestWorker) > DefaultPlacementPolicy.MAXIMUM_PRESSURE,
+				idle, this.clock.nanoTime(), this.clock.millis());
+		long now = this.clock.millis();
+		return new AdmissionFigures(epoch, now, now + validity.toMillis(), result.backlogs(), result.exclusiveImages());
+	}
+
 	/**
 	 * Takes the next batch of decisions that have to be recorded.
 	 * @param limit the maximum number of rows in the batch
--- a/src/main/java/org/crocuspost/dispatch/WaitingOrder.java
+++ b/src/main/java/org/crocuspost/dispatch/WaitingOrder.java
@@ -40,13 +40,13 @@
 
 	private static final int LATE = 2;
 
-	private static final int LATE_BEYOND_USE = 3;
+	static final int LATE_BEYOND_USE = 3;
 
 	/**
 	 * Multiple of the objective up to which a late job is of use to its caller, according
 	 * to the documentation of the platform.
 	 */
-	private static final int MAXIMUM_LATENESS = 3;
+	static final int MAXIMUM_LATENESS = 3;
 
 	/**
 	 * Minimum ratio of the time left until the objective to the estimated remaining run
@@ -90,7 +90,7 @@
 		return longest;
 	}
 
-	private static Duration estimate(StepSpecification step) {
+	static Duration estimate(StepSpecification step) {
 		return step.estimate().isZero() ? DispatchSettings.DEFAULT_ESTIMATE : step.estimate();
 	}
 
--- a/src/main/java/org/crocuspost/ingress/IngressEvent.java
+++ b/src/main/java/org/crocuspost/ingress/IngressEvent.java
@@ -17,6 +17,17 @@
 	 */
 	JOB_REFUSED,
 
+	/**
+	 * A submitted job was rejected because of the backlog, or was to be, but its ID could
+	 * not be taken, so that it was stored like any other.
+	 */
+	JOB_REJECTED,
+
+	/**
+	 * The published work ahead of new jobs cannot be parsed. Nothing is rejected.
+	 */
+	ADMISSION_IGNORED,
+
 	/**
 	 * A cancellation request was answered, whether it was stored or not.
 	 */
--- a/src/main/java/org/crocuspost/ingress/IngressMetrics.java
+++ b/src/main/java/org/crocuspost/ingress/IngressMetrics.java
@@ -16,6 +16,8 @@
 
 	private final Histogram seconds;
 
+	private final Counter rejections;
+
 	/**
 	 * Creates the metrics and registers them.
 	 * @param registry the metrics registry of the process
@@ -26,6 +28,11 @@
 			.help("Requests of callers, by method and answer.")
 			.labelNames("method", "answer")
 			.register(registry);
+		this.rejections = Counter.builder()
+			.name("crocuspost_jobs_rejected_total")
+			.help("Jobs that were rejected because of the backlog, by queue.")
+			.labelNames("queue")
+			.register(registry);
 		this.seconds = Histogram.builder()
 			.name("crocuspost_job_request_seconds")
 			.help("Time until a request of a caller was answered, in seconds.")
@@ -47,4 +54,12 @@
 		this.seconds.labelValues(name).observe(nanos / (double) TimeUnit.SECONDS.toNanos(1));
 	}
 
+	/**
+	 * Records a job that was rejected because of the backlog.
+	 * @param queue the name of its queue
+	 */
+	void recordRejection(String queue) {
+		this.rejections.labelValues(queue).inc();
+	}
+
 }
--- a/src/main/java/org/crocuspost/ingress/JobDirectory.java
+++ b/src/main/java/org/crocuspost/ingress/JobDirectory.java
@@ -26,18 +26,23 @@
 
 	private final Consumer<StoredRow> leaderRowListener;
 
+	private final AdmissionControl admission;
+
 	/**
 	 * Creates an empty directory.
 	 * @param leaderRowListener receives the row that names the leader, at every read of
 	 * the table and at every change of the row
+	 * @param admission receives the work ahead of new jobs
 	 */
-	public JobDirectory(Consumer<StoredRow> leaderRowListener) {
+	public JobDirectory(Consumer<StoredRow> leaderRowListener, AdmissionControl admission) {
 		this.leaderRowListener = leaderRowListener;
+		this.admission = admission;
 	}
 
 	@Override
 	public void tableRead(List<StoredRow> rows) {
 		this.jobs.clear();
+		this.admission.clear();
 		rows.forEach(this::applyRow);
 	}
 
@@ -47,7 +52,12 @@
 	}
 
 	private void applyRow(StoredRow row) {
+		if (row.key().equals(Tables.ADMISSION_KEY)) {
+			this.admission.figuresChanged(row);
+			return;
+		}
 		if (row.key().equals(Tables.LEADER_KEY)) {
+			this.admission.leaderRowChanged(row);
 			this.leaderRowListener.accept(row);
 			return;
 		}
@@ -69,6 +79,10 @@
 		}
 	}
 
+	AdmissionControl admission() {
+		return this.admission;
+	}
+
 	/**
 	 * Adds a job that this process has accepted. It is kept until the leader records it.
 	 * @param id the ID of the job
--- a/src/main/java/org/crocuspost/ingress/JobService.java
+++ b/src/main/java/org/crocuspost/ingress/JobService.java
@@ -15,6 +15,7 @@
 import org.crocuspost.job.QueueConfiguration;
 import org.crocuspost.job.SubmissionCodec;
 import org.crocuspost.lead.OperatorView;
+import org.crocuspost.lead.RejectionMark;
 import org.crocuspost.lead.Tables;
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
@@ -45,6 +46,12 @@
 	 */
 	private static final int STORE_ATTEMPTS = 2;
 
+	/**
+	 * Maximum number of store calls to take the ID of a rejected job: one may find the
+	 * row of an earlier rejection, and one may get no answer.
+	 */
+	private static final int REJECTION_ATTEMPTS = 3;
+
 	/**
 	 * Age of the view of the operator's rows below which a request for an unknown queue
 	 * is answered with {@link JobAnswer.NoQueue}. An older view may lack a new queue.
@@ -154,12 +161,89 @@
 			return;
 		}
 		JobSubmission submission = new JobSubmission(id, queue.name(), this.clock.millis(), specification.get());
-		storeJob(submission, STORE_ATTEMPTS, Verdict.NOT_RUN, (result) -> {
+		Optional<AdmissionControl.Rejection> rejection = this.directory.state(id).isPresent() ? Optional.empty()
+				: this.directory.admission().check(queue, submission);
+		Runnable acceptance = () -> accept(queue, submission, answer);
+		rejection.ifPresentOrElse(
+				(reason) -> reject(submission, reason, StoredRow.ABSENT, REJECTION_ATTEMPTS, answer, acceptance),
+				acceptance);
+	}
+
+	private void accept(Queue queue, JobSubmission submission, Consumer<JobAnswer> answer) {
+		boolean known = this.directory.state(submission.id()).isPresent();
+		storeJob(submission, StoredRow.ABSENT, STORE_ATTEMPTS, Verdict.NOT_RUN, (result) -> {
+			if (result instanceof JobAnswer.Accepted && !known) {
+				this.directory.admission().accepted(queue, submission);
+			}
 			logSubmission(submission, result);
 			answer.accept(result);
 		});
 	}
 
+	/**
+	 * Rejects a job because of the backlog, after its ID was taken. A write of an earlier
+	 * try of the same job, also through another entry process, may still be on its way;
+	 * since it requires an older version of the row, it is refused from then on. If the
+	 * ID cannot be taken, the job is accepted like any other.
+	 * @param submission the job
+	 * @param reason the reason of the rejection
+	 * @param version the version that the row of the job must have
+	 * @param attempts the maximum number of calls to the store
+	 * @param answer receives the answer
+	 * @param acceptance accepts the job instead
+	 */
+	private void reject(JobSubmission submission, AdmissionControl.Rejection reason, long version, int attempts,
+			Consumer<JobAnswer> answer, Runnable acceptance) {
+		String key = Tables.JOB_PREFIX + submission.id();
+		RowTransaction transaction = RowTransaction.of(
+				List.of(new RowTransaction.Condition(Tables.INTAKE, key, version)),
+				List.of(new RowTransaction.Write(Tables.INTAKE, key, new RejectionMark(this.clock.millis()).write())));
+		this.store.commit(transaction, (outcome) -> {
+			Optional<StoredRow> replaceable = outcome.isRight() ? replaceable(outcome.get(), key) : Optional.empty();
+			boolean applied = outcome.isRight() && outcome.get().applied();
+			if (!applied && attempts > 1 && (outcome.isLeft() || replaceable.isPresent())) {
+				reject(submission, reason, replaceable.map(StoredRow::version).orElse(version), attempts - 1, answer,
+						acceptance);
+				return;
+			}
+			logRejection(submission, reason, applied);
+			if (applied) {
+				this.metrics.recordRejection(submission.queue());
+				answer.accept(new JobAnswer.Refused(Verdict.NOT_RUN, true,
+						"the job could not end while its result is of use", Optional.of(reason.retryAfter())));
+			}
+			else {
+				acceptance.run();
+			}
+		});
+	}
+
+	private static void logRejection(JobSubmission submission, AdmissionControl.Rejection reason, boolean applied) {
+		EventLog.info(IngressEvent.JOB_REJECTED, Field.of("job", submission.id()),
+				Field.of("queue", submission.queue()), Field.of("rejected", applied),
+				Field.of("sharedWork", reason.backlogs().shared().work()),
+				Field.of("sharedDrainMilliCores", reason.backlogs().shared().drainMilliCores()),
+				Field.of("exclusiveWork", reason.backlogs().exclusive().work()),
+				Field.of("exclusiveDrainMilliCores", reason.backlogs().exclusive().drainMilliCores()),
+				Field.of("ageMillis", reason.age().toMillis()), Field.of("endMillis", reason.end().toMillis()),
+				Field.of("timeOfUseMillis", reason.timeOfUse().toMillis()),
+				Field.of("retryAfterSeconds", reason.retryAfter().toSeconds()));
+	}
+
+	/**
+	 * Returns the row of a job that a submission may replace.
+	 * @param commit the outcome of a transaction that requires another version of the row
+	 * @param key the key of the row
+	 * @return the row if it is absent or stands for a rejected job
+	 */
+	private static Optional<StoredRow> replaceable(RowCommit commit, String key) {
+		return commit.applied() ? Optional.empty()
+				: commit.current()
+					.stream()
+					.filter((row) -> row.key().equals(key) && (!row.exists() || RejectionMark.isMark(row)))
+					.findFirst();
+	}
+
 	private static void logSubmission(JobSubmission submission, JobAnswer result) {
 		if (result instanceof JobAnswer.Refused refused) {
 			EventLog.info(IngressEvent.JOB_REFUSED, Field.of("job", submission.id()),
@@ -175,17 +259,24 @@
 	/**
 	 * Stores a job.
 	 * @param submission the job
+	 * @param version the version that the row of the job must have; the job replaces the
+	 * row of an earlier rejection
 	 * @param attempts the maximum number of calls to the store
 	 * @param earlierVerdict whether an earlier call may still take effect
 	 * @param answer receives the answer
 	 */
-	private void storeJob(JobSubmission submission, int attempts, Verdict earlierVerdict, Consumer<JobAnswer> answer) {
+	private void storeJob(JobSubmission submission, long version, int attempts, Verdict earlierVerdict,
+			Consumer<JobAnswer> answer) {
 		String key = Tables.JOB_PREFIX + submission.id();
 		RowTransaction transaction = RowTransaction.of(
-				List.of(new RowTransaction.Condition(Tables.INTAKE, key, StoredRow.ABSENT)),
+				List.of(new RowTransaction.Condition(Tables.INTAKE, key, version)),
 				List.of(new RowTransaction.Write(Tables.INTAKE, key, SubmissionCodec.write(submission))));
 		this.store.commit(transaction, (outcome) -> {
-			if (outcome.isRight() && isWithdrawn(outcome.get())) {
+			Optional<StoredRow> replaceable = outcome.isRight() ? replaceable(outcome.get(), key) : Optional.empty();
+			if (replaceable.isPresent()) {
+				storeAgain(submission, replaceable.get(), attempts, earlierVerdict, answer);
+			}
+			else if (outcome.isRight() && isWithdrawn(outcome.get())) {
 				answer.accept(new JobAnswer.Refused(Verdict.NOT_RUN, false,
 						"the job was cancelled before it was stored", Optional.empty()));
 			}
@@ -198,7 +289,7 @@
 				answer.accept(unavailable(outcome.getLeft().message()));
 			}
 			else if (attempts > 1) {
-				storeJob(submission, attempts - 1, Verdict.MAY_HAVE_RUN, answer);
+				storeJob(submission, version, attempts - 1, Verdict.MAY_HAVE_RUN, answer);
 			}
 			else {
 				answer.accept(new JobAnswer.Refused(Verdict.MAY_HAVE_RUN, false, outcome.getLeft().message(),
@@ -207,6 +298,31 @@
 		});
 	}
 
+	/**
+	 * Stores a job in the place of an earlier rejection. If the rejection is too recent,
+	 * this try may be older than the rejected one, whose caller was told that the job
+	 * does not run, so the job is rejected again.
+	 * @param submission the job
+	 * @param row the row that the job must replace
+	 * @param attempts the maximum number of calls to the store
+	 * @param earlierVerdict whether an earlier call may still take effect
+	 * @param answer receives the answer
+	 */
+	private void storeAgain(JobSubmission submission, StoredRow row, int attempts, Verdict earlierVerdict,
+			Consumer<JobAnswer> answer) {
+		boolean mayReplace = !row.exists() || RejectionMark.read(row)
+			.filter((mark) -> mark.replaceableAt(submission.acceptedMillis()))
+			.isPresent();
+		if (mayReplace) {
+			storeJob(submission, row.version(), attempts, earlierVerdict, answer);
+		}
+		else {
+			reject(submission, AdmissionControl.Rejection.REPEATED_TOO_EARLY, row.version(), REJECTION_ATTEMPTS, answer,
+					() -> answer.accept(new JobAnswer.Refused(Verdict.MAY_HAVE_RUN, false,
+							"the rejection of the job is not stored", Optional.of(STORE_RETRY_AFTER))));
+		}
+	}
+
 	private static boolean isWithdrawn(RowCommit commit) {
 		return !commit.applied() && commit.current().stream().anyMatch(JobService::isWithdrawn);
 	}
@@ -226,7 +342,7 @@
 			return;
 		}
 		readJob(id, answer, (row) -> {
-			if (!row.exists() || isWithdrawn(row)) {
+			if (!row.exists() || isWithdrawn(row) || RejectionMark.isMark(row)) {
 				answer.accept(new JobAnswer.NoJob());
 			}
 			else if (row.value().equals(Tables.ENDED_JOB)) {
@@ -267,8 +383,8 @@
 	}
 
 	private void cancelStored(String id, StoredRow row, Consumer<JobAnswer> answer) {
-		if (!row.exists()) {
-			withdraw(id, STORE_ATTEMPTS, answer);
+		if (!row.exists() || RejectionMark.isMark(row)) {
+			withdraw(id, row.version(), STORE_ATTEMPTS, answer);
 		}
 		else if (isWithdrawn(row)) {
 			answer.accept(new JobAnswer.NoJob());
@@ -286,17 +402,18 @@
 	 * of the job that was not answered, and the caller must not be told that there is no
 	 * job while it can still run.
 	 * @param id the ID of the job
+	 * @param version the version that the row of the job must have
 	 * @param attempts the maximum number of calls to the store
 	 * @param answer receives the answer
 	 */
-	private void withdraw(String id, int attempts, Consumer<JobAnswer> answer) {
+	private void withdraw(String id, long version, int attempts, Consumer<JobAnswer> answer) {
 		String key = Tables.JOB_PREFIX + id;
 		RowTransaction transaction = RowTransaction.of(
-				List.of(new RowTransaction.Condition(Tables.INTAKE, key, StoredRow.ABSENT)),
+				List.of(new RowTransaction.Condition(Tables.INTAKE, key, version)),
 				List.of(new RowTransaction.Write(Tables.INTAKE, key, Tables.WITHDRAWN_JOB)));
 		this.store.commit(transaction, (outcome) -> {
 			if (outcome.isLeft() && attempts > 1) {
-				withdraw(id, attempts - 1, answer);
+				withdraw(id, version, attempts - 1, answer);
 				return;
 			}
 			EventLog.info(IngressEvent.JOB_WITHDRAWN, Field.of("job", id), Field.of("stored", outcome.isRight()));
--- a/src/main/java/org/crocuspost/lead/LeadEvent.java
+++ b/src/main/java/org/crocuspost/lead/LeadEvent.java
@@ -109,6 +109,17 @@
 	/**
 	 * Waiting and running work of a queue, at a fixed interval.
 	 */
-	QUEUE_LOAD
+	QUEUE_LOAD,
+
+	/**
+	 * The leader publishes the work ahead of new jobs, or that no queue has a lasting
+	 * backlog.
+	 */
+	ADMISSION_PUBLISHED,
+
+	/**
+	 * Rows that took the place of rejected jobs were removed.
+	 */
+	REJECTED_JOBS_REMOVED
 
 }
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -91,6 +91,10 @@
 
 	private final RemovedJobs removedJobs = new RemovedJobs();
 
+	private final RejectedJobs rejectedJobs;
+
+	private final AdmissionPublisher admissionPublisher;
+
 	private final long takeoverNanos;
 
 	private final Cancellable tickTimer;
@@ -119,6 +123,8 @@
 		this.dispatcher = new Dispatcher(settings, new DefaultPlacementPolicy(this.imagePressure), clock,
 				new DecisionLog(metrics));
 		this.queueLoadLog = new QueueLoadLog(this.dispatcher, clock);
+		this.rejectedJobs = new RejectedJobs(store, settings.retention(), clock);
+		this.admissionPublisher = new AdmissionPublisher(this.dispatcher, record.epoch(), clock);
 		this.reportProcessor = new ReportProcessor(this.dispatcher, this.imagePressure);
 		this.intakeWatch = new RowWatch(store, Tables.INTAKE, TableWatchSettings.INTAKE_WATCH, this, clock, timer);
 		this.takeoverNanos = clock.nanoTime();
@@ -269,6 +275,13 @@
 					Field.of("reason", "the job was removed after the row was written"));
 			return;
 		}
+		if (RejectionMark.isMark(row)) {
+			// The job is not known to the dispatcher, since its caller may submit it
+			// again.
+			this.rejectedJobs.rejected(row);
+			return;
+		}
+		this.rejectedJobs.replaced(row.key());
 		Optional<String> stored = Optional.ofNullable(this.storedJobs.get(id));
 		try {
 			if (row.value().equals(Tables.ENDED_JOB) || row.value().equals(Tables.WITHDRAWN_JOB)) {
@@ -347,6 +360,7 @@
 		if (!this.restored) {
 			return;
 		}
+		this.admissionPublisher.reportReceived(report.getHost());
 		ReportProcessor.Response reaction = this.reportProcessor.reported(report, mayExtendLeases());
 		send(report.getHost(),
 				LeaderMessage.newBuilder()
@@ -388,6 +402,8 @@
 					LeadershipTimings.LEASE_EXTENSION_WITHOUT_STORE.plus(this.settings.leaseTimeout()),
 					this.takeoverNanos);
 			this.queueLoadLog.writeIfDue();
+			this.admissionPublisher.measureIfDue(this.links.size());
+			this.rejectedJobs.removeIfDue();
 			decide();
 		}
 		else if (!this.writer.busy()) {
@@ -428,10 +444,17 @@
 
 	private void renewIfDue() {
 		if (this.writer.confirmationAge().compareTo(LeadershipTimings.RENEWAL_INTERVAL) > 0) {
-			this.writer.write(this.record.name(), List.of(), List.of(), this::scheduleDecision);
+			List<RowTransaction.Write> writes = new ArrayList<>();
+			addAdmission(writes);
+			this.writer.write(this.record.name(), writes, List.of(), this::scheduleDecision);
 		}
 	}
 
+	private void addAdmission(List<RowTransaction.Write> writes) {
+		this.admissionPublisher.takeIfDue()
+			.ifPresent((figures) -> writes.add(new RowTransaction.Write(Tables.LEDGER, Tables.ADMISSION_KEY, figures)));
+	}
+
 	private void record(DispatchBatch batch) {
 		List<RowTransaction.Write> writes = new ArrayList<>();
 		batch.jobs()
@@ -451,6 +474,7 @@
 			removals.add(new RowTransaction.Removal(Tables.INTAKE, Tables.CANCELLATION_PREFIX + id));
 		}
 		addModel(writes);
+		addAdmission(writes);
 		this.writer.write(this.record.name(), writes, removals, () -> {
 			this.removedJobs.add(cleanup.expired(), this.writer.version());
 			handleChangesRecorded(batch);
--- a/src/main/java/org/crocuspost/lead/LeadershipTimings.java
+++ b/src/main/java/org/crocuspost/lead/LeadershipTimings.java
@@ -61,6 +61,29 @@
 	 */
 	static final Duration MODEL_INTERVAL = Duration.ofSeconds(5);
 
+	/**
+	 * Interval at which the work ahead of new jobs is measured, and minimum time between
+	 * two records of it.
+	 */
+	static final Duration ADMISSION_INTERVAL = Duration.ofSeconds(1);
+
+	/**
+	 * Time after which unchanged admission figures are recorded again. With the
+	 * difference of two clocks and the delay of the store, they stay younger than
+	 * {@link #ADMISSION_VALIDITY}.
+	 */
+	static final Duration ADMISSION_RENEWAL = Duration.ofSeconds(2);
+
+	/**
+	 * Time for which admission figures may be used.
+	 */
+	static final Duration ADMISSION_VALIDITY = Duration.ofSeconds(5);
+
+	/**
+	 * Interval at which rows of rejected jobs are removed.
+	 */
+	static final Duration REJECTED_JOBS_INTERVAL = Duration.ofSeconds(1);
+
 	/**
 	 * Delay before a failed transaction or read is retried.
 	 */
--- a/src/main/java/org/crocuspost/lead/Tables.java
+++ b/src/main/java/org/crocuspost/lead/Tables.java
@@ -45,6 +45,11 @@
 	 */
 	public static final String WITHDRAWN_JOB = "withdrawn";
 
+	/**
+	 * Key of the work ahead of new jobs in {@link #LEDGER}.
+	 */
+	public static final String ADMISSION_KEY = "admission";
+
 	/**
 	 * Key of the row that names the leader.
 	 */
--- a/src/main/java/org/crocuspost/platform/hosted/EntryProgram.java
+++ b/src/main/java/org/crocuspost/platform/hosted/EntryProgram.java
@@ -10,6 +10,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.crocuspost.daemon.DaemonCommand;
 import org.crocuspost.dispatch.DispatchSettings;
+import org.crocuspost.ingress.AdmissionControl;
 import org.crocuspost.ingress.IngressEvent;
 import org.crocuspost.ingress.IngressMetrics;
 import org.crocuspost.ingress.JobDirectory;
@@ -98,7 +99,8 @@
 				new CircuitBreaker(ProtectionSettings.DEFAULT, clock, RandomGenerator.getDefault()));
 		this.operator = new OperatorTable(protectedStore, clock, timer);
 		AtomicReference<LeaderElector> electorReference = new AtomicReference<>();
-		JobDirectory directory = new JobDirectory((row) -> electorReference.get().leaderRowChanged(row));
+		JobDirectory directory = new JobDirectory((row) -> electorReference.get().leaderRowChanged(row),
+				new AdmissionControl(clock));
 		this.ledgerWatch = new RowWatch(protectedStore, Tables.LEDGER, TableWatchSettings.LEDGER_WATCH, directory,
 				clock, timer);
 		this.leaderElector = new LeaderElector(settings.name(), settings.capacity(), store, this.ledgerWatch,
--- a/src/test/java/org/crocuspost/ingress/JobServiceTests.java
+++ b/src/test/java/org/crocuspost/ingress/JobServiceTests.java
@@ -45,11 +45,11 @@
 
 	private final FixedOperator operator = new FixedOperator();
 
-	private final JobDirectory directory = new JobDirectory((row) -> {
-	});
-
 	private final VirtualTime time = new VirtualTime(Instant.EPOCH);
 
+	private final JobDirectory directory = new JobDirectory((row) -> {
+	}, new AdmissionControl(this.time));
+
 	private final JobService service = new JobService(this.store, this.operator, this.directory,
 			new IngressMetrics(new PrometheusRegistry()), this.time, this.time);
 
