--- a/src/main/java/org/crocuspost/ingress/JobService.java
+++ b/src/main/java/org/crocuspost/ingress/JobService.java
@@ -21,6 +21,7 @@
 import org.crocuspost.job.QueueConfiguration;
 import org.crocuspost.job.SubmissionCodec;
 import org.crocuspost.lead.OperatorView;
+import org.crocuspost.lead.RejectionMark;
 import org.crocuspost.lead.Tables;
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
@@ -43,6 +44,19 @@
 	 */
 	private static final Duration STORE_RETRY_AFTER = Duration.ofSeconds(1);
 
+	/**
+	 * Maximum number of writes to take the ID of a rejected job: one may find the row of
+	 * an earlier rejection, and one may be refused.
+	 */
+	private static final int REJECTION_ATTEMPTS = 3;
+
+	/**
+	 * Divisor of the time until the answer that a caller gets if the store is silent. The
+	 * quotient is the time within which the ID of a rejected job must be taken: otherwise
+	 * the job is stored, for which as much time must remain.
+	 */
+	private static final int REJECTION_TIME_DIVISOR = 2;
+
 	/**
 	 * Age of the view of the operator's rows below which a request for an unknown queue
 	 * is answered with {@link JobAnswer.NoQueue}. An older view may lack a new queue.
@@ -229,12 +243,42 @@
 			return;
 		}
 		JobSubmission submission = new JobSubmission(id, queue.name(), this.clock.millis(), specification.get());
-		storeJob(submission, answer, (result) -> {
+		Optional<AdmissionControl.Rejection> rejection = this.directory.state(id).isPresent() ? Optional.empty()
+				: this.directory.admission().check(queue, submission);
+		if (rejection.isEmpty()) {
+			accept(queue, submission, answer);
+			return;
+		}
+		RejectionAttempt attempt = new RejectionAttempt(submission, rejection.get(), answer, answer,
+				() -> accept(queue, submission, answer));
+		attempt
+			.limit(untilStop(answerTime(answer.request, SILENT_ANSWER_TIME_SHARE).dividedBy(REJECTION_TIME_DIVISOR)));
+		attempt.write(StoredRow.ABSENT, REJECTION_ATTEMPTS);
+	}
+
+	private void accept(Queue queue, JobSubmission submission, FinalAnswer answer) {
+		boolean known = this.directory.state(submission.id()).isPresent();
+		storeJob(submission, StoredRow.ABSENT, answer, (result) -> {
+			if (result instanceof JobAnswer.Accepted && !known) {
+				this.directory.admission().accepted(queue, submission);
+			}
 			logSubmission(submission, result);
 			answer.accept(result);
 		});
 	}
 
+	private static void logRejection(JobSubmission submission, AdmissionControl.Rejection reason, boolean applied) {
+		EventLog.info(IngressEvent.JOB_REJECTED, Field.of("job", submission.id()),
+				Field.of("queue", submission.queue()), Field.of("rejected", applied),
+				Field.of("sharedWork", reason.backlogs().shared().work()),
+				Field.of("sharedDrainMilliCores", reason.backlogs().shared().drainMilliCores()),
+				Field.of("exclusiveWork", reason.backlogs().exclusive().work()),
+				Field.of("exclusiveDrainMilliCores", reason.backlogs().exclusive().drainMilliCores()),
+				Field.of("ageMillis", reason.age().toMillis()), Field.of("endMillis", reason.end().toMillis()),
+				Field.of("timeOfUseMillis", reason.timeOfUse().toMillis()),
+				Field.of("retryAfterSeconds", reason.retryAfter().toSeconds()));
+	}
+
 	private static void logSubmission(JobSubmission submission, JobAnswer result) {
 		if (result instanceof JobAnswer.Refused refused) {
 			EventLog.info(IngressEvent.JOB_REFUSED, Field.of("job", submission.id()),
@@ -250,14 +294,20 @@
 	/**
 	 * Stores a job.
 	 * @param submission the job
+	 * @param version the version that the row of the job must have; the job replaces the
+	 * row of an earlier rejection
 	 * @param finalAnswer the answer to the caller
 	 * @param answer receives the outcome
 	 */
-	private void storeJob(JobSubmission submission, FinalAnswer finalAnswer, Consumer<JobAnswer> answer) {
-		write(Tables.JOB_PREFIX + submission.id(), SubmissionCodec.write(submission), true, finalAnswer, (row) -> {
+	private void storeJob(JobSubmission submission, long version, FinalAnswer finalAnswer, Consumer<JobAnswer> answer) {
+		OptionalLong required = OptionalLong.of(version);
+		write(Tables.JOB_PREFIX + submission.id(), SubmissionCodec.write(submission), required, finalAnswer, (row) -> {
 			if (row.isLeft()) {
 				answer.accept(refused(row.getLeft()));
 			}
+			else if (replaceable(row.get())) {
+				storeAgain(submission, row.get(), finalAnswer, answer);
+			}
 			else if (isWithdrawn(row.get())) {
 				answer.accept(new JobAnswer.Refused(Verdict.NOT_RUN, false,
 						"the job was cancelled before it was stored", Optional.empty()));
@@ -270,14 +320,44 @@
 		});
 	}
 
-	private void write(String key, String value, boolean ifAbsent, FinalAnswer finalAnswer,
+	/**
+	 * Stores a job in the place of an earlier rejection. If the rejection is too recent,
+	 * this try may be older than the rejected one, whose caller was told that the job
+	 * does not run, so the job is rejected again.
+	 * @param submission the job
+	 * @param row the row that the job must replace; no write of the job that requires an
+	 * older version can take effect any more
+	 * @param finalAnswer the answer to the caller
+	 * @param answer receives the outcome
+	 */
+	private void storeAgain(JobSubmission submission, StoredRow row, FinalAnswer finalAnswer,
+			Consumer<JobAnswer> answer) {
+		boolean mayReplace = !row.exists() || RejectionMark.read(row)
+			.filter((mark) -> mark.replaceableAt(submission.acceptedMillis()))
+			.isPresent();
+		if (mayReplace) {
+			storeJob(submission, row.version(), finalAnswer, answer);
+		}
+		else {
+			new RejectionAttempt(submission, AdmissionControl.Rejection.REPEATED_TOO_EARLY, finalAnswer, answer,
+					() -> answer.accept(new JobAnswer.Refused(Verdict.MAY_HAVE_RUN, false,
+							"the rejection of the job is not stored", Optional.of(STORE_RETRY_AFTER))))
+				.write(row.version(), REJECTION_ATTEMPTS);
+		}
+	}
+
+	private void write(String key, String value, OptionalLong requiredVersion, FinalAnswer finalAnswer,
+			Consumer<Either<Failure, StoredRow>> outcome) {
+		write(key, value, requiredVersion, finalAnswer.dueNanos, finalAnswer, outcome);
+	}
+
+	private void write(String key, String value, OptionalLong requiredVersion, long dueNanos, FinalAnswer finalAnswer,
 			Consumer<Either<Failure, StoredRow>> outcome) {
 		if (finalAnswer.given) {
 			// The answer may promise that nothing is written.
 			return;
 		}
-		PendingWrite write = new PendingWrite(key, value, ifAbsent, this.clock.nanoTime(), finalAnswer.dueNanos,
-				outcome);
+		PendingWrite write = new PendingWrite(key, value, requiredVersion, this.clock.nanoTime(), dueNanos, outcome);
 		finalAnswer.write = Optional.of(write);
 		committer(key).write(write);
 	}
@@ -286,6 +366,11 @@
 		return new JobAnswer.Refused(failure.verdict(), false, failure.message(), Optional.of(STORE_RETRY_AFTER));
 	}
 
+	// The row is absent or stands for a rejected job.
+	private static boolean replaceable(StoredRow row) {
+		return !row.exists() || RejectionMark.isMark(row);
+	}
+
 	private static boolean isWithdrawn(StoredRow row) {
 		return row.value().equals(Tables.WITHDRAWN_JOB);
 	}
@@ -301,7 +386,7 @@
 			return;
 		}
 		readJob(id, answer, (row) -> {
-			if (!row.exists() || isWithdrawn(row)) {
+			if (!row.exists() || isWithdrawn(row) || RejectionMark.isMark(row)) {
 				answer.accept(new JobAnswer.NoJob());
 			}
 			else if (row.value().equals(Tables.ENDED_JOB)) {
@@ -343,8 +428,8 @@
 	}
 
 	private void cancelStored(String id, StoredRow row, FinalAnswer answer) {
-		if (!row.exists()) {
-			withdraw(id, answer);
+		if (replaceable(row)) {
+			withdraw(id, row.version(), answer);
 		}
 		else if (isWithdrawn(row)) {
 			answer.accept(new JobAnswer.NoJob());
@@ -362,10 +447,11 @@
 	 * of the job that was not answered, and the caller must not be told that there is no
 	 * job while it can still run.
 	 * @param id the ID of the job
+	 * @param version the version that the row of the job must have
 	 * @param answer receives the answer
 	 */
-	private void withdraw(String id, FinalAnswer answer) {
-		write(Tables.JOB_PREFIX + id, Tables.WITHDRAWN_JOB, true, answer, (row) -> {
+	private void withdraw(String id, long version, FinalAnswer answer) {
+		write(Tables.JOB_PREFIX + id, Tables.WITHDRAWN_JOB, OptionalLong.of(version), answer, (row) -> {
 			boolean withdrawn = row.isRight() && isWithdrawn(row.get());
 			EventLog.info(IngressEvent.JOB_WITHDRAWN, Field.of("job", id), Field.of("stored", withdrawn));
 			if (row.isLeft()) {
@@ -378,12 +464,117 @@
 	}
 
 	private void storeCancellation(String id, FinalAnswer answer) {
-		write(Tables.CANCELLATION_PREFIX + id, "", false, answer, (row) -> {
+		write(Tables.CANCELLATION_PREFIX + id, "", OptionalLong.empty(), answer, (row) -> {
 			EventLog.info(IngressEvent.CANCELLATION_ANSWERED, Field.of("job", id), Field.of("stored", row.isRight()));
 			answer.accept(row.isRight() ? new JobAnswer.Accepted() : refused(row.getLeft()));
 		});
 	}
 
+	/**
+	 * Rejects a job because of the backlog, after its ID was taken. A write of an earlier
+	 * try of the same job, also through another entry process, may still be on its way;
+	 * since it requires an older version of the row, it is refused from then on. If the
+	 * ID cannot be taken, or not in time, the alternative is carried out.
+	 */
+	private final class RejectionAttempt {
+
+		private final JobSubmission submission;
+
+		private final AdmissionControl.Rejection reason;
+
+		private final FinalAnswer finalAnswer;
+
+		private final Consumer<JobAnswer> answer;
+
+		private final Runnable alternative;
+
+		private long dueNanos;
+
+		private Cancellable timeout = () -> {
+		};
+
+		private boolean ended;
+
+		private RejectionAttempt(JobSubmission submission, AdmissionControl.Rejection reason, FinalAnswer finalAnswer,
+				Consumer<JobAnswer> answer, Runnable alternative) {
+			this.submission = submission;
+			this.reason = reason;
+			this.finalAnswer = finalAnswer;
+			this.answer = answer;
+			this.alternative = alternative;
+			this.dueNanos = finalAnswer.dueNanos;
+		}
+
+		/**
+		 * Limits the time until the alternative is carried out. A mark that is written
+		 * later requires the same version as the job, so only one of them takes effect.
+		 * @param limit the time
+		 */
+		private void limit(Duration limit) {
+			this.dueNanos = JobService.this.clock.nanoTime() + limit.toNanos();
+			this.timeout = JobService.this.timer.schedule(limit, () -> {
+				if (!this.ended && !this.finalAnswer.given) {
+					this.finalAnswer.write.ifPresent(PendingWrite::abandon);
+					end(false);
+				}
+			});
+		}
+
+		/**
+		 * Writes the mark of the rejected job.
+		 * @param version the version that the row of the job must have
+		 * @param attempts the maximum number of writes
+		 */
+		private void write(long version, int attempts) {
+			String mark = new RejectionMark(JobService.this.clock.millis()).write();
+			JobService.this.write(Tables.JOB_PREFIX + this.submission.id(), mark, OptionalLong.of(version),
+					this.dueNanos, this.finalAnswer, (row) -> {
+						boolean stored = row.isRight() && row.get().value().equals(mark);
+						if (this.ended) {
+							rejectIfUnsent(stored);
+						}
+						else if (stored) {
+							end(true);
+						}
+						else if (attempts > 1 && (row.isLeft() || replaceable(row.get()))) {
+							write(row.isRight() ? row.get().version() : version, attempts - 1);
+						}
+						else {
+							end(false);
+						}
+					});
+		}
+
+		/**
+		 * Handles the outcome of a mark after the alternative has started. A job that
+		 * waits for the transaction of the mark has not been sent and is rejected.
+		 * @param stored whether the mark is stored
+		 */
+		private void rejectIfUnsent(boolean stored) {
+			Optional<PendingWrite> unsent = this.finalAnswer.write
+				.filter((write) -> write.open() && write.copies() == 0);
+			if (stored && !this.finalAnswer.given && unsent.isPresent()) {
+				unsent.get().abandon();
+				end(true);
+			}
+		}
+
+		private void end(boolean stored) {
+			this.ended = true;
+			this.timeout.cancel();
+			logRejection(this.submission, this.reason, stored);
+			if (stored) {
+				JobService.this.metrics.recordRejection(this.submission.queue());
+				this.answer.accept(new JobAnswer.Refused(Verdict.NOT_RUN, true,
+						"the job could not end while its result is of use", Optional.of(this.reason.retryAfter())));
+			}
+			else {
+				this.alternative.run();
+			}
+		}
+
+	}
+
 	/**
 	 * Passes on the first of two answers: the real one or that of the timeout.
 	 */
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -107,6 +107,10 @@
 
 	private final RemovedJobs removedJobs = new RemovedJobs();
 
+	private final RejectedJobs rejectedJobs;
+
+	private final AdmissionPublisher admissionPublisher;
+
 	private final long takeoverNanos;
 
 	private final Cancellable tickTimer;
@@ -135,6 +139,8 @@
 		this.dispatcher = new Dispatcher(settings, new DefaultPlacementPolicy(this.imagePressure), clock,
 				new DecisionLog(metrics));
 		this.queueLoadLog = new QueueLoadLog(this.dispatcher, metrics, clock);
+		this.rejectedJobs = new RejectedJobs(store, settings.retention(), clock);
+		this.admissionPublisher = new AdmissionPublisher(this.dispatcher, record.epoch(), clock);
 		this.reportProcessor = new ReportProcessor(this.dispatcher, this.imagePressure);
 		this.intakeWatch = new RowWatch(store, Tables.INTAKE, TableWatchSettings.INTAKE_WATCH, new IntakeListener(),
 				clock, timer);
@@ -286,7 +292,8 @@
 	private void applySubmission(StoredRow row) {
 		if (row.exists() && row.key().startsWith(Tables.JOB_PREFIX)) {
 			String id = row.key().substring(Tables.JOB_PREFIX.length());
-			if (!this.removedJobs.removedAfter(id, row.version())) {
+			// Marks of rejected jobs are removed by RejectedJobs.
+			if (!RejectionMark.isMark(row) && !this.removedJobs.removedAfter(id, row.version())) {
 				this.submissionCleanup.seen(id, row.version());
 			}
 		}
@@ -300,6 +307,13 @@
 					Field.of("reason", "the job was removed after the row was written"));
 			return;
 		}
+		if (RejectionMark.isMark(row)) {
+			// The job is not known to the dispatcher, since its caller may submit it
+			// again.
+			this.rejectedJobs.rejected(row);
+			return;
+		}
+		this.rejectedJobs.replaced(row.key());
 		Optional<String> stored = Optional.ofNullable(this.storedJobs.get(id));
 		try {
 			if (row.value().equals(Tables.ENDED_JOB) || row.value().equals(Tables.WITHDRAWN_JOB)) {
@@ -378,6 +392,7 @@
 		if (!this.restored) {
 			return;
 		}
+		this.admissionPublisher.reportReceived(report.getHost());
 		ReportProcessor.Response reaction = this.reportProcessor.reported(report, mayExtendLeases());
 		send(report.getHost(),
 				LeaderMessage.newBuilder()
@@ -419,6 +434,8 @@
 					LeadershipTimings.LEASE_EXTENSION_WITHOUT_STORE.plus(this.settings.leaseTimeout()),
 					this.takeoverNanos);
 			this.queueLoadLog.writeIfDue();
+			this.admissionPublisher.measureIfDue(this.links.size());
+			this.rejectedJobs.removeIfDue();
 			decide();
 		}
 		else if (!this.writer.busy()) {
@@ -462,10 +479,24 @@
 
 	private void renewIfDue() {
 		if (this.writer.confirmationAge().compareTo(LeadershipTimings.RENEWAL_INTERVAL) > 0) {
-			this.writer.writeLeaderRow(this.record.name(), this::scheduleDecision);
+			List<RowTransaction.Write> writes = new ArrayList<>();
+			addAdmission(writes);
+			if (writes.isEmpty()) {
+				this.writer.writeLeaderRow(this.record.name(), this::scheduleDecision);
+			}
+			else {
+				// After a rejection the leader's row is renewed without the figures.
+				this.writer.write(this.record.name(), writes, List.of(), this::scheduleDecision,
+						(failure) -> this.timer.schedule(LeadershipTimings.RETRY_DELAY, this::scheduleDecision));
+			}
 		}
 	}
 
+	private void addAdmission(List<RowTransaction.Write> writes) {
+		this.admissionPublisher.takeIfDue()
+			.ifPresent((figures) -> writes.add(new RowTransaction.Write(Tables.LEDGER, Tables.ADMISSION_KEY, figures)));
+	}
+
 	private void record(DispatchBatch batch) {
 		List<RowTransaction.Write> writes = new ArrayList<>();
 		batch.jobs()
@@ -490,6 +521,7 @@
 			}
 		}
 		addModel(writes);
+		addAdmission(writes);
 		this.writer.write(this.record.name(), writes, removals, () -> {
 			this.removedJobs.add(cleanup.expired().stream().filter(storedEarlier).toList(), this.writer.version());
 			this.submissionCleanup.reduce(cleanup.reduced());
--- a/src/test/java/org/crocuspost/ingress/GroupCommitTests.java
+++ b/src/test/java/org/crocuspost/ingress/GroupCommitTests.java
@@ -12,6 +12,7 @@
 import io.vavr.control.Either;
 import org.crocuspost.error.Verdict;
 import org.crocuspost.job.JobSpecification;
+import org.crocuspost.lead.RejectionMark;
 import org.crocuspost.lead.Tables;
 import org.crocuspost.rows.RowTransaction;
 import org.crocuspost.time.VirtualTime;
@@ -46,7 +47,7 @@
 
 	private JobService service() {
 		return new JobService(this.store, new FixedOperator(), new JobDirectory((row) -> {
-		}), new IngressMetrics(new PrometheusRegistry()), this.time, this.time);
+		}, new AdmissionControl(this.time)), new IngressMetrics(new PrometheusRegistry()), this.time, this.time);
 	}
 
 	/**
@@ -165,6 +166,70 @@
 		assertRefused(Verdict.NOT_RUN, 3);
 	}
 
+	private void mark(int job, long millis) {
+		this.store.commit(
+				RowTransaction.of(List.of(),
+						List.of(new RowTransaction.Write(Tables.SUBMISSIONS, Tables.JOB_PREFIX + id(job),
+								new RejectionMark(millis).write()))),
+				(outcome) -> assertThat(outcome.get().applied()).isTrue());
+		advance(5);
+	}
+
+	private boolean marked(int job) {
+		return RejectionMark.isMark(this.store.row(Tables.SUBMISSIONS, Tables.JOB_PREFIX + id(job)));
+	}
+
+	/**
+	 * Job 3 was rejected long ago and returns; job 4 was rejected after this try may have
+	 * been sent. Guards against an acceptance of a job that is not stored, and against
+	 * effects on the rest of the group.
+	 */
+	@Test
+	void aMarkOfARejectedJobAffectsOnlyItsJob() {
+		mark(3, -RejectionMark.MINIMUM_RETRY_AFTER.toMillis());
+		mark(4, 0);
+		submit(1, 2, 3, 4, 5);
+		advance(40);
+		assertAccepted(1, 2, 3, 5);
+		assertThat(marked(3)).isFalse();
+		assertRefused(Verdict.NOT_RUN, 4);
+		assertThat(marked(4)).isTrue();
+	}
+
+	/**
+	 * The answers of the transactions are lost, and they are executed after the delay.
+	 * @param delay the delay in milliseconds
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { 0, 300, 700 })
+	void aGroupThatReplacesAMarkIsAcceptedOnceItIsExecuted(long delay) {
+		mark(2, -RejectionMark.MINIMUM_RETRY_AFTER.toMillis());
+		this.store.loseAnswers(true, Duration.ofMillis(delay));
+		submit(2, 3);
+		advance(2_400);
+		assertAccepted(2, 3);
+		assertThat(marked(2)).isFalse();
+	}
+
+	/**
+	 * The leader removes the mark between the attempts to store the job with the row
+	 * absent and with the version of the mark.
+	 */
+	@Test
+	void aJobWhoseMarkIsRemovedMeanwhileIsStored() {
+		mark(1, -RejectionMark.MINIMUM_RETRY_AFTER.toMillis());
+		submit(1);
+		this.store.commit(
+				new RowTransaction(List.of(),
+						List.of(new RowTransaction.Write(Tables.SUBMISSIONS, Tables.CANCELLATION_PREFIX + id(1), "")),
+						List.of(new RowTransaction.Removal(Tables.SUBMISSIONS, Tables.JOB_PREFIX + id(1)))),
+				(outcome) -> assertThat(outcome.get().applied()).isTrue());
+		advance(30);
+		assertAccepted(1);
+		assertThat(marked(1)).isFalse();
+		assertThat(this.store.transactions()).isEqualTo(5);
+	}
+
 	@Test
 	void aJobSubmittedTwiceInOneGroupIsStoredOnceAndAcceptedTwice() {
 		submit(1, 2);
--- a/src/test/java/org/crocuspost/lead/LeaderTests.java
+++ b/src/test/java/org/crocuspost/lead/LeaderTests.java
@@ -107,6 +107,25 @@
 		assertThat(this.store.rows.row(Tables.LEDGER, Tables.PROGRESS_PREFIX + ENDED_JOB).value()).isEmpty();
 	}
 
+	/**
+	 * The mark of a rejected job is no job, and is removed on condition of its version
+	 * only. Guards against a mark that stays for ever, and against a run of a rejected
+	 * job.
+	 */
+	@Test
+	void markOfARejectedJobIsRemovedAndItsJobIsNotRecorded() {
+		String key = Tables.JOB_PREFIX + ENDED_JOB;
+		writeRow(Tables.SUBMISSIONS, key, new RejectionMark(0).write());
+		submitJob(WAITING_JOB);
+		startLeader();
+		this.time.advance(Duration.ofSeconds(110));
+		assertThat(this.store.rows.row(Tables.SUBMISSIONS, key).exists()).isTrue();
+		assertThat(this.store.rows.row(Tables.LEDGER, Tables.PROGRESS_PREFIX + WAITING_JOB).exists()).isTrue();
+		assertThat(this.store.rows.row(Tables.LEDGER, Tables.PROGRESS_PREFIX + ENDED_JOB).exists()).isFalse();
+		this.time.advance(Duration.ofSeconds(30));
+		assertThat(this.store.rows.row(Tables.SUBMISSIONS, key).exists()).isFalse();
+	}
+
 	/**
 	 * Guards against a leader that sends a transaction again for ever that the store
 	 * rejects for its size, so that nothing is recorded any more.
