--- a/src/main/java/org/crocuspost/dispatch/AdmissionEstimator.java
+++ b/src/main/java/org/crocuspost/dispatch/AdmissionEstimator.java
@@ -101,7 +101,8 @@
 			}
 			listed.put(queue.get().name(), queue.get());
 			present.add(job.id());
-			boolean ofUse = tracked.rank().group() != WaitingOrder.LATE_BEYOND_USE;
+			// Deferred jobs also go after all jobs of use.
+			boolean ofUse = tracked.rank().group() < WaitingOrder.LATE_BEYOND_USE;
 			RemainingJob after = new JobSurvey(queue.get(), job, ofUse, exclusive, nowMillis).run(surveys, images);
 			if (before != null) {
 				before.work()
--- a/src/main/java/org/crocuspost/lead/LeadEvent.java
+++ b/src/main/java/org/crocuspost/lead/LeadEvent.java
@@ -126,6 +126,16 @@
 	/**
 	 * Rows that took the place of rejected jobs were removed.
 	 */
-	REJECTED_JOBS_REMOVED
+	REJECTED_JOBS_REMOVED,
+
+	/**
+	 * A job is ranked behind all jobs of use, since it cannot end while of use.
+	 */
+	JOB_DEFERRED,
+
+	/**
+	 * A deferred job is ranked with the jobs of use again.
+	 */
+	JOB_RESUMED
 
 }
