--- a/src/main/java/org/crocuspost/dispatch/AdmissionEstimator.java
+++ b/src/main/java/org/crocuspost/dispatch/AdmissionEstimator.java
@@ -101,7 +101,8 @@
 			}
 			listed.put(queue.get().name(), queue.get());
 			present.add(job.id());
-			// Deferred jobs count: without their work so many jobs were accepted that some
+			// Deferred jobs count: without their work so many jobs were accepted that
+			// some
 			// deferred ones had not ended 120 s after the overload.
 			boolean ofUse = tracked.rank().group() != WaitingOrder.LATE_BEYOND_USE;
 			RemainingJob after = new JobSurvey(queue.get(), job, ofUse, exclusive, nowMillis).run(surveys, images);
