Merge admission control by backlog, off by default

Ruled out: switching it on.

Without figures of the leader an entry rejects nothing, so the default serves callers as before.

Before: no rejection for load.

--- a/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
@@ -9,8 +9,11 @@
  * extension; the upper bound that the platform guarantees
  * @param retention how long the state of an ended job is kept
  * @param remotePenalty the factor by which the run time grows away from the data
+ * @param admissionControl whether the leader publishes the figures by which entry
+ * processes reject jobs that could not end while of use
  */
-public record DispatchSettings(Duration leaseDuration, Duration retention, double remotePenalty) {
+public record DispatchSettings(Duration leaseDuration, Duration retention, double remotePenalty,
+		boolean admissionControl) {
 
 	/**
 	 * Factor by which the clock of a worker may run slower than the clock of this
@@ -195,6 +198,17 @@
 	 */
 	static final double MAXIMUM_PROBATION_SHARE = 0.5;
 
+	/**
+	 * Creates settings without admission control.
+	 * @param leaseDuration how long a worker continues to run tasks after the last lease
+	 * extension
+	 * @param retention how long the state of an ended job is kept
+	 * @param remotePenalty the factor by which the run time grows away from the data
+	 */
+	public DispatchSettings(Duration leaseDuration, Duration retention, double remotePenalty) {
+		this(leaseDuration, retention, remotePenalty, false);
+	}
+
 	/**
 	 * Returns the time after the last lease extension was sent by which the lease of the
 	 * worker has certainly lapsed, with clock drift and delays included.
--- a/src/main/java/org/crocuspost/dispatch/WaitingOrder.java
+++ b/src/main/java/org/crocuspost/dispatch/WaitingOrder.java
@@ -95,7 +95,7 @@
 		return longest;
 	}
 
-	private static Duration estimate(StepSpecification step) {
+	static Duration estimate(StepSpecification step) {
 		return step.estimate().isZero() ? DispatchSettings.DEFAULT_ESTIMATE : step.estimate();
 	}
 
--- a/src/main/java/org/crocuspost/ingress/GroupCommitter.java
+++ b/src/main/java/org/crocuspost/ingress/GroupCommitter.java
@@ -295,9 +295,9 @@
 			for (PendingWrite write : this.writes) {
 				write.copySent();
 				rows.add(write.row());
-				if (write.ifAbsent()) {
-					conditions.add(new RowTransaction.Condition(Tables.SUBMISSIONS, write.key(), StoredRow.ABSENT));
-				}
+				write.requiredVersion()
+					.ifPresent((version) -> conditions
+						.add(new RowTransaction.Condition(Tables.SUBMISSIONS, write.key(), version)));
 				GroupCommitter.this.metrics.recordWriteWait(write.waited(now()));
 			}
 			GroupCommitter.this.metrics.recordGroup(this.writes.size());
@@ -343,18 +343,17 @@
 			keepReading();
 		}
 
-		// Ends the writes whose rows exist. The transaction had no effect, so the others
-		// are sent again.
+		// Ends the writes whose rows have another version than required. The transaction
+		// had no effect, so the others are sent again.
 		private void handleFailedCondition(RowCommit commit) {
-			Map<String, StoredRow> existing = commit.current()
+			Map<String, StoredRow> current = commit.current()
 				.stream()
-				.filter(StoredRow::exists)
 				.collect(Collectors.toMap(StoredRow::key, Function.identity(), (first, second) -> first));
 			List<PendingWrite> others = new ArrayList<>();
 			for (PendingWrite write : this.writes) {
 				write.copyRefused();
-				StoredRow row = existing.get(write.key());
-				if (write.ifAbsent() && row != null) {
+				StoredRow row = current.get(write.key());
+				if (row != null && write.conditionFails(row)) {
 					write.store(row);
 				}
 				else {
@@ -414,7 +413,7 @@
 				if (row.isLeft()) {
 					handleFailedRead();
 				}
-				else if (row.get().exists()) {
+				else if (first.settledBy(row.get())) {
 					recordAnswer();
 					handleFound(first, row.get());
 				}
--- a/src/main/java/org/crocuspost/ingress/PendingWrite.java
+++ b/src/main/java/org/crocuspost/ingress/PendingWrite.java
@@ -1,6 +1,7 @@
 package org.crocuspost.ingress;
 
 import java.time.Duration;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 import io.vavr.control.Either;
@@ -21,7 +22,7 @@
 
 	private final String value;
 
-	private final boolean ifAbsent;
+	private final OptionalLong requiredVersion;
 
 	private final long queuedNanos;
 
@@ -41,16 +42,17 @@
 	 * Creates a write.
 	 * @param key the key of the row
 	 * @param value the value to write
-	 * @param ifAbsent whether the row is written only if it does not exist
+	 * @param requiredVersion the version that the row must have, {@link StoredRow#ABSENT}
+	 * if it must not exist; empty if the row is written whatever its version is
 	 * @param queuedNanos when the write was requested, in monotonic time
 	 * @param dueNanos when the caller is answered at the latest, in monotonic time
 	 * @param outcome receives the row as it is stored, or the failure
 	 */
-	PendingWrite(String key, String value, boolean ifAbsent, long queuedNanos, long dueNanos,
+	PendingWrite(String key, String value, OptionalLong requiredVersion, long queuedNanos, long dueNanos,
 			Consumer<Either<Failure, StoredRow>> outcome) {
 		this.key = key;
 		this.value = value;
-		this.ifAbsent = ifAbsent;
+		this.requiredVersion = requiredVersion;
 		this.queuedNanos = queuedNanos;
 		this.dueNanos = dueNanos;
 		this.outcome = outcome;
@@ -60,8 +62,29 @@
 		return this.key;
 	}
 
-	boolean ifAbsent() {
-		return this.ifAbsent;
+	OptionalLong requiredVersion() {
+		return this.requiredVersion;
+	}
+
+	/**
+	 * Returns whether a row that was read shows the outcome of this write. A row that the
+	 * write must replace does not: the mark of a rejected job remains until the write is
+	 * executed.
+	 * @param row the row
+	 * @return true if this write or another one has changed the row since the required
+	 * version
+	 */
+	boolean settledBy(StoredRow row) {
+		return row.exists() && row.version() > this.requiredVersion.orElse(StoredRow.ABSENT);
+	}
+
+	/**
+	 * Returns whether a row does not have the required version.
+	 * @param row the row at the time when the condition was checked
+	 * @return true if no copy of this write can be executed any more
+	 */
+	boolean conditionFails(StoredRow row) {
+		return this.requiredVersion.isPresent() && this.requiredVersion.getAsLong() != row.version();
 	}
 
 	RowTransaction.Write row() {
--- a/src/main/java/org/crocuspost/lead/LeadEvent.java
+++ b/src/main/java/org/crocuspost/lead/LeadEvent.java
@@ -117,6 +117,17 @@
 	 */
 	QUEUE_LOAD,
 
+	/**
+	 * The leader publishes the work ahead of new jobs, or that no queue has a lasting
+	 * backlog.
+	 */
+	ADMISSION_PUBLISHED,
+
+	/**
+	 * Rows that took the place of rejected jobs were removed.
+	 */
+	REJECTED_JOBS_REMOVED,
+
 	/**
 	 * A job is ranked behind all jobs of use, since it cannot end while of use.
 	 */
--- a/src/main/java/org/crocuspost/platform/hosted/EntryProgram.java
+++ b/src/main/java/org/crocuspost/platform/hosted/EntryProgram.java
@@ -10,6 +10,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.crocuspost.daemon.DaemonCommand;
 import org.crocuspost.dispatch.DispatchSettings;
+import org.crocuspost.ingress.AdmissionControl;
 import org.crocuspost.ingress.IngressEvent;
 import org.crocuspost.ingress.IngressMetrics;
 import org.crocuspost.ingress.JobDirectory;
@@ -108,14 +109,15 @@
 				new CircuitBreaker(ProtectionSettings.DEFAULT, clock, RandomGenerator.getDefault()));
 		this.operator = new OperatorTable(protectedStore, clock, timer);
 		AtomicReference<LeaderElector> electorReference = new AtomicReference<>();
-		JobDirectory directory = new JobDirectory((row) -> electorReference.get().leaderRowChanged(row));
+		JobDirectory directory = new JobDirectory((row) -> electorReference.get().leaderRowChanged(row),
+				new AdmissionControl(clock));
 		this.ledgerWatch = new RowWatch(protectedStore, Tables.LEDGER, TableWatchSettings.LEDGER_WATCH, directory,
 				clock, timer);
 		this.leaderElector = new LeaderElector(settings.name(), settings.capacity(), store, this.ledgerWatch,
 				this.operator,
 				new DispatchSettings(settings.limits().leaseDuration(),
 						settings.limits().statusRetention().plus(DispatchSettings.RETENTION_MARGIN),
-						settings.limits().remotePenalty()),
+						settings.limits().remotePenalty(), settings.admissionControl()),
 				new LeaderMetrics(this.registry), traffic, loop, clock, timer);
 		electorReference.set(this.leaderElector);
 		this.jobService = new JobService(protectedStore, store, this.operator, directory,
--- a/src/main/java/org/crocuspost/platform/hosted/PropertyFile.java
+++ b/src/main/java/org/crocuspost/platform/hosted/PropertyFile.java
@@ -107,6 +107,19 @@
 		return optional(name).isPresent() ? number(name, Double::parseDouble) : absent;
 	}
 
+	/**
+	 * Returns an optional flag. Records an error if it is neither true nor false.
+	 * @param name the name of the value
+	 * @return the flag; false if the value is missing
+	 */
+	public boolean flag(String name) {
+		String text = optional(name).orElse("false");
+		if (!text.equals("true") && !text.equals("false")) {
+			this.errors.add(name + " must be true or false, but is " + text);
+		}
+		return text.equals("true");
+	}
+
 	/**
 	 * Returns a required duration.
 	 * @param name the name of a value in milliseconds
--- a/src/test/java/org/crocuspost/platform/hosted/DecoderTests.java
+++ b/src/test/java/org/crocuspost/platform/hosted/DecoderTests.java
@@ -126,11 +126,13 @@
 
 	@Test
 	void allErrorsOfTheSettingsAreReported() {
-		assertThatThrownBy(() -> HostSettings.of(new PropertyFile("node_name=one\nport_range=x,y\nheartbeat_ms=-1")))
+		assertThatThrownBy(() -> HostSettings
+			.of(new PropertyFile("node_name=one\nport_range=x,y\nheartbeat_ms=-1\nadmission_control=maybe")))
 			.isInstanceOf(SettingsException.class)
 			.hasMessageContaining("ip is missing")
 			.hasMessageContaining("port_range must be a number")
-			.hasMessageContaining("heartbeat_ms must not be negative");
+			.hasMessageContaining("heartbeat_ms must not be negative")
+			.hasMessageContaining("admission_control must be true or false, but is maybe");
 	}
 
 }
