--- a/review/harness/Worker.java
+++ b/review/harness/Worker.java
@@ -144,15 +144,6 @@
 		}
 	}
 
-	/** Crashes: all that runs ends, and nothing is answered until the next start. */
-	synchronized void crash() {
-		this.up = false;
-		this.history.log(this.name + " crashed, running " + this.runs.size());
-		this.runs.values().forEach((run) -> this.history.ended(run.task, run.number, this.name, "crash"));
-		this.runs.clear();
-		this.server.stop(0);
-	}
-
 	void close() {
 		this.timer.shutdownNow();
 		if (this.up) {
@@ -160,10 +151,6 @@
 		}
 	}
 
-	synchronized boolean runsTask(String task) {
-		return this.runs.containsKey(task);
-	}
-
 	private long clockMillis() {
 		return 1_000 + (System.nanoTime() - this.bornNanos) / 1_000_000;
 	}
