Tell a case that could not run from a broken rule

A Java process that does not start exits with 1, which the scripts took for a break; a broken rule is 10 inside now. Case 4 ends with 2 if its disruption could not be brought about, case 2 tells the entries the link of 14 Mbit/s in their settings, and a worker's stop of another run leaves the present one alone. No check or bound is changed.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -11,5 +11,8 @@
 timeout -k 3 115 java -Xmx512m -Dsun.net.httpserver.nodelay=true -Djdk.httpclient.allowRestrictedHeaders=host \
 	-cp "review/out:target/lib/*" CheckpointText "$folder"
 code=$?
-[ "$code" -le 1 ] && exit "$code"
-exit 2
+case $code in
+0) exit 0 ;;
+10) exit 1 ;;
+*) exit 2 ;;
+esac
--- a/review/harness/CheckpointText.java
+++ b/review/harness/CheckpointText.java
@@ -75,7 +75,7 @@
 		}
 		breaks.forEach(System.out::println);
 		System.out.println(breaks.size() + " breaks");
-		System.exit(breaks.isEmpty() ? 0 : 1);
+		System.exit(breaks.isEmpty() ? 0 : Deployment.BROKEN);
 	}
 
 	private static Plan plan(int number) {
--- a/review/harness/Deployment.java
+++ b/review/harness/Deployment.java
@@ -23,6 +23,9 @@
  */
 final class Deployment implements AutoCloseable {
 
+	/** Exit code of a case that broke its rule. A program that fails to start exits with 1. */
+	static final int BROKEN = 10;
+
 	static final int HEARTBEAT_MILLIS = 1_100;
 
 	/** Number of workers of kind "a". The others are of kind "b". */
@@ -44,6 +47,8 @@
 
 	final List<String> entries = new ArrayList<>();
 
+	private final double linkMegabits;
+
 	private final int octet;
 
 	private final String deployFile;
@@ -52,11 +57,18 @@
 
 	Deployment(Path recordFolder, int entryCount, int workerCount, String configuration,
 			LongFunction<String> checkpoints) throws Exception {
+		this(recordFolder, entryCount, workerCount, configuration, checkpoints, 1_000);
+	}
+
+	Deployment(Path recordFolder, int entryCount, int workerCount, String configuration,
+			LongFunction<String> checkpoints, double linkMegabits) throws Exception {
 		Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
 		this.history = new History(recordFolder.resolve("record.txt"));
 		this.octet = freeOctet();
 		this.deployFile = Files.readString(Path.of("deploy/system.toml"));
+		this.linkMegabits = linkMegabits;
 		this.store = new Store();
+		this.store.linkBytesPerSecond = linkMegabits * 1e6 / 8;
 		this.store.writeOperatorRow("config", configuration);
 		for (int number = 1; number <= entryCount; number++) {
 			String name = "edge-" + number;
@@ -127,7 +139,8 @@
 		this.addresses.put(name, ip);
 		Files.writeString(this.folder.resolve(name + ".conf"), "node_name=" + name + "\nrole=" + role + "\nip=" + ip
 				+ "\nzone=" + zone(number) + "\nregion=region\nport_range=7720,7735\nbootstrap=true\n"
-				+ "limits.cpu_share=0.75\nlimits.cpu_cores=1\nlimits.memory_mb=430\nlimits.link_mbps=1000.0\n"
+				+ "limits.cpu_share=0.75\nlimits.cpu_cores=1\nlimits.memory_mb=430\nlimits.link_mbps="
+				+ (role.equals("entry") ? this.linkMegabits : 1_000.0) + "\n"
 				+ "heartbeat_ms=" + HEARTBEAT_MILLIS + "\nbounds.grace_s=6\nbounds.max_hold_ms=6000\n"
 				+ "bounds.stop_timeout_ms=200\nbounds.gang_timeout_ms=3000\nbounds.cancel_ms=3000\n"
 				+ "bounds.visible_ms=3000\nbounds.early_ms=250\nbounds.finish_s=14\nbounds.status_s=120\n"
--- a/review/harness/NarrowLink.java
+++ b/review/harness/NarrowLink.java
@@ -8,7 +8,7 @@
 public final class NarrowLink {
 
 	/** The link of each edge machine of the large deployment. */
-	private static final double LINK_BYTES_PER_SECOND = 14e6 / 8;
+	private static final double LINK_MEGABITS = 14;
 
 	private static final int JOBS = 520;
 
@@ -35,9 +35,8 @@
 		boolean trouble = !"0".equals(System.getenv("TROUBLE"));
 		List<String> breaks = new ArrayList<>();
 		try (Deployment deployment = new Deployment(Path.of(arguments[0]), 3, 6,
-				Deployment.configuration(1, Deployment.route("r-runs", "/runs/", 2, 3, 1_000)), Long::toHexString);
+				Deployment.configuration(1, Deployment.route("r-runs", "/runs/", 2, 3, 1_000)), Long::toHexString, LINK_MEGABITS);
 				Client client = new Client(deployment)) {
-			deployment.store.linkBytesPerSecond = LINK_BYTES_PER_SECOND;
 			deployment.awaitReady(20);
 			Client.sleep(2_000);
 			String[] leader = new String[1];
@@ -90,7 +89,7 @@
 		}
 		breaks.forEach(System.out::println);
 		System.out.println(breaks.size() + " breaks");
-		System.exit(breaks.isEmpty() ? 0 : 1);
+		System.exit(breaks.isEmpty() ? 0 : Deployment.BROKEN);
 	}
 
 	private static Plan plan(int number) {
--- a/review/harness/UnrecordedJobs.java
+++ b/review/harness/UnrecordedJobs.java
@@ -30,6 +30,8 @@
 	/** Number of rows of a transaction that holds a first part of a backlog. */
 	private static final int LARGE_TRANSACTION = 85;
 
+	private static volatile Exception disruptionFailure;
+
 	private UnrecordedJobs() {
 	}
 
@@ -60,6 +62,9 @@
 			}
 			int jobs = submit(client, random);
 			disruption.join();
+			if (disruptionFailure != null) {
+				throw disruptionFailure;
+			}
 			Client.sleep(20_000);
 			breaks = deployment.history.twice();
 			long unfinished = client.accepted.entrySet()
@@ -80,7 +85,7 @@
 		}
 		breaks.stream().limit(5).forEach(System.out::println);
 		System.out.println(breaks.size() + " breaks");
-		System.exit(breaks.isEmpty() ? 0 : 1);
+		System.exit(breaks.isEmpty() ? 0 : Deployment.BROKEN);
 	}
 
 	private static void disturb(Deployment deployment, String[] leader) {
@@ -94,7 +99,9 @@
 					recorded.countDown();
 				}
 			};
-			recorded.await(10, TimeUnit.SECONDS);
+			if (!recorded.await(10, TimeUnit.SECONDS)) {
+				throw new IllegalStateException("the leader did not record a first part of the backlog");
+			}
 			deployment.history.log(leader[0] + " has recorded a first part of the backlog");
 			long started = deployment.history.starts();
 			for (int wait = 0; wait < 30 && deployment.history.starts() == started; wait++) {
@@ -106,7 +113,7 @@
 			deployment.startProcess(killed);
 		}
 		catch (Exception ex) {
-			ex.printStackTrace();
+			disruptionFailure = ex;
 		}
 	}
 
--- a/review/harness/Worker.java
+++ b/review/harness/Worker.java
@@ -295,14 +295,12 @@
 		String task = body.path("task").asText();
 		int number = body.path("run_id").asInt();
 		Run run = this.runs.get(task);
-		if (run != null && run.number <= number) {
-			if (run.stopNanos == 0) {
-				run.stopNanos = System.nanoTime() + STOP_MILLIS * 1_000_000L;
-			}
-		}
-		else if (run == null) {
+		if (run == null || run.number != number) {
 			this.highestEnded.merge(task, number, Math::max);
 		}
+		else if (run.stopNanos == 0) {
+			run.stopNanos = System.nanoTime() + STOP_MILLIS * 1_000_000L;
+		}
 		return 200;
 	}
 
