Log the ends of runs that the leader acknowledges without applying them

Cause: ReportProcessor acknowledges the end of a run whose task is not known, is at another run or has an end already, without a line.

Change: event end-ignored with task, run, host, outcome and the reason, and the field jobsWithoutRow of state-restored: the number of jobs of which the store has rows of tasks but no row of the job. No decision is changed.

Before: no line. After: DecisionLogTests.ignoredEndIsLoggedWithItsReason.

--- a/src/main/java/org/crocuspost/dispatch/DispatchListener.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchListener.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 
 import org.crocuspost.job.JobProgress;
+import org.crocuspost.job.TaskKey;
 import org.crocuspost.job.TaskProgress;
 
 /**
@@ -56,6 +57,17 @@
 	 */
 	void runEnded(TaskProgress task, int run, String host, String outcome);
 
+	/**
+	 * Called when the end of a run that a worker has reported changes nothing. It is
+	 * acknowledged nevertheless.
+	 * @param task the identity of the task
+	 * @param run the number of the run
+	 * @param host the host
+	 * @param outcome how the run ended
+	 * @param reason why the end changes nothing
+	 */
+	void endIgnored(TaskKey task, int run, String host, String outcome, String reason);
+
 	/**
 	 * Called when a run is declared lost without a reported end from its worker.
 	 * @param task the task, which waits for another run
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -259,6 +259,7 @@
 		Optional<JobProgress> job = this.dispatcher.job(key.job());
 		TaskProgress task = job.map((found) -> found.task(key)).orElse(null);
 		if (job.isEmpty() || task == null) {
+			ignoreEnd(key, ended, host, "the task is not known");
 			return;
 		}
 		this.dispatcher.markBegun(key, ended.getRun(), host, evidence);
@@ -271,11 +272,18 @@
 			}
 		}
 		if (task.run() != ended.getRun()) {
-			return;
+			ignoreEnd(key, ended, host, "the task is at run " + task.run());
 		}
-		if (task.status() == TaskStatus.PLACED || task.status() == TaskStatus.WAITING_AFTER_LOSS) {
+		else if (task.status() == TaskStatus.PLACED || task.status() == TaskStatus.WAITING_AFTER_LOSS) {
 			applyEnd(job.get(), task, ended, host.name());
 		}
+		else {
+			ignoreEnd(key, ended, host, "an end of this run is recorded");
+		}
+	}
+
+	private void ignoreEnd(TaskKey task, EndedTask ended, HostState host, String reason) {
+		this.dispatcher.listener().endIgnored(task, ended.getRun(), host.name(), ended.getKind(), reason);
 	}
 
 	private void applyEnd(JobProgress job, TaskProgress task, EndedTask ended, String host) {
--- a/src/main/java/org/crocuspost/lead/DecisionLog.java
+++ b/src/main/java/org/crocuspost/lead/DecisionLog.java
@@ -10,6 +10,7 @@
 import org.crocuspost.dispatch.StopEvidence;
 import org.crocuspost.dispatch.WorkerCrash;
 import org.crocuspost.job.JobProgress;
+import org.crocuspost.job.TaskKey;
 import org.crocuspost.job.TaskProgress;
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
@@ -76,6 +77,12 @@
 				Field.of("failures", task.failures()));
 	}
 
+	@Override
+	public void endIgnored(TaskKey task, int run, String host, String outcome, String reason) {
+		EventLog.info(LeadEvent.END_IGNORED, Field.of("job", task.job()), Field.of("task", task), Field.of("run", run),
+				Field.of("host", host), Field.of("outcome", outcome), Field.of("reason", reason));
+	}
+
 	@Override
 	public void runLost(TaskProgress task, int run, String host, String reason, Evidence evidence,
 			Duration observedRunTime) {
--- a/src/main/java/org/crocuspost/lead/LeadEvent.java
+++ b/src/main/java/org/crocuspost/lead/LeadEvent.java
@@ -78,6 +78,12 @@
 	 */
 	RUN_ENDED,
 
+	/**
+	 * A worker has reported the end of a run that changes nothing: the leader does not
+	 * know the task, or the task is at another run or done already.
+	 */
+	END_IGNORED,
+
 	/**
 	 * A run is stopped although its job goes on; its task starts again.
 	 */
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -246,8 +246,9 @@
 		IsolatedRows.apply(rows, this::applySubmission);
 		if (!this.restored) {
 			this.restored = true;
-			EventLog.info(LeadEvent.STATE_RESTORED, Field.of("epoch", this.record.epoch()),
-					Field.of("rows", rows.size()), Field.of("progress", this.storedJobs.size()),
+			EventLog.info(LeadEvent.STATE_RESTORED, Field.of("epoch", this.record.epoch()), Field.of("rows", rows
+				.size()), Field.of("progress", this.storedJobs.size()), Field.of("jobsWithoutRow",
+						this.storedTasks.keySet().stream().filter((id) -> !this.storedJobs.containsKey(id)).count()),
 					Field.of("hosts", this.links.size()));
 			this.storedJobs.clear();
 			this.storedTasks.clear();
--- a/src/test/java/org/crocuspost/dispatch/SilentDispatchListener.java
+++ b/src/test/java/org/crocuspost/dispatch/SilentDispatchListener.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 
 import org.crocuspost.job.JobProgress;
+import org.crocuspost.job.TaskKey;
 import org.crocuspost.job.TaskProgress;
 
 /**
@@ -30,6 +31,10 @@
 	public void runEnded(TaskProgress task, int run, String host, String outcome) {
 	}
 
+	@Override
+	public void endIgnored(TaskKey task, int run, String host, String outcome, String reason) {
+	}
+
 	@Override
 	public void runLost(TaskProgress task, int run, String host, String reason, Evidence evidence,
 			Duration observedRunTime) {
--- a/src/test/java/org/crocuspost/lead/DecisionLogTests.java
+++ b/src/test/java/org/crocuspost/lead/DecisionLogTests.java
@@ -35,10 +35,14 @@
 				new JobSubmission(id, "queue", 0, new JobSpecification("text", List.of(step), 1, false, 0, 0)));
 		this.log.jobStarted(job, new JobStart(new TaskKey(id, 0, 0, 0), 2, "host", Duration.ofMillis(4_000),
 				sinceAssigned, new Evidence("life", Duration.ofMillis(40))));
+		return firstLine(id);
+	}
+
+	private static Map<String, String> firstLine(String job) {
 		return RecentEvents.after(0)
 			.stream()
 			.map(RecentEvents.Line::fields)
-			.filter((fields) -> id.equals(fields.get("job")))
+			.filter((fields) -> job.equals(fields.get("job")))
 			.findFirst()
 			.orElseThrow();
 	}
@@ -75,4 +79,19 @@
 		assertThat(measuredSeconds()).isEmpty();
 	}
 
+	/**
+	 * Guards against an end that is acknowledged without a trace although it was not
+	 * applied.
+	 */
+	@Test
+	void ignoredEndIsLoggedWithItsReason() {
+		this.log.endIgnored(new TaskKey("job-of-ignored-end", 0, 0, 3), 1, "host", "done", "the task is at run 0");
+		assertThat(firstLine("job-of-ignored-end")).containsEntry("event", "end-ignored")
+			.containsEntry("task", "job-of-ignored-end.0.0.3")
+			.containsEntry("run", "1")
+			.containsEntry("host", "host")
+			.containsEntry("outcome", "done")
+			.containsEntry("reason", "the task is at run 0");
+	}
+
 }
