Store tasks, jobs and departures in a form that keeps any text

Cause: the row of a task joined its fields by blanks and wrote the worker's checkpoint as it came. With "done 2000" it had eight fields instead of seven; Leader.applyJob then ignored the whole job. Other texts were read back as another text ("done ", "at 3 4") or as none ("-"), so that a task resumed from a checkpoint that was not its own.

Ruled out: rows that are missing (state-restored has progress 3 and jobsWithoutRow 0), tasks that are held back (end-ignored says that they are not known).

Change: StoredForm is the one form of records with texts from outside: a JSON document by Jackson, or a line wherever the previous version reads the same record from the line. So leaders of that version read all rows that they could read before. Lines that the previous version wrote are read with the whole checkpoint; where the end of one may be a pair of crash counts, the task resumes without a checkpoint.

Test changed: TaskProgressTests.rejectsRowWithWrongNumberOfFields demanded that "1 3 0 host worker 17 - 1" is malformed. That is what the previous version writes for the checkpoint "- 1", so rejecting it is the fault. Its replacement rejects 13 malformed rows, among them those with a wrong number of fields wherever the line says that it holds crash counts, and states what the two rows mean.

--- a/src/main/java/org/crocuspost/dispatch/Departure.java
+++ b/src/main/java/org/crocuspost/dispatch/Departure.java
@@ -3,6 +3,8 @@
 import java.util.Objects;
 import java.util.Optional;
 
+import org.crocuspost.rows.StoredForm;
+
 /**
  * Records the end of a worker that had announced that it leaves. The agent of the host
  * stores it for leaders that it cannot notify directly.
@@ -16,37 +18,48 @@
 
 	private static final int FIELD_COUNT = 4;
 
+	private static final StoredForm<Departure> FORM = new StoredForm<>(Departure.class, Departure::writeLine,
+			Departure::readLine, Departure::readLine);
+
 	public Departure {
 		Objects.requireNonNull(worker, "worker");
 		Objects.requireNonNull(agentIncarnation, "agentIncarnation");
 	}
 
 	/**
-	 * Returns the stored form: the fields on one line, separated by blanks.
-	 * @return one line
+	 * Encodes the departure.
+	 * @return the value of its row
 	 */
 	public String write() {
-		return this.worker + " " + this.born + " " + this.detectedMillis + " " + this.agentIncarnation;
+		return FORM.write(this);
 	}
 
 	/**
-	 * Parses the stored form.
-	 * @param text the stored form
-	 * @return the departure, or empty if the text is malformed
+	 * Decodes a departure.
+	 * @param text the value of its row
+	 * @return the departure, or empty if the value is malformed
 	 */
 	public static Optional<Departure> read(String text) {
-		String[] parts = text.split(" ");
-		if (parts.length != FIELD_COUNT) {
-			return Optional.empty();
-		}
 		try {
-			return Optional.of(new Departure(parts[0], Long.parseLong(parts[1]), Long.parseLong(parts[2]), parts[3]));
+			return Optional.of(FORM.read(text));
 		}
-		catch (NumberFormatException ex) {
+		catch (IllegalArgumentException ex) {
 			return Optional.empty();
 		}
 	}
 
+	private String writeLine() {
+		return this.worker + " " + this.born + " " + this.detectedMillis + " " + this.agentIncarnation;
+	}
+
+	private static Departure readLine(String text) {
+		String[] parts = text.split(" ");
+		if (parts.length != FIELD_COUNT) {
+			throw new IllegalArgumentException("malformed departure: " + text);
+		}
+		return new Departure(parts[0], Long.parseLong(parts[1]), Long.parseLong(parts[2]), parts[3]);
+	}
+
 	boolean endsRunsOf(String otherWorker, long otherBorn) {
 		return this.worker.equals(otherWorker) && this.born == otherBorn;
 	}
--- a/src/main/java/org/crocuspost/job/JobSummary.java
+++ b/src/main/java/org/crocuspost/job/JobSummary.java
@@ -2,8 +2,10 @@
 
 import java.util.Objects;
 
+import org.crocuspost.rows.StoredForm;
+
 /**
- * First line of a stored job, which holds everything that callers ask for.
+ * Summary of a stored job, which holds everything that callers ask for.
  *
  * @param queue the name of the queue
  * @param state the state
@@ -14,6 +16,9 @@
 
 	private static final int FIELD_COUNT = 3;
 
+	private static final StoredForm<JobSummary> FORM = new StoredForm<>(JobSummary.class, JobSummary::writeLine,
+			JobSummary::readLine, JobSummary::readLine);
+
 	public JobSummary {
 		Objects.requireNonNull(queue, "queue");
 		Objects.requireNonNull(state, "state");
@@ -21,19 +26,31 @@
 
 	/**
 	 * Encodes the summary.
-	 * @return the line
+	 * @return the value of the row of the job
 	 */
 	public String write() {
+		return FORM.write(this);
+	}
+
+	private String writeLine() {
 		return this.state + " " + this.endedMillis + " " + this.queue;
 	}
 
 	/**
-	 * Decodes the first line of a stored job.
-	 * @param text the stored job
+	 * Decodes the summary of a stored job.
+	 * @param text the value of the row of the job
 	 * @return the summary
-	 * @throws IllegalArgumentException if the line is malformed
+	 * @throws IllegalArgumentException if the value is malformed
 	 */
 	public static JobSummary read(String text) {
+		return FORM.read(text);
+	}
+
+	/**
+	 * Reads the first line of a stored job. The tasks follow it in rows of early
+	 * versions.
+	 */
+	private static JobSummary readLine(String text) {
 		int end = text.indexOf('\n');
 		String[] parts = ((end < 0) ? text : text.substring(0, end)).split(" ", FIELD_COUNT);
 		if (parts.length != FIELD_COUNT) {
--- a/src/main/java/org/crocuspost/job/TaskProgress.java
+++ b/src/main/java/org/crocuspost/job/TaskProgress.java
@@ -5,17 +5,6 @@
  */
 public final class TaskProgress {
 
-	private static final String EMPTY_FIELD = "-";
-
-	private static final int FIELD_COUNT = 7;
-
-	private static final int FIELD_COUNT_WITH_CRASHES = 9;
-
-	/**
-	 * Maximum number that a stored task may count. It leaves room for the runs to come.
-	 */
-	private static final int MAXIMUM_STORED_COUNT = 1_000_000_000;
-
 	private final TaskKey key;
 
 	private final StepSpecification step;
@@ -166,54 +155,31 @@
 	}
 
 	/**
-	 * Encodes the progress as one line without leading or trailing spaces. The crashes
-	 * are written only if there are any, so that programs that do not know them can read
-	 * the rows of all other tasks.
-	 * @return the line, which does not name the task
+	 * Encodes the progress.
+	 * @return the value of the row of the task
 	 */
 	public String write() {
-		return this.status.ordinal() + " " + this.run + " " + this.failures + " " + encodeField(this.host) + " "
-				+ encodeField(this.worker) + " " + this.workerStartMillis + " " + encodeField(this.checkpoint)
-				+ ((this.crashes > 0 || this.crashedRuns > 0) ? " " + this.crashes + " " + this.crashedRuns : "");
+		return new TaskRow(this.status, this.run, this.failures, this.host, this.worker, this.workerStartMillis,
+				this.checkpoint, this.crashes, this.crashedRuns)
+			.write();
 	}
 
 	/**
 	 * Restores the progress from its stored form.
-	 * @param text the line
-	 * @throws IllegalArgumentException if the line is malformed
+	 * @param text the value of the row of the task
+	 * @throws IllegalArgumentException if the value is malformed
 	 */
 	void restore(String text) {
-		String[] parts = text.split(" ");
-		if (parts.length != FIELD_COUNT && parts.length != FIELD_COUNT_WITH_CRASHES) {
-			throw new IllegalArgumentException("malformed progress of task " + this.key + ": " + text);
-		}
-		int field = 0;
-		this.status = TaskStatus.ofOrdinal(Integer.parseInt(parts[field++]));
-		this.run = parseCount(parts[field++]);
-		this.failures = parseCount(parts[field++]);
-		this.host = decodeField(parts[field++]);
-		this.worker = decodeField(parts[field++]);
-		this.workerStartMillis = Long.parseLong(parts[field++]);
-		this.checkpoint = decodeField(parts[field++]);
-		boolean withCrashes = parts.length == FIELD_COUNT_WITH_CRASHES;
-		this.crashes = withCrashes ? parseCount(parts[field++]) : 0;
-		this.crashedRuns = withCrashes ? parseCount(parts[field]) : 0;
-	}
-
-	private static int parseCount(String text) {
-		int count = Integer.parseInt(text);
-		if (count < 0 || count > MAXIMUM_STORED_COUNT) {
-			throw new IllegalArgumentException("a stored task counts from 0 to " + MAXIMUM_STORED_COUNT);
-		}
-		return count;
-	}
-
-	private static String encodeField(String text) {
-		return text.isEmpty() ? EMPTY_FIELD : text;
-	}
-
-	private static String decodeField(String text) {
-		return text.equals(EMPTY_FIELD) ? "" : text;
+		TaskRow row = TaskRow.read(text);
+		this.status = row.status();
+		this.run = row.run();
+		this.failures = row.failures();
+		this.host = row.host();
+		this.worker = row.worker();
+		this.workerStartMillis = row.workerStartMillis();
+		this.checkpoint = row.checkpoint();
+		this.crashes = row.crashes();
+		this.crashedRuns = row.crashedRuns();
 	}
 
 	public TaskKey key() {
