Let other threads schedule on the virtual clock of tests

Cause: HostLink connects on the real event loop and schedules its next attempt from there, while the test's thread advances the same queue, which was not thread-safe. Ruled out: the programs, which pass a timer of their event loop.

Change: the queue is accessed under a lock; the time is advanced and actions run by one thread as before.

Before: VirtualTimeTests.actionsThatOtherThreadsScheduleAreKept fails with the same NullPointerException.

--- a/src/main/java/org/crocuspost/time/VirtualTime.java
+++ b/src/main/java/org/crocuspost/time/VirtualTime.java
@@ -5,10 +5,13 @@
 import java.util.Comparator;
 import java.util.PriorityQueue;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Clock and timer whose time advances only when {@link #advance(Duration)} is called.
- * Used by tests and by benchmarks of scheduling decisions. Not safe for use by several
- * threads.
+ * Used by tests and by benchmarks of scheduling decisions. Actions can be scheduled and
+ * cancelled by any thread, since network code under test runs on its own event loop. One
+ * thread advances the time and runs all actions.
  */
 public final class VirtualTime implements Clock, Timer {
 
@@ -17,7 +20,7 @@
 	private final PriorityQueue<Entry> entries = new PriorityQueue<>(
 			Comparator.comparingLong(Entry::dueNanos).thenComparingLong(Entry::sequence));
 
-	private long nanos;
+	private volatile long nanos;
 
 	private long sequence;
 
@@ -43,9 +46,17 @@
 
 	@Override
 	public Cancellable schedule(Duration delay, Runnable action) {
-		Entry entry = new Entry(this.nanos + Math.max(0, delay.toNanos()), this.sequence++, action);
-		this.entries.add(entry);
-		return () -> this.entries.remove(entry);
+		synchronized (this.entries) {
+			Entry entry = new Entry(this.nanos + Math.max(0, delay.toNanos()), this.sequence++, action);
+			this.entries.add(entry);
+			return () -> cancel(entry);
+		}
+	}
+
+	private void cancel(Entry entry) {
+		synchronized (this.entries) {
+			this.entries.remove(entry);
+		}
 	}
 
 	@Override
@@ -62,14 +73,20 @@
 	 */
 	public void advance(Duration duration) {
 		long end = this.nanos + duration.toNanos();
-		while (!this.entries.isEmpty() && this.entries.peek().dueNanos() <= end) {
-			Entry entry = this.entries.remove();
+		for (Entry entry = removeDue(end); entry != null; entry = removeDue(end)) {
 			this.nanos = Math.max(this.nanos, entry.dueNanos());
 			entry.action().run();
 		}
 		this.nanos = end;
 	}
 
+	private @Nullable Entry removeDue(long end) {
+		synchronized (this.entries) {
+			Entry next = this.entries.peek();
+			return (next != null && next.dueNanos() <= end) ? this.entries.remove() : null;
+		}
+	}
+
 	/**
 	 * Moves the wall clock without the monotonic clock, as a suspension of the host or a
 	 * correction of the clock does. No action becomes due.
--- a/src/test/java/org/crocuspost/time/VirtualTimeTests.java
+++ b/src/test/java/org/crocuspost/time/VirtualTimeTests.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.Test;
 
@@ -32,4 +33,29 @@
 		assertThat(this.executions).hasSize(3);
 	}
 
+	/**
+	 * Guards against an error, or an action that never runs, in tests of classes that
+	 * schedule on their own event loop.
+	 */
+	@Test
+	void actionsThatOtherThreadsScheduleAreKept() throws InterruptedException {
+		int count = 20_000;
+		AtomicInteger runs = new AtomicInteger();
+		Thread other = new Thread(() -> {
+			for (int number = 0; number < count; number++) {
+				this.time.schedule(Duration.ofMillis(1), () -> {
+				}).cancel();
+				this.time.schedule(Duration.ofMillis(number % 7), runs::incrementAndGet);
+			}
+		});
+		other.start();
+		for (int number = 0; number < count; number++) {
+			this.time.schedule(Duration.ofMillis(number % 5), runs::incrementAndGet);
+			this.time.advance(Duration.ofNanos(100));
+		}
+		other.join();
+		this.time.advance(Duration.ofSeconds(1));
+		assertThat(runs).hasValue(2 * count);
+	}
+
 }
