Record the row of a job no later than the rows of its tasks

Cause: PendingChanges.take filled a transaction with half of the rows of jobs in the order in which they were read, and with rows of tasks in the order of their jobs' ranks. With more than 45 new jobs, rows of tasks were recorded, and their starts ordered, before the row of their job. The next leader read rows of tasks only for jobs with a row and began the job anew; the ends of its runs were acknowledged without effect.

Ruled out by the same lines: orders sent before their rows are recorded (the rows of the tasks are there), ends that were acknowledged before (the worker still listed them), an old view of the tables (no job from before the backlog was hit).

Change: the row of a task takes the waiting row of its job along into its transaction. If the store rejects the row of a job for good, the rows and starts of its tasks wait behind it (DispatchBatch.requiring, notRequiring).

Why it works: a start is ordered after the row of its task is recorded, and that is never before the row of its job, at any boundary of a transaction.

--- a/src/main/java/org/crocuspost/dispatch/DispatchBatch.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchBatch.java
@@ -1,8 +1,11 @@
 package org.crocuspost.dispatch;
 
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 import org.crocuspost.job.TaskKey;
@@ -61,8 +64,9 @@
 
 	/**
 	 * Divides the batch into two of about the same number of rows, to be recorded one
-	 * after the other. The ends are in the second one, since their acknowledgement must
-	 * not precede the record of any task.
+	 * after the other. The rows of jobs come before those of tasks, which must not
+	 * precede them. The ends are in the second one, since their acknowledgement must not
+	 * precede the record of any task.
 	 * @return both parts
 	 */
 	public List<DispatchBatch> divide() {
@@ -71,19 +75,33 @@
 	}
 
 	/**
-	 * Returns the batch without the ends.
-	 * @return a batch that acknowledges nothing
+	 * Returns what must not be recorded before the rows of some jobs are.
+	 * @param requiredJobs the identities of the jobs
+	 * @return the rows and starts of their tasks, and the ends
 	 */
-	public DispatchBatch withoutEnds() {
-		return new DispatchBatch(this.jobs, this.tasks, this.starts, Map.of(), this.cleanup);
+	public DispatchBatch requiring(Set<String> requiredJobs) {
+		return new DispatchBatch(Map.of(), tasks((task) -> requiredJobs.contains(task.job())),
+				starts((task) -> requiredJobs.contains(task.job())), this.ends, Cleanup.NONE);
 	}
 
 	/**
-	 * Returns the ends of the batch.
-	 * @return a batch without rows
+	 * Returns what may be recorded before the rows of some jobs are.
+	 * @param missingJobs the identities of the jobs
+	 * @return the batch without what {@link #requiring} returns
 	 */
-	public DispatchBatch onlyEnds() {
-		return new DispatchBatch(Map.of(), Map.of(), List.of(), this.ends, Cleanup.NONE);
+	public DispatchBatch notRequiring(Set<String> missingJobs) {
+		return new DispatchBatch(this.jobs, tasks((task) -> !missingJobs.contains(task.job())),
+				starts((task) -> !missingJobs.contains(task.job())), Map.of(), this.cleanup);
+	}
+
+	private Map<TaskKey, String> tasks(Predicate<TaskKey> condition) {
+		Map<TaskKey, String> result = new LinkedHashMap<>(this.tasks);
+		result.keySet().removeIf(condition.negate());
+		return result;
+	}
+
+	private List<Start> starts(Predicate<TaskKey> condition) {
+		return this.starts.stream().filter((start) -> condition.test(start.task())).toList();
 	}
 
 	private DispatchBatch part(int from, int to, Map<String, WorkerEnds> partEnds) {
--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -31,9 +31,9 @@
  * caller records the decisions in the store and sends the orders. Not thread-safe.
  *
  * <p>
- * A start order is sent only after the assignment of the run is recorded, and the end of
- * a run is acknowledged only after it is recorded. Therefore, a leader that takes over
- * finds every run that may exist.
+ * A start order is sent only after the assignment of the run and the job are recorded,
+ * and the end of a run is acknowledged only after it is recorded. Therefore, a leader
+ * that takes over finds every run that may exist. {@link PendingChanges} keeps the order.
  */
 public final class Dispatcher {
 
@@ -117,7 +117,7 @@
 	 * Adds an accepted job. Ignores a job that was added before.
 	 * @param submission the job
 	 * @param stored the stored progress of the job; empty if none was recorded yet
-	 * @return whether the job is new and has to be recorded
+	 * @return whether the job was added and its row has to be recorded
 	 */
 	public boolean submitted(JobSubmission submission, Optional<StoredProgress> stored) {
 		if (this.jobs.containsKey(submission.id()) || this.endedJobs.contains(submission.id())) {
@@ -141,14 +141,15 @@
 			}
 		}
 		endIfAttemptsExhausted(job);
-		if (stored.isEmpty()) {
+		boolean unrecorded = stored.flatMap(StoredProgress::job).isEmpty();
+		if (unrecorded) {
 			this.changes.jobChanged(submission.id());
 			this.listener.jobSeen(job);
 		}
 		if (this.earlyCancellations.remove(submission.id())) {
 			cancelled(submission.id());
 		}
-		return stored.isEmpty();
+		return unrecorded;
 	}
 
 	/**
--- a/src/main/java/org/crocuspost/dispatch/PendingChanges.java
+++ b/src/main/java/org/crocuspost/dispatch/PendingChanges.java
@@ -20,6 +20,15 @@
  * Each row counts once, however often it changes before it is recorded. Rows are recorded
  * in the order in which they changed first, so that none waits for ever when changes
  * arrive faster than they are recorded.
+ *
+ * <p>
+ * A leader that takes over between two batches must find the job of each recorded task.
+ * Example: 55 jobs with four tasks each are accepted while the store is silent, and a
+ * batch holds 90 rows. Jobs change in the order in which they are read, tasks in the
+ * order of their jobs' ranks. If a batch took 45 rows of each kind, it could hold tasks
+ * of the 50th job without that job. These tasks would be started, and the next leader
+ * would start them once more. Therefore, the row of a task takes the waiting row of its
+ * job along.
  */
 final class PendingChanges {
 
@@ -84,35 +93,28 @@
 	 */
 	DispatchBatch take(int limit, int characterLimit, Function<String, String> jobRow,
 			Function<TaskKey, String> taskRow) {
-		Map<String, String> jobRows = new LinkedHashMap<>();
-		Map<TaskKey, String> taskRows = new LinkedHashMap<>();
+		Rows rows = new Rows(limit, characterLimit);
 		List<DispatchBatch.Start> taken = new ArrayList<>();
 		// Neither kind of rows may delay the other when there are too many of one.
-		int characters = 0;
 		int jobLimit = Math.max(limit / 2, limit - this.tasks.size());
-		for (Iterator<String> iterator = this.jobs.iterator(); iterator.hasNext() && jobRows.size() < jobLimit;) {
+		for (Iterator<String> iterator = this.jobs.iterator(); iterator.hasNext() && rows.jobs.size() < jobLimit;) {
 			String job = iterator.next();
-			String row = jobRow.apply(job);
-			if (!jobRows.isEmpty() && characters + row.length() > characterLimit) {
+			if (!rows.addJob(job, jobRow.apply(job))) {
 				break;
 			}
-			if (!row.isEmpty()) {
-				characters += row.length();
-				jobRows.put(job, row);
-			}
 			iterator.remove();
 		}
-		int taskLimit = limit - jobRows.size();
-		for (Iterator<TaskKey> iterator = this.tasks.iterator(); iterator.hasNext() && taskRows.size() < taskLimit;) {
+		for (Iterator<TaskKey> iterator = this.tasks.iterator(); iterator.hasNext() && rows.size() < limit;) {
 			TaskKey task = iterator.next();
 			String row = taskRow.apply(task);
-			boolean first = jobRows.isEmpty() && taskRows.isEmpty();
-			if (!first && characters + row.length() > characterLimit) {
-				break;
+			if (!row.isEmpty() && this.jobs.contains(task.job())) {
+				if (!rows.addJob(task.job(), jobRow.apply(task.job()))) {
+					break;
+				}
+				this.jobs.remove(task.job());
 			}
-			if (!row.isEmpty()) {
-				characters += row.length();
-				taskRows.put(task, row);
+			if (!rows.addTask(task, row)) {
+				break;
 			}
 			DispatchBatch.Start start = this.starts.remove(task);
 			if (start != null) {
@@ -125,7 +127,61 @@
 			takenEnds = Map.copyOf(this.ends);
 			this.ends.clear();
 		}
-		return new DispatchBatch(jobRows, taskRows, taken, takenEnds, DispatchBatch.Cleanup.NONE);
+		return new DispatchBatch(rows.jobs, rows.tasks, taken, takenEnds, DispatchBatch.Cleanup.NONE);
+	}
+
+	/**
+	 * Rows of a batch, up to its limits.
+	 */
+	private static final class Rows {
+
+		private final int limit;
+
+		private final int characterLimit;
+
+		private final Map<String, String> jobs = new LinkedHashMap<>();
+
+		private final Map<TaskKey, String> tasks = new LinkedHashMap<>();
+
+		private int characters;
+
+		private Rows(int limit, int characterLimit) {
+			this.limit = limit;
+			this.characterLimit = characterLimit;
+		}
+
+		private int size() {
+			return this.jobs.size() + this.tasks.size();
+		}
+
+		private boolean addJob(String job, String row) {
+			return add(this.jobs, job, row);
+		}
+
+		private boolean addTask(TaskKey task, String row) {
+			return add(this.tasks, task, row);
+		}
+
+		/**
+		 * Adds a row. An empty one does not have to be recorded.
+		 * @param rows the rows of the same kind
+		 * @param key the key of the row
+		 * @param row the value of the row
+		 * @param <K> the type of the key
+		 * @return false if the row does not fit
+		 */
+		private <K> boolean add(Map<K, String> rows, K key, String row) {
+			if (row.isEmpty()) {
+				return true;
+			}
+			if (size() >= this.limit || (size() > 0 && this.characters + row.length() > this.characterLimit)) {
+				return false;
+			}
+			this.characters += row.length();
+			rows.put(key, row);
+			return true;
+		}
+
 	}
 
 }
--- a/src/main/java/org/crocuspost/job/JobProgress.java
+++ b/src/main/java/org/crocuspost/job/JobProgress.java
@@ -185,7 +185,12 @@
 	 * @throws IllegalArgumentException if a row is malformed
 	 */
 	public void restore(StoredProgress stored) {
-		String[] lines = stored.job().split("\n");
+		stored.job().ifPresent(this::restoreJob);
+		stored.tasks().forEach(this::restoreTask);
+	}
+
+	private void restoreJob(String text) {
+		String[] lines = text.split("\n");
 		JobSummary summary = JobSummary.read(lines[0]);
 		this.state = summary.state();
 		this.endedMillis = summary.endedMillis();
@@ -197,7 +202,6 @@
 			restoreTask(new TaskKey(this.submission.id(), Integer.parseInt(parts[0]), Integer.parseInt(parts[1]),
 					Integer.parseInt(parts[2])), parts[TASK_KEY_FIELDS]);
 		}
-		stored.tasks().forEach(this::restoreTask);
 	}
 
 	private void restoreTask(TaskKey key, String text) {
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -319,7 +319,7 @@
 				return;
 			}
 			boolean unrecorded = this.dispatcher.submitted(SubmissionCodec.read(id, row.value()),
-					stored.map((text) -> new StoredProgress(text, this.storedTasks.getOrDefault(id, Map.of()))));
+					StoredProgress.of(stored, this.storedTasks.getOrDefault(id, Map.of())));
 			if (unrecorded) {
 				this.recordedSubmissions.added(id, row.version());
 			}
@@ -574,8 +574,9 @@
 	/**
 	 * Divides a batch that the store has rejected. A single row is recorded without the
 	 * checkpoint of its task, which is the only content of a row whose size a worker
-	 * determines. If even that is rejected, the row waits behind all other changes, and
-	 * no ends are acknowledged before it is recorded.
+	 * determines. If even that is rejected, the row waits behind all other changes. If it
+	 * is the row of a job, so do the rows of its tasks. No ends are acknowledged before
+	 * it is recorded.
 	 * @param batch the batch
 	 * @param failure why the store rejected it
 	 */
@@ -593,8 +594,8 @@
 			List<DispatchBatch> remaining = List.copyOf(this.rejectedParts);
 			this.rejectedParts.clear();
 			for (DispatchBatch part : remaining) {
-				this.dispatcher.postpone(part.onlyEnds());
-				this.rejectedParts.add(part.withoutEnds());
+				this.dispatcher.postpone(part.requiring(batch.jobs().keySet()));
+				this.rejectedParts.add(part.notRequiring(batch.jobs().keySet()));
 			}
 		}
 		this.rejected = true;
--- a/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
@@ -165,9 +165,8 @@
 	 * Submits all jobs again with their stored progress, as a new leader reads them.
 	 */
 	void restoreJobs() {
-		this.submissions.forEach(
-				(id, submission) -> this.dispatcher.submitted(submission, Optional.ofNullable(this.storedJobs.get(id))
-					.map((job) -> new StoredProgress(job, this.storedTasks.getOrDefault(id, Map.of())))));
+		this.submissions.forEach((id, submission) -> this.dispatcher.submitted(submission, StoredProgress
+			.of(Optional.ofNullable(this.storedJobs.get(id)), this.storedTasks.getOrDefault(id, Map.of()))));
 	}
 
 	JobProgress job(String id) {
--- a/src/test/java/org/crocuspost/dispatch/PowerLossSimulation.java
+++ b/src/test/java/org/crocuspost/dispatch/PowerLossSimulation.java
@@ -192,9 +192,9 @@
 		SimulatedLeader next = new SimulatedLeader();
 		this.leader = Optional.of(next);
 		this.submissions.values()
-			.forEach((submission) -> next.dispatcher
-				.submitted(submission, Optional.ofNullable(this.storedJobs.get(submission.id()))
-					.map((job) -> new StoredProgress(job, this.storedTasks.getOrDefault(submission.id(), Map.of())))));
+			.forEach((submission) -> next.dispatcher.submitted(submission,
+					StoredProgress.of(Optional.ofNullable(this.storedJobs.get(submission.id())),
+							this.storedTasks.getOrDefault(submission.id(), Map.of()))));
 		next.scheduleDecision();
 	}
 
--- a/src/test/java/org/crocuspost/lead/LeaderTests.java
+++ b/src/test/java/org/crocuspost/lead/LeaderTests.java
@@ -19,9 +19,11 @@
 import org.crocuspost.job.JobState;
 import org.crocuspost.job.JobSubmission;
 import org.crocuspost.job.JobSummary;
+import org.crocuspost.job.Queue;
 import org.crocuspost.job.QueueConfiguration;
 import org.crocuspost.job.StepSpecification;
 import org.crocuspost.job.SubmissionCodec;
+import org.crocuspost.job.TaskKey;
 import org.crocuspost.net.TrafficCounters;
 import org.crocuspost.rows.MemoryRowStore;
 import org.crocuspost.rows.MemoryRowStore.Fault;
@@ -69,10 +71,14 @@
 		writeRow(Tables.SUBMISSIONS, Tables.JOB_PREFIX + id, SubmissionCodec.write(submission));
 	}
 
-	private void startLeader() {
+	private Leader startLeader() {
+		return startLeader(new EmptyOperatorView());
+	}
+
+	private Leader startLeader(OperatorView view) {
 		writeRow(Tables.LEDGER, Tables.LEADER_KEY, RECORD.write());
-		new Leader(this.store, RECORD, this.store.rows.row(Tables.LEDGER, Tables.LEADER_KEY).version(),
-				new EmptyOperatorView(), new DispatchSettings(Duration.ofSeconds(6), Duration.ofMinutes(2), 1.5),
+		return new Leader(this.store, RECORD, this.store.rows.row(Tables.LEDGER, Tables.LEADER_KEY).version(), view,
+				new DispatchSettings(Duration.ofSeconds(6), Duration.ofMinutes(2), 1.5),
 				new LeaderMetrics(new PrometheusRegistry()), new TrafficCounters(new PrometheusRegistry()), this.loop,
 				this.time, this.time, () -> {
 				});
@@ -173,6 +179,40 @@
 		assertThat(this.store.rows.row(Tables.LEDGER, Tables.PROGRESS_PREFIX + WAITING_JOB).exists()).isTrue();
 	}
 
+	/**
+	 * Guards against tasks that run again after a takeover, since they were recorded and
+	 * started although the store rejected the row of their job.
+	 */
+	@Test
+	void taskIsRecordedOnlyAfterTheRejectedRowOfItsJob() {
+		for (int number = 0; number < 10; number++) {
+			submitJob("%016x".formatted(number));
+		}
+		submitJob(WAITING_JOB);
+		this.store.rejectedKey = Tables.PROGRESS_PREFIX + WAITING_JOB;
+		Leader leader = startLeader(new OneQueueView(
+				new Queue("queue", "host", "/queue/", "service", 0, 2, 2, Duration.ofSeconds(1), false)));
+		this.time.advance(Duration.ofMillis(500));
+		leader.connectionChanged(MalformedRowTests.HOST, true);
+		for (int report = 0; report < 6; report++) {
+			leader.reportReceived(MalformedRowTests.report());
+			this.time.advance(Duration.ofMillis(500));
+		}
+		for (int number = 0; number < 10; number++) {
+			assertThat(taskRow("%016x".formatted(number)).exists()).isTrue();
+		}
+		assertThat(taskRow(WAITING_JOB).exists()).isFalse();
+		this.store.rejectedKey = "";
+		this.time.advance(Duration.ofSeconds(2));
+		assertThat(this.store.rows.row(Tables.LEDGER, Tables.PROGRESS_PREFIX + WAITING_JOB).exists()).isTrue();
+		assertThat(taskRow(WAITING_JOB).exists()).isTrue();
+		leader.close();
+	}
+
+	private StoredRow taskRow(String job) {
+		return this.store.rows.row(Tables.TASKS, new TaskKey(job, 0, 0, 0).toString());
+	}
+
 	/**
 	 * In-memory store that can lose its history and limits the entries of a transaction.
 	 */
--- a/src/test/java/org/crocuspost/lead/MalformedRowTests.java
+++ b/src/test/java/org/crocuspost/lead/MalformedRowTests.java
@@ -3,8 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
-import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -17,7 +15,6 @@
 import org.crocuspost.job.JobSubmission;
 import org.crocuspost.job.JobSummary;
 import org.crocuspost.job.Queue;
-import org.crocuspost.job.QueueConfiguration;
 import org.crocuspost.job.StepSpecification;
 import org.crocuspost.job.SubmissionCodec;
 import org.crocuspost.job.TaskKey;
@@ -44,7 +41,7 @@
 
 	private static final LeaderRecord RECORD = new LeaderRecord(5, 0, "entry-1");
 
-	private static final String HOST = "host-1";
+	static final String HOST = "host-1";
 
 	private static final List<String> GOOD_JOBS = List.of("3333333333333333", "cccccccccccccccc");
 
@@ -209,7 +206,7 @@
 		}
 	}
 
-	private static HostReport report() {
+	static HostReport report() {
 		return HostReport.newBuilder()
 			.setHost(HOST)
 			.setLife("1")
@@ -247,23 +244,4 @@
 				});
 	}
 
-	private record OneQueueView(Queue queue) implements OperatorView {
-
-		@Override
-		public Optional<QueueConfiguration> configuration() {
-			return Optional.of(new QueueConfiguration(1, List.of(this.queue), List.of(), 1_000));
-		}
-
-		@Override
-		public Set<String> evacuatedDomains() {
-			return Set.of();
-		}
-
-		@Override
-		public Duration age() {
-			return Duration.ZERO;
-		}
-
-	}
-
 }
