Complete a restored gang of which one member is done

A job with a gang stays active for ever after a takeover.

Cause: the end of one member of a gang completes all of them, and their rows may be divided over two transactions. If the leader is killed between these and the workers of the other members restart, the next leader has one member that is done and others that wait; GangAssignment starts a gang only if all members wait, so it never goes on.

Change: JobProgress.restore completes a gang of which a row says done. One transaction for all members was ruled out, since a gang can be larger than a transaction.

Before: RecordingOrderTests.gangIsDoneOnceTheRowOfOneMemberSaysSo failed for 1, 2 and 3 recorded members. After: it passes.

--- a/src/main/java/org/crocuspost/job/JobProgress.java
+++ b/src/main/java/org/crocuspost/job/JobProgress.java
@@ -187,6 +187,18 @@
 	public void restore(StoredProgress stored) {
 		stored.job().ifPresent(this::restoreJob);
 		stored.tasks().forEach(this::restoreTask);
+		this.occurrences.forEach((steps) -> steps.forEach(JobProgress::completeGang));
+	}
+
+	/**
+	 * Completes a gang of which a member is done. The end of one member completes all of
+	 * them, and a leader may have recorded only a part of their rows.
+	 * @param tasks the tasks of a step
+	 */
+	private static void completeGang(List<TaskProgress> tasks) {
+		if (tasks.get(0).step().gang() && tasks.stream().anyMatch((task) -> task.status() == TaskStatus.DONE)) {
+			tasks.forEach(TaskProgress::complete);
+		}
 	}
 
 	private void restoreJob(String text) {
--- a/src/test/java/org/crocuspost/dispatch/RecordingOrderTests.java
+++ b/src/test/java/org/crocuspost/dispatch/RecordingOrderTests.java
@@ -7,8 +7,10 @@
 import java.util.Set;
 
 import org.crocuspost.dispatch.DispatchFixture.SimulatedWorker;
+import org.crocuspost.dispatch.DispatchFixture.StepBuilder;
 import org.crocuspost.job.JobState;
 import org.crocuspost.job.TaskKey;
+import org.crocuspost.job.TaskStatus;
 import org.crocuspost.wire.StartOrder;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -191,4 +193,31 @@
 		assertThat(this.fixture.job(id(1)).state()).isEqualTo(JobState.COMPLETED);
 	}
 
+	/**
+	 * Guards against a gang that never goes on after a takeover: the end of one member
+	 * completes all of them, and only a part of their rows was recorded.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 2, 3 })
+	void gangIsDoneOnceTheRowOfOneMemberSaysSo(int recordedMembers) {
+		for (int host = 0; host < 4; host++) {
+			this.fixture.worker("host" + host, 1_000);
+		}
+		this.fixture.submit(id(1), new StepBuilder().tasks(4).gang().build(),
+				new StepBuilder().tasks(1).after(0).build());
+		this.fixture.runSchedulingRound();
+		SimulatedWorker first = this.fixture.workers.get("host0");
+		this.fixture.reportAll();
+		this.fixture.runSchedulingRound();
+		first.endAll("done");
+		this.fixture.report(first);
+		record(this.fixture.dispatcher.takeBatch(recordedMembers, CHARACTERS));
+		this.fixture.workers.values().forEach(SimulatedWorker::restart);
+		this.fixture.takeOver();
+		this.fixture.reportAll();
+		this.fixture.runSchedulingRound();
+		assertThat(this.fixture.job(id(1)).tasks(0, 0)).allMatch((task) -> task.status() == TaskStatus.DONE);
+		assertThat(this.fixture.task(id(1), 1, 0).status()).isEqualTo(TaskStatus.PLACED);
+	}
+
 }
