Keep the state of an ended job until its submission is reduced

A job that has ended could be shown as queued and run again (TWICE).

Cause: the leader removes the state of an ended job in its own transaction, and reduces or removes its submission, which is in another partition, in transactions of SubmissionCleanup. Usually the reduction comes minutes earlier. If the job had ended longer ago than its state is kept, both are due at once: after an outage of all entries, or while the partition of the submission refuses writes. A leader that is killed then leaves a whole submission without a state, which the next one takes for a new job.

Change: Leader.takeBatch holds the removal of the state back until SubmissionCleanup has confirmed the mark in place of the submission.

Before: LeaderTests.stateOfAnEndedJobIsKeptUntilItsSubmissionIsReduced failed, the state was gone while the submission was whole. After: it passes, and both are removed once the store takes the submissions again.

--- a/src/main/java/org/crocuspost/dispatch/DispatchBatch.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchBatch.java
@@ -74,6 +74,16 @@
 		return List.of(part(0, half, Map.of()), part(half, rows(), this.ends));
 	}
 
+	/**
+	 * Returns the batch without some of the jobs whose state is not kept any longer.
+	 * @param kept tells the jobs whose state is kept for now
+	 * @return the batch
+	 */
+	public DispatchBatch keepingStates(Predicate<String> kept) {
+		return new DispatchBatch(this.jobs, this.tasks, this.starts, this.ends, new Cleanup(this.cleanup.tasks,
+				this.cleanup.reduced, this.cleanup.expired.stream().filter(kept.negate()).toList()));
+	}
+
 	/**
 	 * Returns what must not be recorded before the rows of some jobs are.
 	 * @param requiredJobs the identities of the jobs
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -494,10 +494,7 @@
 			renewIfDue();
 			return;
 		}
-		DispatchBatch batch = this.rejectedParts.isEmpty()
-				? this.dispatcher.takeBatch(LeadershipTimings.MAXIMUM_ROWS_PER_TRANSACTION,
-						LeadershipTimings.MAXIMUM_ROW_CHARACTERS_PER_TRANSACTION)
-				: this.rejectedParts.remove();
+		DispatchBatch batch = this.rejectedParts.isEmpty() ? takeBatch() : this.rejectedParts.remove();
 		if (batch.isEmpty()) {
 			renewIfDue();
 		}
@@ -506,6 +503,19 @@
 		}
 	}
 
+	/**
+	 * Takes the next decisions to record. The state of an ended job is not removed before
+	 * its submission is reduced, which another transaction does: the next leader would
+	 * take a whole submission without a state for a new job.
+	 * @return the batch
+	 */
+	private DispatchBatch takeBatch() {
+		return this.dispatcher
+			.takeBatch(LeadershipTimings.MAXIMUM_ROWS_PER_TRANSACTION,
+					LeadershipTimings.MAXIMUM_ROW_CHARACTERS_PER_TRANSACTION)
+			.keepingStates(this.submissionCleanup::isUnreduced);
+	}
+
 	private void renewIfDue() {
 		if (this.writer.confirmationAge().compareTo(LeadershipTimings.RENEWAL_INTERVAL) > 0) {
 			List<RowTransaction.Write> writes = new ArrayList<>();
--- a/src/main/java/org/crocuspost/lead/SubmissionCleanup.java
+++ b/src/main/java/org/crocuspost/lead/SubmissionCleanup.java
@@ -5,8 +5,10 @@
 import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.ObjLongConsumer;
 
 import org.crocuspost.log.EventLog;
@@ -43,6 +45,8 @@
 
 	private final Map<String, Long> versions = new HashMap<>();
 
+	private final Set<String> unreduced = new HashSet<>();
+
 	private final Map<Integer, Deque<Change>> waiting = new HashMap<>();
 
 	private boolean closed;
@@ -82,7 +86,19 @@
 	 * @param jobs the identities of the jobs
 	 */
 	void reduce(Collection<String> jobs) {
-		jobs.forEach((job) -> add(new Change(job, false)));
+		jobs.stream().filter(this::knows).forEach((job) -> {
+			this.unreduced.add(job);
+			add(new Change(job, false));
+		});
+	}
+
+	/**
+	 * Returns whether the submission of an ended job is still whole.
+	 * @param job the identity of the job
+	 * @return true if its reduction is not confirmed yet
+	 */
+	boolean isUnreduced(String job) {
+		return this.unreduced.contains(job);
 	}
 
 	/**
@@ -162,6 +178,7 @@
 	}
 
 	private void applied(Change change, long version) {
+		this.unreduced.remove(change.job());
 		if (change.removal()) {
 			this.versions.remove(change.job());
 			this.onRemoved.accept(change.job(), version);
@@ -199,6 +216,7 @@
 				EventLog.warn(LeadEvent.ROW_IGNORED, Field.of("key", change.key()), Field.of("version", row.version()),
 						Field.of("reason", "the submission of an ended job has changed"));
 				this.versions.remove(change.job());
+				this.unreduced.remove(change.job());
 			}
 		}
 		if (unchanged.isEmpty()) {
--- a/src/test/java/org/crocuspost/lead/LeaderTests.java
+++ b/src/test/java/org/crocuspost/lead/LeaderTests.java
@@ -209,6 +209,31 @@
 		leader.close();
 	}
 
+	/**
+	 * Guards against an ended job that starts again after a takeover: its state was
+	 * removed while its submission was still whole.
+	 */
+	@Test
+	void stateOfAnEndedJobIsKeptUntilItsSubmissionIsReduced() {
+		submitJob(ENDED_JOB);
+		writeRow(Tables.LEDGER, Tables.PROGRESS_PREFIX + ENDED_JOB,
+				new JobSummary("queue", JobState.COMPLETED, 0).write());
+		this.store.unavailableTable = Tables.SUBMISSIONS;
+		Leader leader = startLeader();
+		this.time.advance(Duration.ofSeconds(5));
+		assertThat(submissionRow(ENDED_JOB).value()).startsWith("{");
+		assertThat(this.store.rows.row(Tables.LEDGER, Tables.PROGRESS_PREFIX + ENDED_JOB).exists()).isTrue();
+		this.store.unavailableTable = "";
+		this.time.advance(Duration.ofSeconds(5));
+		assertThat(submissionRow(ENDED_JOB).exists()).isFalse();
+		assertThat(this.store.rows.row(Tables.LEDGER, Tables.PROGRESS_PREFIX + ENDED_JOB).exists()).isFalse();
+		leader.close();
+	}
+
+	private StoredRow submissionRow(String job) {
+		return this.store.rows.row(Tables.SUBMISSIONS, Tables.JOB_PREFIX + job);
+	}
+
 	private StoredRow taskRow(String job) {
 		return this.store.rows.row(Tables.TASKS, new TaskKey(job, 0, 0, 0).toString());
 	}
@@ -226,6 +251,8 @@
 
 		private String rejectedKey = "";
 
+		private String unavailableTable = "";
+
 		@Override
 		public void commit(RowTransaction transaction, Consumer<Either<Failure, RowCommit>> answer) {
 			if (transaction.writes().size() + transaction.removals().size() > this.maximumEntries) {
@@ -236,6 +263,10 @@
 				answer.accept(Either.left(ErrorCode.STORE_REJECTED.with("row")));
 				return;
 			}
+			if (transaction.writes().stream().anyMatch((write) -> write.table().equals(this.unavailableTable))) {
+				answer.accept(Either.left(ErrorCode.STORE_UNAVAILABLE.with("table")));
+				return;
+			}
 			this.rows.commit(transaction, answer);
 		}
 
