Test that the previous version never misreads the row of a job

Before: the row of a task had such a test, the row of a job did not. After: StoredRowTests.previousVersionReadsTheSameRowOfAJobOrIgnoresIt, eight names of queues.

--- a/src/test/java/org/crocuspost/job/PreviousVersion.java
+++ b/src/test/java/org/crocuspost/job/PreviousVersion.java
@@ -1,9 +1,9 @@
 package org.crocuspost.job;
 
 /**
- * Writes and reads rows of tasks as the version of the programs did that stored all of
- * them as lines. The copy stays as it is, since rows of that version are in the stores of
- * users.
+ * Writes and reads rows of tasks and jobs as the version of the programs did that stored
+ * all of them as lines. The copy stays as it is, since rows of that version are in the
+ * stores of users.
  */
 final class PreviousVersion {
 
@@ -32,6 +32,15 @@
 				withCrashes ? Integer.parseInt(parts[8]) : 0);
 	}
 
+	static JobSummary readSummary(String text) {
+		int end = text.indexOf('\n');
+		String[] parts = ((end < 0) ? text : text.substring(0, end)).split(" ", 3);
+		if (parts.length != 3) {
+			throw new IllegalArgumentException("malformed first line of a stored job: " + parts[0]);
+		}
+		return new JobSummary(parts[2], JobState.valueOf(parts[0]), Long.parseLong(parts[1]));
+	}
+
 	private static String encodeField(String text) {
 		return text.isEmpty() ? "-" : text;
 	}
--- a/src/test/java/org/crocuspost/job/StoredRowTests.java
+++ b/src/test/java/org/crocuspost/job/StoredRowTests.java
@@ -82,6 +82,18 @@
 		}
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "queue", "", "a queue", " ", "{", "two\nlines", "\n", "two\nlines 1 2" })
+	void previousVersionReadsTheSameRowOfAJobOrIgnoresIt(String queue) {
+		JobSummary summary = new JobSummary(queue, JobState.ACTIVE, 12);
+		if (queue.indexOf('\n') < 0) {
+			assertThat(PreviousVersion.readSummary(summary.write())).isEqualTo(summary);
+		}
+		else {
+			assertThatIllegalArgumentException().isThrownBy(() -> PreviousVersion.readSummary(summary.write()));
+		}
+	}
+
 	/**
 	 * Guards against jobs that stay lost after an upgrade, since the previous version
 	 * stored them. Where its line has two meanings, the task must not resume from the
