Cancel starts that need no row although no row is recorded with them

Capacity of a worker stays reserved until the next takeover, and an ended job is kept.

Cause: when a job ends before its starts are recorded, they need no row. If its own row fills a batch, they are left for the next one; a batch with starts only counted as empty and was dropped, so the placements stayed in the phase of recording.

Change: DispatchBatch.isEmpty counts starts; the leader records such a batch with its own row alone and then cancels the starts.

Before: RecordingOrderTests.startsOfAnEndedJobAreCancelledInABatchWithoutRows failed, the next job found no capacity. After: it passes.

--- a/src/main/java/org/crocuspost/dispatch/DispatchBatch.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchBatch.java
@@ -31,11 +31,13 @@
 	}
 
 	/**
-	 * Returns whether there is nothing to record.
+	 * Returns whether there is nothing to record and nothing to order or cancel after it.
+	 * A start can be without a row, since its job has ended in the meantime.
 	 * @return true if the batch is empty
 	 */
 	public boolean isEmpty() {
-		return this.jobs.isEmpty() && this.tasks.isEmpty() && this.ends.isEmpty() && this.cleanup.isEmpty();
+		return this.jobs.isEmpty() && this.tasks.isEmpty() && this.starts.isEmpty() && this.ends.isEmpty()
+				&& this.cleanup.isEmpty();
 	}
 
 	/**
--- a/src/test/java/org/crocuspost/dispatch/RecordingOrderTests.java
+++ b/src/test/java/org/crocuspost/dispatch/RecordingOrderTests.java
@@ -168,6 +168,25 @@
 		assertThat(later).flatExtracting((batch) -> batch.tasks().keySet()).hasSize(4);
 	}
 
+	/**
+	 * Guards against capacity that stays reserved, and against an ended job that is kept
+	 * for ever: its row was recorded, and its starts, which need no rows any more, were
+	 * left for a batch of their own.
+	 */
+	@Test
+	void startsOfAnEndedJobAreCancelledInABatchWithoutRows() {
+		SimulatedWorker worker = this.fixture.worker("one", 4_000);
+		this.fixture.submit(id(1), DispatchFixture.step(4, 1_000));
+		this.fixture.dispatcher.schedule();
+		this.fixture.dispatcher.cancelled(id(1));
+		while (recordNext(1, CHARACTERS)) {
+			assertThat(worker.executedOrders).isEmpty();
+		}
+		this.fixture.submit(id(2), DispatchFixture.step(4, 1_000));
+		this.fixture.runSchedulingRound();
+		assertThat(worker.executedOrders).hasSize(4);
+	}
+
 	/**
 	 * Guards against tasks that run again after a rolling upgrade: the previous version
 	 * could record the rows of tasks before the row of their job.
