Let the workers of the fault soak use checkpoints of several forms

Change: CheckpointText gives each task one of five forms ("done 2000", "at 2000 4", "- 2000", "2000 ", 2000); a start with a text that the task never wrote is a violation.

Before: no check.

--- a/src/test/java/org/crocuspost/soak/RunHistory.java
+++ b/src/test/java/org/crocuspost/soak/RunHistory.java
@@ -47,6 +47,10 @@
 		return Optional.ofNullable(this.plans.get(job));
 	}
 
+	synchronized void unknownCheckpoint(TaskKey task, int run, String worker) {
+		addViolation("started with a checkpoint that is not the task's", task, run, worker);
+	}
+
 	synchronized void start(TaskKey task, int run, String worker, String specification, int milliCoresUsed,
 			int capacity) {
 		this.runCount++;
--- a/src/test/java/org/crocuspost/soak/WorkerServer.java
+++ b/src/test/java/org/crocuspost/soak/WorkerServer.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -353,7 +354,12 @@
 		}
 		Optional<JobPlan> plan = this.runHistory.plan(task.job());
 		this.latestRunNumbers.put(task, number);
-		Run run = new Run(number, plan, task, body.path("checkpoint").asText());
+		String checkpoint = body.path("checkpoint").asText();
+		OptionalLong resumedFrom = checkpoint.isEmpty() ? OptionalLong.of(0) : CheckpointText.read(task, checkpoint);
+		if (resumedFrom.isEmpty()) {
+			this.runHistory.unknownCheckpoint(task, number, this.name);
+		}
+		Run run = new Run(number, plan, task, resumedFrom.orElse(0));
 		this.runs.put(task, run);
 		int milliCoresUsed = this.runs.values().stream().mapToInt((other) -> other.milliCores).sum();
 		this.runHistory.start(task, number, this.name, body.path("spec").asText(), milliCoresUsed, allowedCapacity());
@@ -423,6 +429,8 @@
 
 		private final int number;
 
+		private final TaskKey task;
+
 		private final int milliCores;
 
 		private final boolean checkpointing;
@@ -439,14 +447,15 @@
 
 		private long stopNanos;
 
-		private Run(int number, Optional<JobPlan> plan, TaskKey task, String checkpoint) {
+		private Run(int number, Optional<JobPlan> plan, TaskKey task, long resumedFromMillis) {
 			this.number = number;
+			this.task = task;
 			this.milliCores = plan.map((jobPlan) -> jobPlan.step(task).milliCores()).orElse(0);
 			this.checkpointing = plan.filter((jobPlan) -> jobPlan.step(task).checkpointing()).isPresent();
 			this.fails = plan.filter((jobPlan) -> jobPlan.fails(task, number)).isPresent();
 			boolean longRunning = plan.filter(JobPlan::longRunning).isPresent();
 			this.totalMillis = plan.map((jobPlan) -> jobPlan.step(task).runTimeMillis()).orElse(100L);
-			this.resumedFromMillis = checkpoint.isEmpty() ? 0 : Long.parseLong(checkpoint);
+			this.resumedFromMillis = resumedFromMillis;
 			boolean runsUntilStopped = longRunning && !this.fails;
 			this.endNanos = runsUntilStopped ? Long.MAX_VALUE : this.startNanos
 					+ TimeUnit.MILLISECONDS.toNanos(Math.max(1, this.totalMillis - this.resumedFromMillis));
@@ -458,7 +467,7 @@
 		}
 
 		private String checkpoint() {
-			return this.checkpointing ? String.valueOf(completedMillis() / 100 * 100) : "";
+			return this.checkpointing ? CheckpointText.write(this.task, completedMillis() / 100 * 100) : "";
 		}
 
 		private long completedPercent() {
