Ignore a job with unreadable rows for the whole term of a leader

What callers saw: nothing yet; found by asking what becomes of a row that can't be read. A job whose tasks have run begins anew, and its tasks run again (TWICE).

Cause: a leader drops the rows that former leaders recorded once it has read the submissions. A job of which a row can't be read is not added then. If its submission is read again, since the store has lost its history or the submission was written once more, the job looks like one without rows. Rows of a later version lead here during a roll-out, too.

Change: RestoredRows holds the rows, and remembers unreadable jobs for the term; Leader ignores them (row-ignored).

--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -9,7 +9,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 
@@ -25,9 +24,7 @@
 import org.crocuspost.hostlink.HostLink;
 import org.crocuspost.hostlink.HostLinkListener;
 import org.crocuspost.job.JobSummary;
-import org.crocuspost.job.StoredProgress;
 import org.crocuspost.job.SubmissionCodec;
-import org.crocuspost.job.TaskKey;
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
 import org.crocuspost.net.Sockets;
@@ -93,9 +90,7 @@
 
 	private final Map<String, String> addresses = new HashMap<>();
 
-	private final Map<String, String> storedJobs = new HashMap<>();
-
-	private final Map<String, Map<TaskKey, String>> storedTasks = new HashMap<>();
+	private final RestoredRows restoredRows = new RestoredRows();
 
 	private final ImagePressure imagePressure = new ImagePressure();
 
@@ -161,8 +156,8 @@
 		this.takeoverNanos = clock.nanoTime();
 		this.imagesRecordedNanos = this.takeoverNanos;
 		this.tickTimer = timer.repeat(LeadershipTimings.TICK_INTERVAL, this::tick);
-		readTable(Tables.MODEL, "", this::readModel, () -> readTable(Tables.LEDGER, "", this::readJobState,
-				() -> readTable(Tables.TASKS, "", this::readTaskProgress, this.intakeWatch::start)));
+		readTable(Tables.MODEL, "", this::readModel, () -> readTable(Tables.LEDGER, "", this.restoredRows::addJob,
+				() -> readTable(Tables.TASKS, "", this.restoredRows::addTask, this.intakeWatch::start)));
 	}
 
 	/**
@@ -226,32 +221,16 @@
 		}
 	}
 
-	private void readJobState(StoredRow row) {
-		if (row.key().startsWith(Tables.PROGRESS_PREFIX)) {
-			this.storedJobs.put(row.key().substring(Tables.PROGRESS_PREFIX.length()), row.value());
-		}
-	}
-
-	private void readTaskProgress(StoredRow row) {
-		TaskKey.parse(row.key())
-			.ifPresentOrElse(
-					(task) -> this.storedTasks.computeIfAbsent(task.job(), (job) -> new HashMap<>())
-						.put(task, row.value()),
-					() -> EventLog.warn(LeadEvent.ROW_IGNORED, Field.of("key", row.key()),
-							Field.of("version", row.version()), Field.of("reason", "the key names no task")));
-	}
-
 	@Override
 	public void tableRead(List<StoredRow> rows) {
 		IsolatedRows.apply(rows, this::applySubmission);
 		if (!this.restored) {
 			this.restored = true;
-			EventLog.info(LeadEvent.STATE_RESTORED, Field.of("epoch", this.record.epoch()), Field.of("rows", rows
-				.size()), Field.of("progress", this.storedJobs.size()), Field.of("jobsWithoutRow",
-						this.storedTasks.keySet().stream().filter((id) -> !this.storedJobs.containsKey(id)).count()),
+			EventLog.info(LeadEvent.STATE_RESTORED, Field.of("epoch", this.record.epoch()),
+					Field.of("rows", rows.size()), Field.of("progress", this.restoredRows.jobCount()),
+					Field.of("jobsWithoutRow", this.restoredRows.countJobsWithoutRow()),
 					Field.of("hosts", this.links.size()));
-			this.storedJobs.clear();
-			this.storedTasks.clear();
+			this.restoredRows.release();
 		}
 		scheduleDecision();
 	}
@@ -311,20 +290,29 @@
 			return;
 		}
 		this.rejectedJobs.replaced(row.key());
-		Optional<String> stored = Optional.ofNullable(this.storedJobs.get(id));
+		if (this.restoredRows.isUnreadable(id)) {
+			EventLog.warn(LeadEvent.ROW_IGNORED, Field.of("key", row.key()), Field.of("version", row.version()),
+					Field.of("reason", "rows of the job can't be read"));
+			return;
+		}
 		try {
 			if (row.value().equals(Tables.ENDED_JOB) || row.value().equals(Tables.WITHDRAWN_JOB)) {
 				this.dispatcher.endedEarlier(id,
-						stored.map((text) -> JobSummary.read(text).endedMillis()).orElse(this.clock.millis()));
+						this.restoredRows.job(id)
+							.map((text) -> JobSummary.read(text).endedMillis())
+							.orElse(this.clock.millis()));
 				return;
 			}
 			boolean unrecorded = this.dispatcher.submitted(SubmissionCodec.read(id, row.value()),
-					StoredProgress.of(stored, this.storedTasks.getOrDefault(id, Map.of())));
+					this.restoredRows.progress(id));
 			if (unrecorded) {
 				this.recordedSubmissions.added(id, row.version());
 			}
 		}
 		catch (IOException | IllegalArgumentException ex) {
+			if (this.restoredRows.progress(id).isPresent()) {
+				this.restoredRows.markUnreadable(id);
+			}
 			EventLog.warn(LeadEvent.ROW_IGNORED, Field.of("key", row.key()), Field.of("version", row.version()),
 					Field.of("reason", String.valueOf(ex.getMessage())));
 		}
--- a/src/test/java/org/crocuspost/lead/LeaderTests.java
+++ b/src/test/java/org/crocuspost/lead/LeaderTests.java
@@ -36,6 +36,8 @@
 import org.crocuspost.time.VirtualTime;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -230,6 +232,35 @@
 		leader.close();
 	}
 
+	/**
+	 * Guards against a job that begins anew although its tasks have run: a row of it
+	 * can't be read, and its submission is read once more.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "ACTIVE 0 queue, malformed", "ACTIVE 0 queue, '{\"status\":\"UNKNOWN_TO_THIS_VERSION\",\"run\":3}'",
+			"malformed, '2 3 0 host worker 17 -'" })
+	void jobThatCannotBeReadDoesNotBeginAnewWhenItsSubmissionIsReadAgain(String jobRow, String taskRow) {
+		submitJob(ENDED_JOB);
+		submitJob(WAITING_JOB);
+		writeRow(Tables.LEDGER, Tables.PROGRESS_PREFIX + ENDED_JOB, jobRow);
+		writeRow(Tables.TASKS, new TaskKey(ENDED_JOB, 0, 0, 0).toString(), taskRow);
+		Leader leader = startLeader(new OneQueueView(
+				new Queue("queue", "host", "/queue/", "service", 0, 2, 2, Duration.ofSeconds(1), false)));
+		this.time.advance(Duration.ofMillis(500));
+		this.store.historyLost = true;
+		leader.connectionChanged(MalformedRowTests.HOST, true);
+		for (int report = 0; report < 6; report++) {
+			leader.reportReceived(MalformedRowTests.report());
+			this.time.advance(Duration.ofMillis(500));
+		}
+		submitJob(ENDED_JOB);
+		this.time.advance(Duration.ofSeconds(1));
+		assertThat(taskRow(WAITING_JOB).exists()).isTrue();
+		assertThat(taskRow(ENDED_JOB).value()).isEqualTo(taskRow);
+		assertThat(this.store.rows.row(Tables.LEDGER, Tables.PROGRESS_PREFIX + ENDED_JOB).value()).isEqualTo(jobRow);
+		leader.close();
+	}
+
 	private StoredRow submissionRow(String job) {
 		return this.store.rows.row(Tables.SUBMISSIONS, Tables.JOB_PREFIX + job);
 	}
