--- a/src/test/java/org/crocuspost/job/StoredRowTests.java
+++ b/src/test/java/org/crocuspost/job/StoredRowTests.java
@@ -23,7 +23,8 @@
 			"line\nline", "tab\tbed", "--", "100%", "+1", "Zürich");
 
 	private static final List<String> OTHER_TEXTS = List.of("done 2000", "-", " ", "  ", " done", "done ", "done  2000",
-			"- 1", "- 1 2", "at 3 4", "at 0 0", "1 2", " 1 2", "a b c d", "{ \"step\": 3 }", "at 99999999999 1");
+			"- 1", "- 1 2", "at 3 4", "at 0 0", "1 2", " 1 2", "a b c d", "{ \"step\": 3 }", "at 99999999999 1", "\n ",
+			" \r\n", "1 ".repeat(30_000), " \"".repeat(30_000));
 
 	static Stream<Arguments> rows() {
 		return Stream.concat(PLAIN_TEXTS.stream(), OTHER_TEXTS.stream())
