Tell the time of the store with the outcome of a transaction

The answers of the store carry its steady clock, which nothing read. All processes see the same clock, so a leader can tell from a time in the row of its predecessor how long ago that was written; clocks of hosts differ and jump. An answer without a usable time leaves it empty. No behaviour changes yet.

--- a/src/main/java/org/crocuspost/platform/hosted/HostedRowStore.java
+++ b/src/main/java/org/crocuspost/platform/hosted/HostedRowStore.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -133,8 +134,8 @@
 		Answered answered = (Answered) outcome;
 		try {
 			return switch (answered.status()) {
-				case OK -> Either.right(new RowCommit(true, version(JsonTrees.read(answered.body())), List.of()));
-				case CONDITION_FAILED -> Either.right(new RowCommit(false, 0, rows(JsonTrees.read(answered.body()))));
+				case OK -> Either.right(applied(JsonTrees.read(answered.body())));
+				case CONDITION_FAILED -> Either.right(rejected(JsonTrees.read(answered.body())));
 				case BAD_REQUEST, TOO_LARGE ->
 					Either.left(ErrorCode.STORE_REJECTED.with("status " + answered.status()));
 				// Any other status means that the transaction had no effect.
@@ -146,6 +147,20 @@
 		}
 	}
 
+	private static RowCommit applied(JsonNode body) {
+		return new RowCommit(true, version(body), List.of(), storeMillis(body));
+	}
+
+	private static RowCommit rejected(JsonNode body) {
+		return new RowCommit(false, 0, rows(body), storeMillis(body));
+	}
+
+	private static OptionalLong storeMillis(JsonNode body) {
+		JsonNode millis = body.path("now_ms");
+		return (millis.isIntegralNumber() && millis.canConvertToLong() && millis.asLong() >= 0)
+				? OptionalLong.of(millis.asLong()) : OptionalLong.empty();
+	}
+
 	@Override
 	public void read(String table, String key, Consumer<Either<Failure, StoredRow>> answer) {
 		String path = "/v1/rows-get?table=" + encode(table) + "&part=" + partition(table, key) + "&from=" + encode(key)
--- a/src/test/java/org/crocuspost/ingress/JobServiceTests.java
+++ b/src/test/java/org/crocuspost/ingress/JobServiceTests.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -233,7 +234,8 @@
 
 		@Override
 		public void commit(RowTransaction transaction, Consumer<Either<Failure, RowCommit>> answer) {
-			this.withheld.add(() -> answer.accept(Either.right(new RowCommit(true, 1, List.of()))));
+			this.withheld
+				.add(() -> answer.accept(Either.right(new RowCommit(true, 1, List.of(), OptionalLong.empty()))));
 		}
 
 		@Override
--- a/src/test/java/org/crocuspost/platform/hosted/HostedRowStoreTests.java
+++ b/src/test/java/org/crocuspost/platform/hosted/HostedRowStoreTests.java
@@ -91,6 +91,29 @@
 		}
 	}
 
+	/**
+	 * Guards against a time that the store did not give, on which a leader would rely.
+	 */
+	@ParameterizedTest
+	@CsvSource(quoteCharacter = '`', delimiter = '|',
+			value = { "200 | {'schema_version':9,'now_ms':51230} | 51230", "412 | {'rows':[],'now_ms':51230} | 51230",
+					"200 | {'schema_version':9,'now_ms':0} | 0", "200 | {'schema_version':9} | -1",
+					"200 | {'schema_version':9,'now_ms':null} | -1", "200 | {'schema_version':9,'now_ms':'51230'} | -1",
+					"200 | {'schema_version':9,'now_ms':1e400} | -1", "200 | {'schema_version':9,'now_ms':-5} | -1" })
+	void outcomeOfATransactionTellsTheTimeOfTheStore(int status, String body, long expected) throws Exception {
+		HttpServer server = server(status, body.replace('\'', '"'));
+		try {
+			HostedRowStore store = store(server);
+			RowCommit commit = this
+				.<RowCommit>call((answer) -> store.commit(RowTransaction.of(List.of(), List.of()), answer))
+				.get();
+			assertThat(commit.storeMillis().orElse(-1)).isEqualTo(expected);
+		}
+		finally {
+			server.stop(0);
+		}
+	}
+
 	/**
 	 * A transaction whose condition fails on an odd row must be answered: whoever waits
 	 * for the answer does nothing else.
--- a/src/test/java/org/crocuspost/rows/MemoryRowStore.java
+++ b/src/test/java/org/crocuspost/rows/MemoryRowStore.java
@@ -7,10 +7,13 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 import io.vavr.control.Either;
 import org.crocuspost.error.ErrorCode;
@@ -34,6 +37,8 @@
 
 	private int commits;
 
+	private Supplier<OptionalLong> steadyClock = OptionalLong::empty;
+
 	/**
 	 * Ways in which commits fail.
 	 */
@@ -75,6 +80,14 @@
 		return this.commits;
 	}
 
+	/**
+	 * Lets answers tell the time of the store.
+	 * @param millis the steady clock of the store, in milliseconds
+	 */
+	public void setClock(LongSupplier millis) {
+		this.steadyClock = () -> OptionalLong.of(millis.getAsLong());
+	}
+
 	public void setFault(Fault next) {
 		this.fault = next;
 	}
@@ -140,7 +153,7 @@
 			conditionsMet &= row.version() == condition.version();
 		}
 		if (!conditionsMet) {
-			return new RowCommit(false, 0, current);
+			return new RowCommit(false, 0, current, this.steadyClock.get());
 		}
 		this.version++;
 		for (RowTransaction.Write write : transaction.writes()) {
@@ -150,7 +163,7 @@
 		for (RowTransaction.Removal removal : transaction.removals()) {
 			this.tables.getOrDefault(removal.table(), new TreeMap<>()).remove(removal.key());
 		}
-		return new RowCommit(true, this.version, List.of());
+		return new RowCommit(true, this.version, List.of(), this.steadyClock.get());
 	}
 
 	@Override
--- a/src/test/java/org/crocuspost/soak/StoreServer.java
+++ b/src/test/java/org/crocuspost/soak/StoreServer.java
@@ -191,6 +191,7 @@
 	}
 
 	private static void send(Context context, int status, ObjectNode body) {
+		body.put("now_ms", TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
 		context.getResponse().status(status).send("application/json", JsonTrees.bytes(body));
 	}
 
