Count the time for which former leaders extend leases from the store's clock

Callers saw that long-running tasks stayed down for 18 to 20 s after a loss of power. Cause: a new leader waited 12 s (the time for which a leader extends leases without the store) and a lease for hosts that had never reported to it, counted from its own takeover. The outage of the store that had used up these 12 s was counted again.

The row of the leader now tells until when it and earlier leaders extend leases, on the steady clock of the store. A leader extends leases only on a row that is applied, so the next one may rely on it. If the row names an earlier incarnation of the new leader's own process, that incarnation has ended with its process. A leader that resigns extends no lease from the moment at which it sends its resignation, which an outage that it has noticed before delays. Leaders before the predecessor are covered by the second time in the row.

Ruled out: wall clocks of hosts, which differ and jump; a shorter time without the store, which would end work that survives outages today.

A row of the previous version, a store that does not tell its time, and a clock that has started anew lead to the time from the takeover, as before.

--- a/src/main/java/org/crocuspost/lead/FencedWriter.java
+++ b/src/main/java/org/crocuspost/lead/FencedWriter.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 import io.vavr.control.Either;
@@ -27,6 +29,11 @@
  * holds. It is sent again until the answer is definite: once either copy is applied, the
  * condition of the other fails, and the content of the row identifies the transaction
  * that was applied.
+ *
+ * <p>
+ * The leader's row also tells until when this leader may extend leases
+ * ({@link ExtensionDeadlines}). That time rests on the last answer of the store before
+ * the transaction, and counts once the transaction is applied.
  */
 final class FencedWriter {
 
@@ -46,18 +53,39 @@
 
 	private ClockReading confirmed;
 
+	private final OptionalLong formerMillis;
+
+	private Optional<StoreClockReading> storeClock;
+
+	private Optional<ClockReading> extensionBasis = Optional.empty();
+
 	private boolean busy;
 
 	private boolean delayed;
 
 	private boolean closed;
 
-	FencedWriter(RowStore store, LeaderRecord record, long version, Clock clock, Timer timer,
-			Runnable onLeadershipLost) {
+	/**
+	 * Creates a writer for a leader that has just written its first row.
+	 * @param store the store
+	 * @param record the content of that row
+	 * @param version the version of that row
+	 * @param storeClock the store's clock in the answer to that transaction; empty if the
+	 * store does not tell its time
+	 * @param formerMillis when earlier leaders stop extending leases, on the store's
+	 * clock; empty if it is not known
+	 * @param clock the clock of the process
+	 * @param timer the timer of the event loop
+	 * @param onLeadershipLost runs when another process has become the leader
+	 */
+	FencedWriter(RowStore store, LeaderRecord record, long version, Optional<StoreClockReading> storeClock,
+			OptionalLong formerMillis, Clock clock, Timer timer, Runnable onLeadershipLost) {
 		this.store = store;
 		this.record = record;
 		this.sequence = record.sequence();
 		this.version = version;
+		this.storeClock = storeClock;
+		this.formerMillis = formerMillis;
 		this.clock = clock;
 		this.timer = timer;
 		this.onLeadershipLost = onLeadershipLost;
@@ -94,31 +122,45 @@
 		this.busy = true;
 		// A number is not used again after a rejection: the content of the leader's row
 		// identifies one transaction.
-		LeaderRecord next = new LeaderRecord(this.record.epoch(), ++this.sequence, nextName);
+		LeaderRecord next = new LeaderRecord(this.record.epoch(), ++this.sequence, nextName, deadlines());
 		List<RowTransaction.Write> allWrites = new ArrayList<>(writes);
 		allWrites.add(new RowTransaction.Write(Tables.LEDGER, Tables.LEADER_KEY, next.write()));
-		send(new RowTransaction(List.of(new RowTransaction.Condition(Tables.LEDGER, Tables.LEADER_KEY, this.version)),
-				allWrites, removals), next, onApplied, onRejected);
+		RowTransaction transaction = new RowTransaction(
+				List.of(new RowTransaction.Condition(Tables.LEDGER, Tables.LEADER_KEY, this.version)), allWrites,
+				removals);
+		Optional<ClockReading> basis = this.storeClock.map(StoreClockReading::sent);
+		send(transaction, next, basis, onApplied, onRejected);
 	}
 
-	private void send(RowTransaction transaction, LeaderRecord next, Runnable onApplied, Consumer<Failure> onRejected) {
+	private Optional<ExtensionDeadlines> deadlines() {
+		if (this.storeClock.isEmpty() || this.formerMillis.isEmpty()) {
+			return Optional.empty();
+		}
+		return Optional.of(new ExtensionDeadlines(
+				this.storeClock.get().expiryMillis(LeadershipTimings.LEASE_EXTENSION_WITHOUT_STORE),
+				this.formerMillis.getAsLong()));
+	}
+
+	private void send(RowTransaction transaction, LeaderRecord next, Optional<ClockReading> basis, Runnable onApplied,
+			Consumer<Failure> onRejected) {
 		ClockReading sent = ClockReading.of(this.clock);
 		this.store.commit(transaction, (answer) -> {
 			if (this.closed) {
 				return;
 			}
+			answer.peek((commit) -> this.storeClock = StoreClockReading.of(commit, sent, this.clock));
 			if (answer.isLeft() && answer.getLeft().code() == ErrorCode.STORE_REJECTED) {
 				this.busy = false;
 				onRejected.accept(answer.getLeft());
 				return;
 			}
 			if (answer.isLeft()) {
-				retryLater(answer, () -> send(transaction, next, onApplied, onRejected));
+				retryLater(answer, () -> send(transaction, next, basis, onApplied, onRejected));
 				return;
 			}
 			RowCommit commit = answer.get();
 			if (commit.applied()) {
-				handleApplied(next, commit.version(), sent, onApplied);
+				handleApplied(next, commit.version(), sent, basis, onApplied);
 				return;
 			}
 			StoredRow current = commit.current()
@@ -127,7 +169,7 @@
 				.findFirst()
 				.orElse(new StoredRow(Tables.LEADER_KEY, StoredRow.ABSENT, ""));
 			if (current.value().equals(next.write())) {
-				handleApplied(next, current.version(), sent, onApplied);
+				handleApplied(next, current.version(), sent, basis, onApplied);
 			}
 			else {
 				this.closed = true;
@@ -136,10 +178,12 @@
 		});
 	}
 
-	private void handleApplied(LeaderRecord next, long newVersion, ClockReading sent, Runnable onApplied) {
+	private void handleApplied(LeaderRecord next, long newVersion, ClockReading sent, Optional<ClockReading> basis,
+			Runnable onApplied) {
 		this.record = next;
 		this.version = newVersion;
 		this.confirmed = sent;
+		this.extensionBasis = Optional.of(basis.orElse(sent));
 		this.busy = false;
 		if (this.delayed) {
 			this.delayed = false;
@@ -185,6 +229,17 @@
 		return this.confirmed.age(this.clock);
 	}
 
+	/**
+	 * Returns whether this leader may extend leases: the store has confirmed it recently
+	 * enough, by the moment on which the deadline in its row rests.
+	 * @return false until the first transaction of this writer is applied
+	 */
+	boolean mayExtendLeases() {
+		return this.extensionBasis.isPresent() && this.extensionBasis.get()
+			.age(this.clock)
+			.compareTo(LeadershipTimings.LEASE_EXTENSION_WITHOUT_STORE) < 0;
+	}
+
 	/**
 	 * Returns the version of the last transaction that was applied.
 	 * @return the version of the store after that transaction
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 
@@ -112,7 +113,7 @@
 
 	private final RecordedSubmissions recordedSubmissions;
 
-	private final long takeoverNanos;
+	private final FormerExtensions formerExtensions;
 
 	private final Cancellable tickTimer;
 
@@ -124,11 +125,13 @@
 
 	private boolean resigning;
 
+	private boolean resignationSent;
+
 	private boolean rejected;
 
-	Leader(RowStore store, LeaderRecord record, long version, OperatorView operator, DispatchSettings settings,
-			LeaderMetrics metrics, TrafficCounters traffic, EventLoop loop, Clock clock, Timer timer,
-			Runnable onLeadershipLost) {
+	Leader(RowStore store, LeaderRecord record, long version, Optional<StoreClockReading> storeClock,
+			FormerExtensions formerExtensions, OperatorView operator, DispatchSettings settings, LeaderMetrics metrics,
+			TrafficCounters traffic, EventLoop loop, Clock clock, Timer timer, Runnable onLeadershipLost) {
 		this.store = store;
 		this.record = record;
 		this.operator = operator;
@@ -138,7 +141,9 @@
 		this.loop = loop;
 		this.clock = clock;
 		this.timer = timer;
-		this.writer = new FencedWriter(store, record, version, clock, timer, onLeadershipLost);
+		this.formerExtensions = formerExtensions;
+		this.writer = new FencedWriter(store, record, version, storeClock, formerExtensions.endMillis(), clock, timer,
+				onLeadershipLost);
 		this.dispatcher = new Dispatcher(settings, new DefaultPlacementPolicy(this.imagePressure), clock,
 				new DecisionLog(metrics));
 		this.queueLoadLog = new QueueLoadLog(this.dispatcher, metrics, clock);
@@ -153,9 +158,10 @@
 		this.recordedSubmissions = new RecordedSubmissions(this.submissionWatch, clock);
 		this.submissionCleanup = new SubmissionCleanup(store, timer,
 				(job, removalVersion) -> this.removedJobs.add(List.of(job), removalVersion));
-		this.takeoverNanos = clock.nanoTime();
-		this.imagesRecordedNanos = this.takeoverNanos;
+		this.imagesRecordedNanos = clock.nanoTime();
 		this.tickTimer = timer.repeat(LeadershipTimings.TICK_INTERVAL, this::tick);
+		// Leases are extended only on a deadline of this leader in its row.
+		this.writer.writeLeaderRow(record.name(), this::scheduleDecision);
 		readTable(Tables.MODEL, "", this::readModel, () -> readTable(Tables.LEDGER, "", this.restoredRows::addJob,
 				() -> readTable(Tables.TASKS, "", this.restoredRows::addTask, this.intakeWatch::start)));
 	}
@@ -413,7 +419,7 @@
 	}
 
 	private boolean mayExtendLeases() {
-		return this.writer.confirmationAge().compareTo(LeadershipTimings.LEASE_EXTENSION_WITHOUT_STORE) < 0;
+		return !this.resignationSent && this.writer.mayExtendLeases();
 	}
 
 	private void sendStops(String host) {
@@ -438,9 +444,7 @@
 		this.links.values().forEach(HostLink::closeIfUnresponsive);
 		this.trafficLog.writeIfDue();
 		if (this.restored) {
-			this.reportProcessor.expireLeases(
-					LeadershipTimings.LEASE_EXTENSION_WITHOUT_STORE.plus(this.settings.leaseTimeout()),
-					this.takeoverNanos);
+			this.reportProcessor.expireLeases(this.settings.leaseTimeout(), this.formerExtensions.endNanos());
 			this.queueLoadLog.writeIfDue();
 			this.recordBacklogLog.writeIfDue();
 			if (this.settings.admissionControl()) {
@@ -628,6 +632,8 @@
 			return;
 		}
 		EventLog.info(LeadEvent.LEADERSHIP_RESIGNED, Field.of("epoch", this.record.epoch()));
+		// The next leader counts on it that a leader that has resigned extends no lease.
+		this.resignationSent = true;
 		this.writer.writeLeaderRow("", () -> {
 			close();
 			onResigned.run();
--- a/src/main/java/org/crocuspost/lead/LeaderElector.java
+++ b/src/main/java/org/crocuspost/lead/LeaderElector.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 
 import io.netty.channel.EventLoop;
 import org.crocuspost.dispatch.DispatchSettings;
@@ -14,6 +16,7 @@
 import org.crocuspost.rows.RowWatch;
 import org.crocuspost.rows.StoredRow;
 import org.crocuspost.time.Clock;
+import org.crocuspost.time.ClockReading;
 import org.crocuspost.time.Timer;
 import org.jspecify.annotations.Nullable;
 
@@ -51,6 +54,14 @@
 
 	private final Timer timer;
 
+	private final long processStartNanos;
+
+	/**
+	 * Whether this incarnation of the process may have written the leader's row. A row
+	 * with its name is then not proof that an earlier incarnation was the leader.
+	 */
+	private boolean claimed;
+
 	private @Nullable Leader leader;
 
 	private StoredRow leaderRow = new StoredRow(Tables.LEADER_KEY, StoredRow.ABSENT, "");
@@ -77,10 +88,12 @@
 	 * @param loop the event loop of the process
 	 * @param clock the clock of the process
 	 * @param timer the timer of the event loop
+	 * @param processStartNanos the start of this process, in nanoseconds of its clock:
+	 * earlier incarnations of it have ended before
 	 */
 	public LeaderElector(String name, CandidateCapacity capacity, RowStore store, RowWatch ledgerWatch,
 			OperatorView operator, DispatchSettings settings, LeaderMetrics metrics, TrafficCounters traffic,
-			EventLoop loop, Clock clock, Timer timer) {
+			EventLoop loop, Clock clock, Timer timer, long processStartNanos) {
 		this.name = name;
 		this.takeoverDelay = capacity.takeoverDelay();
 		this.store = store;
@@ -92,6 +105,7 @@
 		this.loop = loop;
 		this.clock = clock;
 		this.timer = timer;
+		this.processStartNanos = processStartNanos;
 	}
 
 	/**
@@ -158,15 +172,21 @@
 
 	private void campaign() {
 		this.campaigning = true;
-		StoredRow observed = this.leaderRow;
-		LeaderRecord next = new LeaderRecord(this.holder.epoch() + 1, 0, this.name);
-		claim(observed, next);
+		LeaderRecord predecessor = this.holder;
+		boolean restarted = !this.claimed && predecessor.name().equals(this.name);
+		LeaderRecord next = new LeaderRecord(predecessor.epoch() + 1, 0, this.name,
+				predecessor.deadlines().map(ExtensionDeadlines::succeeded));
+		claim(new Claim(this.leaderRow, predecessor,
+				restarted ? OptionalLong.of(this.processStartNanos) : OptionalLong.empty(), next));
 	}
 
-	private void claim(StoredRow observed, LeaderRecord next) {
+	private void claim(Claim claim) {
+		StoredRow observed = claim.observed();
+		LeaderRecord next = claim.next();
 		RowTransaction transaction = RowTransaction.of(
 				List.of(new RowTransaction.Condition(Tables.LEDGER, Tables.LEADER_KEY, observed.version())),
 				List.of(new RowTransaction.Write(Tables.LEDGER, Tables.LEADER_KEY, next.write())));
+		ClockReading sent = ClockReading.of(this.clock);
 		this.store.commit(transaction, (answer) -> {
 			if (answer.isLeft()) {
 				boolean certainlyNotApplied = answer.getLeft().verdict().allowsAnotherAttempt();
@@ -174,7 +194,8 @@
 					this.campaigning = false;
 				}
 				else {
-					this.timer.schedule(LeadershipTimings.RETRY_DELAY, () -> claim(observed, next));
+					this.claimed = true;
+					this.timer.schedule(LeadershipTimings.RETRY_DELAY, () -> claim(claim));
 				}
 				return;
 			}
@@ -186,18 +207,26 @@
 						.findFirst()
 						.orElse(observed);
 			this.campaigning = false;
+			this.claimed |= current.value().equals(next.write());
 			leaderRowChanged(current);
 			if (current.value().equals(next.write()) && !this.resigned) {
-				becomeLeader(next, current.version());
+				becomeLeader(claim, current.version(), StoreClockReading.of(commit, sent, this.clock));
 			}
 		});
 	}
 
-	private void becomeLeader(LeaderRecord record, long version) {
+	private void becomeLeader(Claim claim, long version, Optional<StoreClockReading> storeClock) {
+		LeaderRecord record = claim.next();
+		FormerExtensions former = FormerExtensions.of(claim.predecessor(), storeClock, this.clock.nanoTime(),
+				claim.restartNanos());
 		this.metrics.setLeader(true);
-		EventLog.info(LeadEvent.LEADERSHIP_WON, Field.of("epoch", record.epoch()), Field.of("version", version));
-		this.leader = new Leader(this.store, record, version, this.operator, this.settings, this.metrics, this.traffic,
-				this.loop, this.clock, this.timer, () -> handleLeadershipLost(record));
+		EventLog.info(LeadEvent.LEADERSHIP_WON, Field.of("epoch", record.epoch()), Field.of("version", version),
+				Field.of("former", claim.predecessor().name()),
+				Field.of("formerExtensionsEndInMillis",
+						Duration.ofNanos(former.endNanos() - this.clock.nanoTime()).toMillis()),
+				Field.of("basis", former.basis()));
+		this.leader = new Leader(this.store, record, version, storeClock, former, this.operator, this.settings,
+				this.metrics, this.traffic, this.loop, this.clock, this.timer, () -> handleLeadershipLost(record));
 	}
 
 	private void handleLeadershipLost(LeaderRecord record) {
@@ -232,4 +261,16 @@
 		return this.leader != null;
 	}
 
+	/**
+	 * An attempt to become the leader.
+	 *
+	 * @param observed the leader's row that is to be replaced
+	 * @param predecessor the content of that row
+	 * @param restartNanos if the predecessor was an earlier incarnation of this process,
+	 * the start of this one, in nanoseconds of the process clock
+	 * @param next the new content of the row
+	 */
+	private record Claim(StoredRow observed, LeaderRecord predecessor, OptionalLong restartNanos, LeaderRecord next) {
+	}
+
 }
--- a/src/main/java/org/crocuspost/lead/LeadershipTimings.java
+++ b/src/main/java/org/crocuspost/lead/LeadershipTimings.java
@@ -26,11 +26,13 @@
 	static final Duration MAXIMUM_LEDGER_VIEW_AGE = Duration.ofMillis(1_500);
 
 	/**
-	 * Time without an applied transaction after which the leader stops extending leases.
-	 * It is longer than the outages of the store that the platform's documentation
-	 * describes, so that work continues through them.
+	 * Time after which the leader stops extending leases, counted from the answer of the
+	 * store on which its last applied transaction rests. It is longer than the outages of
+	 * the store that the platform's documentation describes, so that work continues
+	 * through them, and that answer is up to a renewal interval older than the
+	 * transaction.
 	 */
-	static final Duration LEASE_EXTENSION_WITHOUT_STORE = Duration.ofSeconds(12);
+	static final Duration LEASE_EXTENSION_WITHOUT_STORE = Duration.ofSeconds(12).plus(RENEWAL_INTERVAL);
 
 	/**
 	 * Maximum age of the view of the operator's rows at which the leader starts tasks.
--- a/src/main/java/org/crocuspost/platform/hosted/EntryProgram.java
+++ b/src/main/java/org/crocuspost/platform/hosted/EntryProgram.java
@@ -1,5 +1,6 @@
 package org.crocuspost.platform.hosted;
 
+import java.lang.management.ManagementFactory;
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -122,13 +123,17 @@
 				new DispatchSettings(settings.limits().leaseDuration(),
 						settings.limits().statusRetention().plus(DispatchSettings.RETENTION_MARGIN),
 						settings.limits().remotePenalty(), settings.admissionControl()),
-				new LeaderMetrics(this.registry), traffic, loop, clock, timer);
+				new LeaderMetrics(this.registry), traffic, loop, clock, timer, processStartNanos(clock));
 		electorReference.set(this.leaderElector);
 		this.jobService = new JobService(protectedStore, store, this.operator, directory,
 				new IngressMetrics(this.registry), clock, timer);
 		timer.repeat(Duration.ofMillis(100), this::updateReadiness);
 	}
 
+	private static long processStartNanos(Clock clock) {
+		return clock.nanoTime() - TimeUnit.MILLISECONDS.toNanos(ManagementFactory.getRuntimeMXBean().getUptime());
+	}
+
 	void start() {
 		this.loop.execute(() -> {
 			this.operator.start();
--- a/src/test/java/org/crocuspost/ingress/PendingCountWithoutRecordsTests.java
+++ b/src/test/java/org/crocuspost/ingress/PendingCountWithoutRecordsTests.java
@@ -315,7 +315,7 @@
 			this.elector = new LeaderElector(name, CandidateCapacity.AMPLE, test.store, this.ledgerWatch, operator,
 					new DispatchSettings(Duration.ofSeconds(6), Duration.ofMinutes(2), 1.5),
 					new LeaderMetrics(new PrometheusRegistry()), new TrafficCounters(new PrometheusRegistry()),
-					test.loop, test.time, test.time);
+					test.loop, test.time, test.time, test.time.nanoTime());
 			electorReference.set(this.elector);
 			this.service = new JobService(test.store, operator, directory, new IngressMetrics(new PrometheusRegistry()),
 					test.time, test.time);
--- a/src/test/java/org/crocuspost/lead/FencedWriterTests.java
+++ b/src/test/java/org/crocuspost/lead/FencedWriterTests.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.crocuspost.rows.MemoryRowStore;
 import org.crocuspost.rows.MemoryRowStore.Fault;
@@ -19,6 +21,8 @@
  */
 class FencedWriterTests {
 
+	private static final long FORMER_MILLIS = 3_000;
+
 	private final VirtualTime time = new VirtualTime(Instant.EPOCH);
 
 	private final MemoryRowStore store = new MemoryRowStore();
@@ -44,7 +48,7 @@
 				(answer) -> {
 				});
 		return new FencedWriter(this.store, record, this.store.row(Tables.LEDGER, Tables.LEADER_KEY).version(),
-				this.time, this.time, () -> this.leadershipLosses++);
+				Optional.empty(), OptionalLong.of(FORMER_MILLIS), this.time, this.time, () -> this.leadershipLosses++);
 	}
 
 	private void write(String key) {
@@ -140,4 +144,61 @@
 		assertThat(this.store.row(Tables.LEDGER, "key").exists()).isFalse();
 	}
 
+	/**
+	 * Guards against a lease that a former leader extends after the time in its row,
+	 * while its successor already starts the tasks again. The clock of the leader is 2%
+	 * slow.
+	 */
+	@Test
+	void leaderExtendsNoLeaseAfterTheDeadlineInItsRow() {
+		this.store.setClock(() -> (long) (this.time.nanoTime() * 1.02 / 1_000_000));
+		this.writer = createWriter(3);
+		assertThat(this.writer.mayExtendLeases()).isFalse();
+		for (int number = 0; number < 4; number++) {
+			write("key" + number);
+			this.time.advance(Duration.ofMillis(700));
+		}
+		this.store.setFault(Fault.REFUSED);
+		write("last");
+		long extendedMillis = 0;
+		for (int step = 0; step < 300; step++) {
+			if (this.writer.mayExtendLeases()) {
+				extendedMillis = (long) (this.time.nanoTime() * 1.02 / 1_000_000);
+			}
+			this.time.advance(Duration.ofMillis(50));
+		}
+		ExtensionDeadlines deadlines = LeaderRecord.read(this.store.row(Tables.LEDGER, Tables.LEADER_KEY).value())
+			.deadlines()
+			.orElseThrow();
+		assertThat(extendedMillis).isBetween(12_000L, deadlines.holderMillis());
+		assertThat(deadlines.formerMillis()).isEqualTo(FORMER_MILLIS);
+		assertThat(this.writer.mayExtendLeases()).isFalse();
+	}
+
+	/**
+	 * Work must go on through outages of the store of 12 s, also if the last transaction
+	 * was a renewal.
+	 */
+	@Test
+	void leasesAreExtendedForTwelveSecondsAfterTheLastTransaction() {
+		this.store.setClock(() -> this.time.nanoTime() / 1_000_000);
+		this.writer = createWriter(3);
+		write("first");
+		this.time.advance(LeadershipTimings.RENEWAL_INTERVAL);
+		write("second");
+		this.time.advance(Duration.ofMillis(11_900));
+		assertThat(this.writer.mayExtendLeases()).isTrue();
+	}
+
+	/**
+	 * The monotonic clock of a suspended leader stands still.
+	 */
+	@Test
+	void timeOfASuspensionCountsTowardsTheDeadline() {
+		write("key");
+		assertThat(this.writer.mayExtendLeases()).isTrue();
+		this.time.shiftWallClock(Duration.ofSeconds(20));
+		assertThat(this.writer.mayExtendLeases()).isFalse();
+	}
+
 }
--- a/src/test/java/org/crocuspost/lead/LeaderElectorTests.java
+++ b/src/test/java/org/crocuspost/lead/LeaderElectorTests.java
@@ -62,7 +62,7 @@
 		this.elector = new LeaderElector(NAME, capacity, this.store, ledgerWatch, new EmptyOperatorView(),
 				new DispatchSettings(Duration.ofSeconds(6), Duration.ofMinutes(2), 1.5),
 				new LeaderMetrics(new PrometheusRegistry()), new TrafficCounters(new PrometheusRegistry()), this.loop,
-				this.time, this.time);
+				this.time, this.time, this.time.nanoTime());
 		ledgerWatch.start();
 		this.elector.start();
 	}
--- a/src/test/java/org/crocuspost/lead/LeaderTests.java
+++ b/src/test/java/org/crocuspost/lead/LeaderTests.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -79,7 +80,8 @@
 
 	private Leader startLeader(OperatorView view) {
 		writeRow(Tables.LEDGER, Tables.LEADER_KEY, RECORD.write());
-		return new Leader(this.store, RECORD, this.store.rows.row(Tables.LEDGER, Tables.LEADER_KEY).version(), view,
+		return new Leader(this.store, RECORD, this.store.rows.row(Tables.LEDGER, Tables.LEADER_KEY).version(),
+				Optional.empty(), FormerExtensions.of(RECORD, Optional.empty(), 0, OptionalLong.empty()), view,
 				new DispatchSettings(Duration.ofSeconds(6), Duration.ofMinutes(2), 1.5),
 				new LeaderMetrics(new PrometheusRegistry()), new TrafficCounters(new PrometheusRegistry()), this.loop,
 				this.time, this.time, () -> {
--- a/src/test/java/org/crocuspost/lead/MalformedRowTests.java
+++ b/src/test/java/org/crocuspost/lead/MalformedRowTests.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -238,6 +240,7 @@
 	private Leader startLeader() {
 		writeRow(Tables.LEDGER, Tables.LEADER_KEY, RECORD.write());
 		return new Leader(this.store, RECORD, this.store.row(Tables.LEDGER, Tables.LEADER_KEY).version(),
+				Optional.empty(), FormerExtensions.of(RECORD, Optional.empty(), 0, OptionalLong.empty()),
 				new OneQueueView(this.queue), new DispatchSettings(Duration.ofSeconds(6), Duration.ofMinutes(2), 1.5),
 				new LeaderMetrics(new PrometheusRegistry()), new TrafficCounters(new PrometheusRegistry()), this.loop,
 				this.time, this.time, () -> {
