Renew the deadline for extending leases right after an outage of the store

A transaction that is retried through an outage rests on an answer from before it. Once applied, it allows no extension after an outage of 12.7 s, and the next renewal came 0.7 s later; before the deadline was recorded, leases were extended from the applied transaction on. The row is renewed now when the answer on which it rests is older than three renewal intervals.

--- a/src/main/java/org/crocuspost/lead/FencedWriter.java
+++ b/src/main/java/org/crocuspost/lead/FencedWriter.java
@@ -229,15 +229,23 @@
 		return this.confirmed.age(this.clock);
 	}
 
+	/**
+	 * Returns the age of the moment on which the deadline for extending leases in the
+	 * leader's row rests.
+	 * @return the age; empty until the first transaction of this writer is applied
+	 */
+	Optional<Duration> extensionBasisAge() {
+		return this.extensionBasis.map((basis) -> basis.age(this.clock));
+	}
+
 	/**
 	 * Returns whether this leader may extend leases: the store has confirmed it recently
-	 * enough, by the moment on which the deadline in its row rests.
+	 * enough.
 	 * @return false until the first transaction of this writer is applied
 	 */
 	boolean mayExtendLeases() {
-		return this.extensionBasis.isPresent() && this.extensionBasis.get()
-			.age(this.clock)
-			.compareTo(LeadershipTimings.LEASE_EXTENSION_WITHOUT_STORE) < 0;
+		return extensionBasisAge().filter((age) -> age.compareTo(LeadershipTimings.LEASE_EXTENSION_WITHOUT_STORE) < 0)
+			.isPresent();
 	}
 
 	/**
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -508,8 +508,17 @@
 			.keepingStates(this.submissionCleanup::isUnreduced);
 	}
 
+	private boolean isRenewalDue() {
+		// A transaction that was retried through an outage rests on an answer from
+		// before.
+		return this.writer.confirmationAge().compareTo(LeadershipTimings.RENEWAL_INTERVAL) > 0
+				|| this.writer.extensionBasisAge()
+					.filter((age) -> age.compareTo(LeadershipTimings.MAXIMUM_EXTENSION_BASIS_AGE) < 0)
+					.isEmpty();
+	}
+
 	private void renewIfDue() {
-		if (this.writer.confirmationAge().compareTo(LeadershipTimings.RENEWAL_INTERVAL) > 0) {
+		if (isRenewalDue()) {
 			List<RowTransaction.Write> writes = new ArrayList<>();
 			addAdmission(writes);
 			addRecordedSubmissions(writes);
--- a/src/main/java/org/crocuspost/lead/LeadershipTimings.java
+++ b/src/main/java/org/crocuspost/lead/LeadershipTimings.java
@@ -34,6 +34,13 @@
 	 */
 	static final Duration LEASE_EXTENSION_WITHOUT_STORE = Duration.ofSeconds(12).plus(RENEWAL_INTERVAL);
 
+	/**
+	 * Age of the answer on which the deadline in the leader's row rests from which on the
+	 * row is renewed although a transaction was applied lately. In normal operation it is
+	 * up to two renewal intervals old.
+	 */
+	static final Duration MAXIMUM_EXTENSION_BASIS_AGE = RENEWAL_INTERVAL.multipliedBy(3);
+
 	/**
 	 * Maximum age of the view of the operator's rows at which the leader starts tasks.
 	 * Changes must be in force after two seconds.
--- a/src/test/java/org/crocuspost/lead/LeaderTests.java
+++ b/src/test/java/org/crocuspost/lead/LeaderTests.java
@@ -81,7 +81,7 @@
 	private Leader startLeader(OperatorView view) {
 		writeRow(Tables.LEDGER, Tables.LEADER_KEY, RECORD.write());
 		return new Leader(this.store, RECORD, this.store.rows.row(Tables.LEDGER, Tables.LEADER_KEY).version(),
-				Optional.empty(), FormerExtensions.of(RECORD, Optional.empty(), 0, OptionalLong.empty()), view,
+				Optional.empty(), new FormerExtensions(0, OptionalLong.of(0), FormerExtensions.Basis.TAKEOVER), view,
 				new DispatchSettings(Duration.ofSeconds(6), Duration.ofMinutes(2), 1.5),
 				new LeaderMetrics(new PrometheusRegistry()), new TrafficCounters(new PrometheusRegistry()), this.loop,
 				this.time, this.time, () -> {
@@ -93,6 +93,26 @@
 		this.loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Guards against leases that lapse after an outage, since the transaction that was
+	 * retried through it rests on an answer from before.
+	 */
+	@Test
+	void leaderRenewsItsDeadlineImmediatelyAfterAnOutage() {
+		this.store.rows.setClock(this.time::millis);
+		startLeader();
+		this.time.advance(Duration.ofSeconds(2));
+		this.store.rows.setFault(Fault.REFUSED);
+		this.time.advance(Duration.ofSeconds(15));
+		this.store.rows.setFault(Fault.NONE);
+		this.time.advance(Duration.ofMillis(400));
+		long holderMillis = LeaderRecord.read(this.store.rows.row(Tables.LEDGER, Tables.LEADER_KEY).value())
+			.deadlines()
+			.orElseThrow()
+			.holderMillis();
+		assertThat(holderMillis).isGreaterThan(this.time.millis() + 12_000);
+	}
+
 	/**
 	 * Guards against starting an ended job again. The store loses its history while the
 	 * removal of the job is unanswered, so the job is read again after the leader has
