Close connections whose request ends after the process began to close

EntryProgramTests.closesIdleConnectionsAndMarksAnswersWhileItStops failed once beside a load of 32: the connection was closed at the end of the drain, 2.6 s late. Cause: its response had been sent, without the mark that asks the caller to close, when the process began to close, but its request had not ended yet, so the connection was not idle at the only check before the end of the drain.

The end of a request now closes the connection while the process closes. The new test replays that order and fails without the change.

--- a/src/main/java/org/crocuspost/platform/hosted/InFlightRequests.java
+++ b/src/main/java/org/crocuspost/platform/hosted/InFlightRequests.java
@@ -55,8 +55,12 @@
 
 	private void end(Channel connection) {
 		this.count.decrementAndGet();
-		if (this.lastRequests.containsKey(connection)) {
-			this.idleConnections.add(connection);
+		if (!this.lastRequests.containsKey(connection)) {
+			return;
+		}
+		this.idleConnections.add(connection);
+		if (this.closing) {
+			closeIfIdle(connection);
 		}
 	}
 
@@ -78,12 +82,16 @@
 	 * Closes the connections that have carried a request and have none in flight.
 	 */
 	void closeIdleConnections() {
+		this.idleConnections.forEach(this::closeIfIdle);
+	}
+
+	private void closeIfIdle(Channel connection) {
 		// On the event loop of the connection, a request that was read is not missed.
-		this.idleConnections.forEach((connection) -> connection.eventLoop().execute(() -> {
+		connection.eventLoop().execute(() -> {
 			if (this.idleConnections.remove(connection)) {
 				connection.close();
 			}
-		}));
+		});
 	}
 
 	boolean closing() {
--- a/src/test/java/org/crocuspost/platform/hosted/InFlightRequestsTests.java
+++ b/src/test/java/org/crocuspost/platform/hosted/InFlightRequestsTests.java
@@ -34,6 +34,22 @@
 		assertThat(this.connection.isOpen()).isFalse();
 	}
 
+	/**
+	 * Guards against a connection that stays open until the end of the drain, since its
+	 * response was sent without a mark and its request ended after the process began to
+	 * close.
+	 */
+	@Test
+	void closesAConnectionWhoseRequestEndsAfterTheProcessBeganToClose() {
+		Runnable end = this.requests.begin(this.connection);
+		this.requests.close();
+		this.connection.runPendingTasks();
+		assertThat(this.connection.isOpen()).isTrue();
+		end.run();
+		this.connection.runPendingTasks();
+		assertThat(this.connection.isOpen()).isFalse();
+	}
+
 	/**
 	 * The request is read after the decision to close the connection.
 	 */
