Count the lease of a host's worker from its last lists after a takeover

Cause: HostState.startLease counted a whole lease from the first report of the agent, also if its worker had been silent for long, or if the agent was started long after the last extension. What the agent knows of it was not sent.

Ruled out: the age of the lists that reports have told so far. It is the longer time of two clocks and zero while the lists are unread, so a wall clock that is set forward would start a second run beside the first. The stamp of the lease: it is a time of the worker's clock, and zero for an agent that was restarted.

Change: HostReport has the field lease_basis_age_millis (17): no lease that the agent or an earlier incarnation of it has passed to the worker ends later than one lease duration after that moment. It is the later of the last reception of lists, on which each extension rests, and the start of the agent, by the monotonic clock alone. The first report of a host starts its lease from there. 0, from an agent of the version before or one that is not started yet, means now. The changes-only form of reports carries the field in each report, as does one without a worker.

--- a/src/main/java/org/crocuspost/dispatch/Evidence.java
+++ b/src/main/java/org/crocuspost/dispatch/Evidence.java
@@ -11,8 +11,9 @@
  * @param agentIncarnation the incarnation of the agent whose report or record led to the
  * decision; empty if the lease lapsed
  * @param age the age of the worker's lists in the report, the age of the record, or the
- * time since the lease started or was last extended, or since the takeover of the leader
- * for a host that never reported to it
+ * time since the lease was last extended or, before that, since the latest moment from
+ * which a former leader's extension may count, or since the takeover of the leader for a
+ * host that never reported to it
  */
 public record Evidence(String agentIncarnation, Duration age) {
 
--- a/src/main/java/org/crocuspost/dispatch/HostState.java
+++ b/src/main/java/org/crocuspost/dispatch/HostState.java
@@ -396,13 +396,14 @@
 	}
 
 	/**
-	 * Starts to count the lease at the first report of the agent, as if it were extended
-	 * then. An agent that follows this leader accepts no extension from another one.
-	 * @param nowNanos the current time
+	 * Starts to count the lease at the first report of the agent. An agent that follows
+	 * this leader accepts no extension from another one.
+	 * @param basisNanos the time from which the extensions of former leaders last for one
+	 * lease duration at most
 	 */
-	void startLease(long nowNanos) {
+	void startLease(long basisNanos) {
 		if (!this.leaseStarted) {
-			extendLease(nowNanos);
+			extendLease(basisNanos);
 		}
 	}
 
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import org.crocuspost.job.JobProgress;
 import org.crocuspost.job.JobState;
@@ -93,7 +94,8 @@
 		HostState host = this.dispatcher.host(report.getHost());
 		long now = this.dispatcher.clock().nanoTime();
 		host.connected(true);
-		host.startLease(now);
+		// An agent of the previous version sends no age. Its lease counts from now on.
+		host.startLease(now - TimeUnit.MILLISECONDS.toNanos(Math.max(0, report.getLeaseBasisAgeMillis())));
 		if (report.getWorker().getId().isEmpty()) {
 			// The agent has no information on its worker and its runs yet.
 			host.workerResponds(false);
--- a/src/main/java/org/crocuspost/host/HostAgent.java
+++ b/src/main/java/org/crocuspost/host/HostAgent.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
 
@@ -70,6 +71,10 @@
 
 	private final String incarnation;
 
+	private boolean started;
+
+	private long startedNanos;
+
 	private long fence;
 
 	private @Nullable WorkerAnnouncement announcement;
@@ -156,9 +161,12 @@
 	/**
 	 * Starts the periodic check, which sends reports while the worker does not answer and
 	 * stops the runs whose start has an unknown outcome until the worker confirms the
-	 * stop.
+	 * stop. Must be called after the leader port is bound: an earlier incarnation of the
+	 * agent on this host, which held the port, has ended by then.
 	 */
 	public void start() {
+		this.started = true;
+		this.startedNanos = this.clock.nanoTime();
 		this.timer.repeat(HostAgentSettings.CHECK_INTERVAL, this::tick);
 	}
 
@@ -416,6 +424,28 @@
 				&& this.answeredAt.age(this.clock).compareTo(HostAgentSettings.WORKER_TIMEOUT) < 0;
 	}
 
+	/**
+	 * Returns the age of the moment from which the lease of any run on the worker lasts
+	 * for one lease duration at most: the latest lists, since a lease counts from the
+	 * worker's clock of that time or an earlier one, or the start of this agent, since
+	 * the lists of its earlier incarnations are older. Later events without lists extend
+	 * no lease.
+	 *
+	 * <p>
+	 * Only the monotonic clock counts. The longer time of {@link ClockReading} would be
+	 * too long if the wall clock was set forward, and the leader would start a task again
+	 * while its run goes on.
+	 * @return the age in milliseconds, at least 1; 0 if the agent is not started
+	 */
+	private long leaseBasisAgeMillis() {
+		if (!this.started) {
+			return 0;
+		}
+		long now = this.clock.nanoTime();
+		long age = Math.min(now - this.startedNanos, now - this.answeredAt.nanos());
+		return Math.max(1, TimeUnit.NANOSECONDS.toMillis(age));
+	}
+
 	private HostReport takeReport() {
 		HostReport report = composeReport();
 		this.refused.clear();
@@ -427,6 +457,7 @@
 			.setHost(this.settings.host())
 			.setLife(this.incarnation)
 			.setLeaseStamp(this.workerClockMillis)
+			.setLeaseBasisAgeMillis(leaseBasisAgeMillis())
 			.setWorkerAnswers(workerResponsive() && !this.holdFailed)
 			.setHandledOrder(this.handledOrder)
 			.setEndsFollow(this.endsFollow)
--- a/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
@@ -380,6 +380,32 @@
 				.build();
 		}
 
+		/**
+		 * Returns a report of an agent whose worker does not answer any more.
+		 * @param silence the time since the worker answered
+		 * @return the report
+		 */
+		HostReport reportOfSilence(Duration silence) {
+			return reportWithLists(silence).toBuilder()
+				.setWorkerAnswers(false)
+				.setLeaseBasisAgeMillis(silence.toMillis())
+				.build();
+		}
+
+		/**
+		 * Returns a report of an agent that was restarted and has not heard from the
+		 * worker since.
+		 * @param age the time since the agent was started
+		 * @return the report
+		 */
+		HostReport reportOfRestartedAgent(Duration age) {
+			return HostReport.newBuilder()
+				.setHost(this.host)
+				.setLife("next")
+				.setLeaseBasisAgeMillis(age.toMillis())
+				.build();
+		}
+
 		HostReport report() {
 			return HostReport.newBuilder()
 				.setHost(this.host)
--- /dev/null
+++ b/src/test/java/org/crocuspost/dispatch/RunsOfSilentWorkersAfterTakeoverTests.java
@@ -0,0 +1,185 @@
+package org.crocuspost.dispatch;
+
+import java.time.Duration;
+
+import org.crocuspost.dispatch.DispatchFixture.SimulatedWorker;
+import org.crocuspost.job.TaskStatus;
+import org.crocuspost.wire.HostReport;
+import org.crocuspost.wire.StartOrder;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests how long a task waits for its run on a worker that has fallen silent before a new
+ * leader took over. A leader that counts a whole lease from the first report of the agent
+ * keeps the task down for up to 6.4 s after the run has ended; one that counts less than
+ * a lease from the last answer of the worker starts a second run beside the first.
+ */
+class RunsOfSilentWorkersAfterTakeoverTests {
+
+	private static final String JOB = "0123456789abcdef";
+
+	private static final Duration LEASE_TIMEOUT = DispatchFixture.SETTINGS.leaseTimeout();
+
+	private static final Duration UNREACHABLE_TIMEOUT = Duration.ofSeconds(12).plus(LEASE_TIMEOUT);
+
+	private static final Duration SHORT_TIME = Duration.ofMillis(1);
+
+	private final DispatchFixture fixture = new DispatchFixture();
+
+	private long takeoverNanos;
+
+	/**
+	 * Starts a task on a worker.
+	 * @return the worker
+	 */
+	private SimulatedWorker workerWithRun() {
+		SimulatedWorker worker = this.fixture.worker("silent", 1_000);
+		this.fixture.submit(JOB, DispatchFixture.step(1, 1_000));
+		this.fixture.runSchedulingRound();
+		this.fixture.report(worker);
+		return worker;
+	}
+
+	/**
+	 * Replaces the leader by a new one, to which another worker reports first.
+	 * @return the other worker
+	 */
+	private SimulatedWorker takeOver() {
+		this.fixture.takeOver();
+		this.takeoverNanos = this.fixture.time.nanoTime();
+		return this.fixture.worker("other", 1_000);
+	}
+
+	private ReportProcessor.Response receive(HostReport report) {
+		return this.fixture.reports.reported(report, true);
+	}
+
+	private void expireLeasesAndSchedule() {
+		this.fixture.reports.expireLeases(UNREACHABLE_TIMEOUT, this.takeoverNanos);
+		this.fixture.runSchedulingRound();
+	}
+
+	private void advanceWhileReporting(SimulatedWorker worker, Duration duration) {
+		this.fixture.time.advance(duration);
+		this.fixture.report(worker);
+	}
+
+	private TaskStatus status() {
+		return this.fixture.task(JOB, 0, 0).status();
+	}
+
+	@Test
+	void startsTaskOfWorkerSilentForMoreThanLeaseAfterFirstReportOfAgent() {
+		SimulatedWorker silent = workerWithRun();
+		this.fixture.time.advance(Duration.ofSeconds(7));
+		SimulatedWorker other = takeOver();
+		receive(silent.reportOfSilence(Duration.ofSeconds(7)));
+		expireLeasesAndSchedule();
+		assertThat(other.executedOrders).extracting(StartOrder::getRun).containsExactly(2);
+		assertThat(this.fixture.lostRuns).extracting(DispatchFixture.LostRun::evidence)
+			.containsExactly(new Evidence("", Duration.ofSeconds(7)));
+	}
+
+	@Test
+	void startsTaskOneLeaseAfterLastAnswerOfSilentWorker() {
+		SimulatedWorker silent = workerWithRun();
+		this.fixture.time.advance(Duration.ofSeconds(4));
+		SimulatedWorker other = takeOver();
+		receive(silent.reportOfSilence(Duration.ofSeconds(4)));
+		advanceWhileReporting(other, LEASE_TIMEOUT.minusSeconds(4));
+		expireLeasesAndSchedule();
+		assertThat(status()).isEqualTo(TaskStatus.PLACED);
+		advanceWhileReporting(other, SHORT_TIME);
+		expireLeasesAndSchedule();
+		assertThat(other.executedOrders).extracting(StartOrder::getRun).containsExactly(2);
+	}
+
+	/**
+	 * The worker has died with the former agent, so the agent has heard no announcement
+	 * and its reports name no worker.
+	 */
+	@Test
+	void startsTaskOneLeaseAfterStartOfRestartedAgentWithoutWorker() {
+		SimulatedWorker silent = workerWithRun();
+		SimulatedWorker other = takeOver();
+		receive(silent.reportOfRestartedAgent(Duration.ofSeconds(3)));
+		advanceWhileReporting(other, LEASE_TIMEOUT.minusSeconds(3));
+		expireLeasesAndSchedule();
+		assertThat(status()).isEqualTo(TaskStatus.PLACED);
+		advanceWhileReporting(other, SHORT_TIME);
+		expireLeasesAndSchedule();
+		assertThat(other.executedOrders).extracting(StartOrder::getRun).containsExactly(2);
+	}
+
+	/**
+	 * The worker was cut off from its agent, and its lease has almost lapsed.
+	 */
+	@Test
+	void startsNoSecondRunIfWorkerAnswersAgainBeforeItsLeaseLapses() {
+		SimulatedWorker worker = workerWithRun();
+		this.fixture.time.advance(Duration.ofSeconds(6));
+		SimulatedWorker other = takeOver();
+		receive(worker.reportOfSilence(Duration.ofSeconds(6)));
+		expireLeasesAndSchedule();
+		this.fixture.time.advance(Duration.ofMillis(400));
+		assertThat(receive(worker.report()).leaseStamp()).isPositive();
+		advanceWhileReporting(other, LEASE_TIMEOUT);
+		expireLeasesAndSchedule();
+		assertThat(status()).isEqualTo(TaskStatus.PLACED);
+		assertThat(other.executedOrders).isEmpty();
+	}
+
+	/**
+	 * The wall clock of the host was set forward, or the host was suspended. The age of
+	 * the lists includes that, although the worker may have answered just before.
+	 */
+	@Test
+	void startsNoSecondRunBecauseWallClockOfHostWasSetForward() {
+		SimulatedWorker worker = workerWithRun();
+		SimulatedWorker other = takeOver();
+		receive(worker.reportOfSilence(Duration.ofSeconds(1)).toBuilder().setListsAgeMillis(20_000).build());
+		advanceWhileReporting(other, LEASE_TIMEOUT.minusSeconds(1));
+		expireLeasesAndSchedule();
+		assertThat(status()).isEqualTo(TaskStatus.PLACED);
+		assertThat(other.executedOrders).isEmpty();
+	}
+
+	/**
+	 * An agent of the previous version does not tell when its worker could last extend a
+	 * lease.
+	 */
+	@Test
+	void countsWholeLeaseFromFirstReportOfAgentOfPreviousVersion() {
+		SimulatedWorker silent = workerWithRun();
+		this.fixture.time.advance(Duration.ofSeconds(7));
+		SimulatedWorker other = takeOver();
+		receive(silent.reportOfSilence(Duration.ofSeconds(7)).toBuilder().clearLeaseBasisAgeMillis().build());
+		advanceWhileReporting(other, LEASE_TIMEOUT);
+		expireLeasesAndSchedule();
+		assertThat(status()).isEqualTo(TaskStatus.PLACED);
+		advanceWhileReporting(other, SHORT_TIME);
+		expireLeasesAndSchedule();
+		assertThat(other.executedOrders).extracting(StartOrder::getRun).containsExactly(2);
+	}
+
+	/**
+	 * The age in later reports must not shorten a lease that this leader has extended.
+	 */
+	@Test
+	void countsLeaseFromOwnExtensionAfterFirstReport() {
+		SimulatedWorker worker = workerWithRun();
+		SimulatedWorker other = takeOver();
+		this.fixture.report(worker);
+		this.fixture.time.advance(Duration.ofSeconds(4));
+		receive(worker.reportOfSilence(Duration.ofSeconds(10)));
+		advanceWhileReporting(other, LEASE_TIMEOUT.minusSeconds(4));
+		expireLeasesAndSchedule();
+		assertThat(status()).isEqualTo(TaskStatus.PLACED);
+		advanceWhileReporting(other, SHORT_TIME);
+		expireLeasesAndSchedule();
+		assertThat(other.executedOrders).extracting(StartOrder::getRun).containsExactly(2);
+	}
+
+}
--- a/src/test/java/org/crocuspost/host/HostAgentTests.java
+++ b/src/test/java/org/crocuspost/host/HostAgentTests.java
@@ -15,6 +15,7 @@
 import org.crocuspost.job.TaskKey;
 import org.crocuspost.time.VirtualTime;
 import org.crocuspost.wire.EndedTask;
+import org.crocuspost.wire.HostReport;
 import org.crocuspost.wire.LeaderMessage;
 import org.crocuspost.wire.RunningTask;
 import org.crocuspost.wire.StartOrder;
@@ -433,6 +434,93 @@
 		assertThat(this.agent.composeReport().getWorkerAnswers()).isFalse();
 	}
 
+	private long leaseBasisAgeMillis() {
+		return this.agent.composeReport().getLeaseBasisAgeMillis();
+	}
+
+	/**
+	 * A leader that took a longer age for true would start a second run while the first
+	 * goes on. The monotonic clock stands still while the host is suspended, so the age
+	 * may be too short.
+	 */
+	@Test
+	void leaseBasisIsNotOlderBecauseTheWallClockWasSetForward() {
+		startAgent();
+		this.worker.unreachable = true;
+		this.time.advance(Duration.ofSeconds(2));
+		long before = leaseBasisAgeMillis();
+		assertThat(before).isGreaterThanOrEqualTo(2_000 - HostAgentSettings.HOLD_MAXIMUM_WAIT.toMillis());
+		this.time.shiftWallClock(Duration.ofSeconds(10));
+		assertThat(leaseBasisAgeMillis()).isEqualTo(before);
+		this.time.shiftWallClock(Duration.ofSeconds(-20));
+		assertThat(leaseBasisAgeMillis()).isEqualTo(before);
+	}
+
+	@Test
+	void leaseBasisIsTheMomentOfTheLastListsOfASilentWorker() {
+		startAgent();
+		this.worker.unreachable = true;
+		this.time.advance(Duration.ofSeconds(8));
+		HostReport report = this.agent.composeReport();
+		// A call that was in flight is still answered.
+		assertThat(report.getLeaseBasisAgeMillis()).isEqualTo(report.getListsAgeMillis())
+			.isGreaterThanOrEqualTo(8_000 - HostAgentSettings.HOLD_MAXIMUM_WAIT.toMillis());
+	}
+
+	/**
+	 * The worker has died with the former agent and does not announce itself.
+	 */
+	@Test
+	void leaseBasisIsTheStartOfAnAgentThatHasNotHeardOfItsWorker() {
+		this.time.advance(Duration.ofSeconds(5));
+		assertThat(leaseBasisAgeMillis()).isZero();
+		this.agent.start();
+		assertThat(leaseBasisAgeMillis()).isEqualTo(1);
+		this.time.advance(Duration.ofSeconds(3));
+		assertThat(leaseBasisAgeMillis()).isEqualTo(3_000);
+	}
+
+	/**
+	 * None of these is an answer with lists, on which a lease could rest.
+	 */
+	@Test
+	void leaseBasisIsNotYoungerAfterAnEventWithoutLists() {
+		startAgent();
+		this.worker.born = 2;
+		this.time.advance(Duration.ofSeconds(2));
+		assertThat(leaseBasisAgeMillis()).isGreaterThanOrEqualTo(2_000);
+		this.worker.unreachable = true;
+		this.agent.workerAnnounced(announcement("worker", 2, 1));
+		this.time.advance(Duration.ofSeconds(1));
+		assertThat(leaseBasisAgeMillis()).isGreaterThanOrEqualTo(3_000);
+		this.agent.departureAnnounced("worker");
+		this.time.advance(Duration.ofSeconds(1));
+		assertThat(this.agent.composeReport().getWorker().getLeft()).isTrue();
+		assertThat(leaseBasisAgeMillis()).isGreaterThanOrEqualTo(4_000);
+	}
+
+	/**
+	 * A run whose lease outlives the moment by more than a lease goes on while the leader
+	 * starts the next one.
+	 */
+	@Test
+	void noLeaseEndsMoreThanOneLeaseAfterItsBasis() {
+		startAgent();
+		for (int step = 0; step < 300; step++) {
+			if (step % 7 == 0) {
+				this.agent.messageReceived(LeaderMessage.newBuilder()
+					.setWorkerBorn(1)
+					.setLeaseStamp(this.agent.composeReport().getLeaseStamp())
+					.build());
+			}
+			this.worker.unreachable = step % 60 >= 35;
+			this.time.advance(Duration.ofMillis(100));
+			long latestEnd = this.worker.leases.stream().mapToLong(Long::longValue).max().orElse(0);
+			assertThat(latestEnd).isLessThanOrEqualTo(this.worker.clockMillis() - leaseBasisAgeMillis() + 6_000);
+		}
+		assertThat(this.worker.leases).anyMatch((lease) -> lease > 30_000);
+	}
+
 	/**
 	 * Without further calls, all runs of the worker would end with their lease.
 	 */
--- a/src/test/java/org/crocuspost/hostlink/ReportEncoderTests.java
+++ b/src/test/java/org/crocuspost/hostlink/ReportEncoderTests.java
@@ -6,6 +6,7 @@
 import java.util.Random;
 import java.util.stream.IntStream;
 
+import com.google.protobuf.InvalidProtocolBufferException;
 import org.crocuspost.wire.EndedTask;
 import org.crocuspost.wire.HostReport;
 import org.crocuspost.wire.RefusedStart;
@@ -87,6 +88,22 @@
 		assertThat(encoded.getSerializedSize()).isLessThan(120);
 	}
 
+	/**
+	 * A leader takes a report without this age for one of an agent that does not know it,
+	 * and waits up to a lease longer.
+	 */
+	@Test
+	void ageOfTheLeaseBasisIsSentInEveryReport() throws InvalidProtocolBufferException {
+		HostReport whole = report(2, 0).toBuilder().setLeaseBasisAgeMillis(1).build();
+		HostReport withoutWorker = HostReport.newBuilder().setHost("host").setLeaseBasisAgeMillis(9_000).build();
+		for (HostReport report : List.of(whole, whole.toBuilder().setLeaseBasisAgeMillis(500).build(), withoutWorker,
+				withoutWorker.toBuilder().setLeaseBasisAgeMillis(Long.MAX_VALUE).build())) {
+			byte[] sent = this.encoder.encode(report).toByteArray();
+			assertThat(this.decoder.decode(HostReport.parseFrom(sent)).map(HostReport::getLeaseBasisAgeMillis))
+				.contains(report.getLeaseBasisAgeMillis());
+		}
+	}
+
 	@Test
 	void anEndIsSentOnceAndListedUntilItIsRecorded() {
 		transfer(report(1, 0).toBuilder().addEnded(end(1)).build());
