Take no notice of runs in lists that are older than any lease

Cause: an agent whose worker is silent repeats the last lists. ReportProcessor.processRuns entered their runs into HostState.unassignedRuns after they had been declared lost, so their tasks could not start until expireLeases emptied the list, for the time up to the next report of the agent and only if the writer was not busy then.

Ruled out: to go by the age of the lists. It is the longer time of two clocks, and a run that goes on could start a second time if the wall clock was set forward.

Assigned runs are left to the lease, as before; stops are ordered again with the first fresh lists.

--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -331,6 +331,7 @@
 	private void processRuns(HostState host, HostReport report, long now) {
 		Set<TaskKey> listedTasks = new HashSet<>();
 		host.unassignedRuns().clear();
+		boolean listsLapsed = listsLapsed(report);
 		double pressure = 0;
 		Map<String, Double> shares = new HashMap<>();
 		List<RunningTask> reportedRuns = new ArrayList<>(report.getRunningList());
@@ -350,7 +351,7 @@
 							Double::sum);
 				}
 			}
-			else {
+			else if (!listsLapsed) {
 				this.dispatcher.job(key.job())
 					.map((job) -> job.task(key))
 					.ifPresent((task) -> host.unassignedRuns().put(key, task.step()));
@@ -367,6 +368,18 @@
 		}
 	}
 
+	/**
+	 * Returns whether the lease of each run in the lists of a report has lapsed, whether
+	 * or not this leader has extended it. The lists of a silent worker stay in the
+	 * reports of its agent, and say nothing about what runs then.
+	 * @param report the report
+	 * @return true if none of the listed runs can still run
+	 */
+	private boolean listsLapsed(HostReport report) {
+		// The age of the lists includes jumps of the wall clock, so it may be too long.
+		return report.getLeaseBasisAgeMillis() > this.dispatcher.settings().leaseTimeout().toMillis();
+	}
+
 	private void recordListedRuns(HostState host, HostReport report) {
 		// The lease stamp is the worker's clock when it returned the lists.
 		long listedMillis = report.getLeaseStamp();
@@ -407,6 +420,9 @@
 	}
 
 	private List<StopOrder> runsToStop(HostState host, HostReport report, long now) {
+		if (listsLapsed(report)) {
+			return List.of();
+		}
 		List<StopOrder> stops = new ArrayList<>();
 		List<RunningTask> reportedRuns = new ArrayList<>(report.getRunningList());
 		reportedRuns.addAll(report.getPendingList());
--- a/src/test/java/org/crocuspost/dispatch/RunsOfSilentWorkersAfterTakeoverTests.java
+++ b/src/test/java/org/crocuspost/dispatch/RunsOfSilentWorkersAfterTakeoverTests.java
@@ -182,4 +182,42 @@
 		assertThat(other.executedOrders).extracting(StartOrder::getRun).containsExactly(2);
 	}
 
+	/**
+	 * The agent repeats the last lists of its silent worker, with the run that has been
+	 * declared lost.
+	 */
+	@Test
+	void startsTaskAlthoughOldListsOfSilentWorkerNameItsRun() {
+		SimulatedWorker silent = workerWithRun();
+		SimulatedWorker other = this.fixture.worker("other", 1_000);
+		advanceWhileReporting(other, Duration.ofSeconds(7));
+		this.fixture.reports.expireLeases(UNREACHABLE_TIMEOUT, this.takeoverNanos);
+		assertThat(status()).isEqualTo(TaskStatus.WAITING_AFTER_LOSS);
+		ReportProcessor.Response response = receive(silent.reportOfSilence(Duration.ofSeconds(7)));
+		this.fixture.runSchedulingRound();
+		assertThat(other.executedOrders).extracting(StartOrder::getRun).containsExactly(2);
+		assertThat(response.stops()).isEmpty();
+	}
+
+	/**
+	 * The worker may still run what its lists named less than a lease ago, whatever the
+	 * wall clock of its host says.
+	 */
+	@Test
+	void taskWaitsWhileListsThatMayBeYoungerThanLeaseNameItsRun() {
+		SimulatedWorker worker = workerWithRun();
+		SimulatedWorker other = this.fixture.worker("other", 1_000);
+		advanceWhileReporting(other, Duration.ofSeconds(7));
+		this.fixture.reports.expireLeases(UNREACHABLE_TIMEOUT, this.takeoverNanos);
+		for (long basisAgeMillis : new long[] { 0, 1, LEASE_TIMEOUT.toMillis() }) {
+			HostReport report = worker.reportOfSilence(Duration.ofSeconds(20))
+				.toBuilder()
+				.setLeaseBasisAgeMillis(basisAgeMillis)
+				.build();
+			assertThat(receive(report).stops()).hasSize(1);
+			this.fixture.runSchedulingRound();
+			assertThat(other.executedOrders).isEmpty();
+		}
+	}
+
 }
