Create the leader's connections through a connector

Cause: Leader constructed HostLink, which opens sockets, so a test of a takeover could not run the real leader on virtual time. Change: HostConnection is the interface of HostLink, HostConnector creates connections, and the entry gives it to the elector. The event loop was only passed on to HostLink, so Leader and LeaderElector do not take it any more. Behaviour is unchanged.

--- a/src/main/java/org/crocuspost/hostlink/HostLink.java
+++ b/src/main/java/org/crocuspost/hostlink/HostLink.java
@@ -24,7 +24,7 @@
  * The leader's connection to the agent of a host. Reconnects whenever the connection is
  * lost or carries no reports for too long. Must be used on the event loop only.
  */
-public final class HostLink {
+public final class HostLink implements HostConnection {
 
 	/**
 	 * Delay before a lost connection is opened again.
@@ -96,9 +96,19 @@
 	}
 
 	/**
-	 * Opens the connection. Failed attempts are repeated and a lost connection is
-	 * reopened until {@link #close()}.
+	 * Returns a connector that creates links.
+	 * @param traffic counts the bytes of the connections
+	 * @param loop the event loop of the process
+	 * @param timer the timer of the event loop
+	 * @param clock the clock of the process
+	 * @return the connector
 	 */
+	public static HostConnector connector(TrafficCounters traffic, EventLoop loop, Timer timer, Clock clock) {
+		return (host, address, hello, listener) -> new HostLink(host, address, hello, traffic, loop, timer, clock,
+				listener);
+	}
+
+	@Override
 	public void open() {
 		if (this.closed) {
 			return;
@@ -139,11 +149,7 @@
 		}
 	}
 
-	/**
-	 * Sends a message if the connection is open, and drops it otherwise. A lost message
-	 * needs no retry: the answer to the next report makes up for it.
-	 * @param message the message
-	 */
+	@Override
 	public void send(LeaderMessage message) {
 		if (this.channel != null && this.channel.isActive()) {
 			this.decoder.endsRecorded(message.getWorkerBorn(), message.getRecordedEnds());
@@ -151,19 +157,14 @@
 		}
 	}
 
-	/**
-	 * Closes the connection if no report has arrived within the timeout. The timeout
-	 * starts anew when the connection opens and with each report.
-	 */
+	@Override
 	public void closeIfUnresponsive() {
 		if (this.channel != null && this.clock.nanoTime() - this.lastActivityNanos > REPORT_TIMEOUT.toNanos()) {
 			this.channel.close();
 		}
 	}
 
-	/**
-	 * Closes the link permanently.
-	 */
+	@Override
 	public void close() {
 		this.closed = true;
 		if (this.channel != null) {
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -12,7 +12,6 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 
-import io.netty.channel.EventLoop;
 import org.crocuspost.dispatch.DefaultPlacementPolicy;
 import org.crocuspost.dispatch.Departure;
 import org.crocuspost.dispatch.DispatchBatch;
@@ -21,7 +20,8 @@
 import org.crocuspost.dispatch.ImagePressure;
 import org.crocuspost.dispatch.ReportProcessor;
 import org.crocuspost.error.Failure;
-import org.crocuspost.hostlink.HostLink;
+import org.crocuspost.hostlink.HostConnection;
+import org.crocuspost.hostlink.HostConnector;
 import org.crocuspost.hostlink.HostLinkListener;
 import org.crocuspost.job.JobSummary;
 import org.crocuspost.job.SubmissionCodec;
@@ -56,7 +56,7 @@
 
 	private final OperatorView operator;
 
-	private final EventLoop loop;
+	private final HostConnector connector;
 
 	private final Clock clock;
 
@@ -64,8 +64,6 @@
 
 	private final DispatchSettings settings;
 
-	private final TrafficCounters traffic;
-
 	private final TrafficLog trafficLog;
 
 	private final QueueLoadLog queueLoadLog;
@@ -86,7 +84,7 @@
 
 	private boolean hostsRead;
 
-	private final Map<String, HostLink> links = new HashMap<>();
+	private final Map<String, HostConnection> links = new HashMap<>();
 
 	private final Map<String, String> addresses = new HashMap<>();
 
@@ -127,15 +125,14 @@
 	private boolean rejected;
 
 	Leader(RowStore store, LeaderRecord record, long version, OperatorView operator, DispatchSettings settings,
-			LeaderMetrics metrics, TrafficCounters traffic, EventLoop loop, Clock clock, Timer timer,
+			LeaderMetrics metrics, TrafficCounters traffic, HostConnector connector, Clock clock, Timer timer,
 			Runnable onLeadershipLost) {
 		this.store = store;
 		this.record = record;
 		this.operator = operator;
 		this.settings = settings;
-		this.traffic = traffic;
 		this.trafficLog = new TrafficLog(traffic, clock);
-		this.loop = loop;
+		this.connector = connector;
 		this.clock = clock;
 		this.timer = timer;
 		this.writer = new FencedWriter(store, record, version, clock, timer, onLeadershipLost);
@@ -340,17 +337,17 @@
 			return;
 		}
 		this.addresses.put(host, text);
-		HostLink previous = this.links.remove(host);
+		HostConnection previous = this.links.remove(host);
 		if (previous != null) {
 			previous.close();
 		}
-		HostLink link = new HostLink(host, address,
+		HostConnection link = this.connector.connect(host, address,
 				LeaderHello.newBuilder()
 					.setEpoch(this.record.epoch())
 					.setLeader(this.record.name())
 					.setReadsChanges(true)
 					.build(),
-				this.traffic, this.loop, this.timer, this.clock, this);
+				this);
 		this.links.put(host, link);
 		link.open();
 	}
@@ -388,7 +385,7 @@
 		EventLog.warn(LeadEvent.HOST_CHANGED, Field.of("host", host), Field.of("belief", "gone"),
 				Field.of("detail", "host " + answering + " answers at " + this.addresses.get(host)));
 		this.addresses.remove(host);
-		HostLink link = this.links.remove(host);
+		HostConnection link = this.links.remove(host);
 		if (link != null) {
 			link.close();
 		}
@@ -423,7 +420,7 @@
 	}
 
 	private void send(String host, LeaderMessage.Builder message) {
-		HostLink link = this.links.get(host);
+		HostConnection link = this.links.get(host);
 		if (link != null) {
 			link.send(message.setOrder(this.reportProcessor.newestOrder(host))
 				.setWorkerBorn(this.reportProcessor.workerBorn(host))
@@ -435,7 +432,7 @@
 		if (this.closed) {
 			return;
 		}
-		this.links.values().forEach(HostLink::closeIfUnresponsive);
+		this.links.values().forEach(HostConnection::closeIfUnresponsive);
 		this.trafficLog.writeIfDue();
 		if (this.restored) {
 			this.reportProcessor.expireLeases(
@@ -641,7 +638,7 @@
 		this.intakeWatch.close();
 		this.submissionWatch.close();
 		this.submissionCleanup.close();
-		this.links.values().forEach(HostLink::close);
+		this.links.values().forEach(HostConnection::close);
 	}
 
 	/**
--- a/src/main/java/org/crocuspost/lead/LeaderElector.java
+++ b/src/main/java/org/crocuspost/lead/LeaderElector.java
@@ -3,8 +3,8 @@
 import java.time.Duration;
 import java.util.List;
 
-import io.netty.channel.EventLoop;
 import org.crocuspost.dispatch.DispatchSettings;
+import org.crocuspost.hostlink.HostConnector;
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
 import org.crocuspost.net.TrafficCounters;
@@ -45,7 +45,7 @@
 
 	private final TrafficCounters traffic;
 
-	private final EventLoop loop;
+	private final HostConnector connector;
 
 	private final Clock clock;
 
@@ -74,13 +74,13 @@
 	 * @param settings times and thresholds of the dispatcher's decisions
 	 * @param metrics the metrics of leader election and of the decisions
 	 * @param traffic counts the bytes of the process
-	 * @param loop the event loop of the process
+	 * @param connector creates the connections to the agents of hosts
 	 * @param clock the clock of the process
 	 * @param timer the timer of the event loop
 	 */
 	public LeaderElector(String name, CandidateCapacity capacity, RowStore store, RowWatch ledgerWatch,
 			OperatorView operator, DispatchSettings settings, LeaderMetrics metrics, TrafficCounters traffic,
-			EventLoop loop, Clock clock, Timer timer) {
+			HostConnector connector, Clock clock, Timer timer) {
 		this.name = name;
 		this.takeoverDelay = capacity.takeoverDelay();
 		this.store = store;
@@ -89,7 +89,7 @@
 		this.settings = settings;
 		this.metrics = metrics;
 		this.traffic = traffic;
-		this.loop = loop;
+		this.connector = connector;
 		this.clock = clock;
 		this.timer = timer;
 	}
@@ -197,7 +197,7 @@
 		this.metrics.setLeader(true);
 		EventLog.info(LeadEvent.LEADERSHIP_WON, Field.of("epoch", record.epoch()), Field.of("version", version));
 		this.leader = new Leader(this.store, record, version, this.operator, this.settings, this.metrics, this.traffic,
-				this.loop, this.clock, this.timer, () -> handleLeadershipLost(record));
+				this.connector, this.clock, this.timer, () -> handleLeadershipLost(record));
 	}
 
 	private void handleLeadershipLost(LeaderRecord record) {
--- a/src/main/java/org/crocuspost/platform/hosted/EntryProgram.java
+++ b/src/main/java/org/crocuspost/platform/hosted/EntryProgram.java
@@ -10,6 +10,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.crocuspost.daemon.DaemonCommand;
 import org.crocuspost.dispatch.DispatchSettings;
+import org.crocuspost.hostlink.HostLink;
 import org.crocuspost.ingress.AdmissionControl;
 import org.crocuspost.ingress.IngressEvent;
 import org.crocuspost.ingress.IngressMetrics;
@@ -122,7 +123,8 @@
 				new DispatchSettings(settings.limits().leaseDuration(),
 						settings.limits().statusRetention().plus(DispatchSettings.RETENTION_MARGIN),
 						settings.limits().remotePenalty(), settings.admissionControl()),
-				new LeaderMetrics(this.registry), traffic, loop, clock, timer);
+				new LeaderMetrics(this.registry), traffic, HostLink.connector(traffic, loop, timer, clock), clock,
+				timer);
 		electorReference.set(this.leaderElector);
 		this.jobService = new JobService(protectedStore, store, this.operator, directory,
 				new IngressMetrics(this.registry), clock, timer);
--- a/src/test/java/org/crocuspost/ingress/PendingCountWithoutRecordsTests.java
+++ b/src/test/java/org/crocuspost/ingress/PendingCountWithoutRecordsTests.java
@@ -15,6 +15,7 @@
 import io.vavr.control.Either;
 import org.crocuspost.dispatch.DispatchSettings;
 import org.crocuspost.error.Failure;
+import org.crocuspost.hostlink.HostLink;
 import org.crocuspost.lead.CandidateCapacity;
 import org.crocuspost.lead.LeaderElector;
 import org.crocuspost.lead.LeaderMetrics;
@@ -315,7 +316,8 @@
 			this.elector = new LeaderElector(name, CandidateCapacity.AMPLE, test.store, this.ledgerWatch, operator,
 					new DispatchSettings(Duration.ofSeconds(6), Duration.ofMinutes(2), 1.5),
 					new LeaderMetrics(new PrometheusRegistry()), new TrafficCounters(new PrometheusRegistry()),
-					test.loop, test.time, test.time);
+					HostLink.connector(new TrafficCounters(new PrometheusRegistry()), test.loop, test.time, test.time),
+					test.time, test.time);
 			electorReference.set(this.elector);
 			this.service = new JobService(test.store, operator, directory, new IngressMetrics(new PrometheusRegistry()),
 					test.time, test.time);
--- a/src/test/java/org/crocuspost/lead/LeaderElectorTests.java
+++ b/src/test/java/org/crocuspost/lead/LeaderElectorTests.java
@@ -10,6 +10,7 @@
 import io.netty.channel.EventLoop;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.crocuspost.dispatch.DispatchSettings;
+import org.crocuspost.hostlink.HostLink;
 import org.crocuspost.job.QueueConfiguration;
 import org.crocuspost.net.TrafficCounters;
 import org.crocuspost.rows.MemoryRowStore;
@@ -61,7 +62,8 @@
 				}, this.time, this.time);
 		this.elector = new LeaderElector(NAME, capacity, this.store, ledgerWatch, new EmptyOperatorView(),
 				new DispatchSettings(Duration.ofSeconds(6), Duration.ofMinutes(2), 1.5),
-				new LeaderMetrics(new PrometheusRegistry()), new TrafficCounters(new PrometheusRegistry()), this.loop,
+				new LeaderMetrics(new PrometheusRegistry()), new TrafficCounters(new PrometheusRegistry()),
+				HostLink.connector(new TrafficCounters(new PrometheusRegistry()), this.loop, this.time, this.time),
 				this.time, this.time);
 		ledgerWatch.start();
 		this.elector.start();
--- a/src/test/java/org/crocuspost/lead/LeaderTests.java
+++ b/src/test/java/org/crocuspost/lead/LeaderTests.java
@@ -15,6 +15,7 @@
 import org.crocuspost.dispatch.DispatchSettings;
 import org.crocuspost.error.ErrorCode;
 import org.crocuspost.error.Failure;
+import org.crocuspost.hostlink.HostLink;
 import org.crocuspost.job.JobSpecification;
 import org.crocuspost.job.JobState;
 import org.crocuspost.job.JobSubmission;
@@ -81,7 +82,8 @@
 		writeRow(Tables.LEDGER, Tables.LEADER_KEY, RECORD.write());
 		return new Leader(this.store, RECORD, this.store.rows.row(Tables.LEDGER, Tables.LEADER_KEY).version(), view,
 				new DispatchSettings(Duration.ofSeconds(6), Duration.ofMinutes(2), 1.5),
-				new LeaderMetrics(new PrometheusRegistry()), new TrafficCounters(new PrometheusRegistry()), this.loop,
+				new LeaderMetrics(new PrometheusRegistry()), new TrafficCounters(new PrometheusRegistry()),
+				HostLink.connector(new TrafficCounters(new PrometheusRegistry()), this.loop, this.time, this.time),
 				this.time, this.time, () -> {
 				});
 	}
--- a/src/test/java/org/crocuspost/lead/MalformedRowTests.java
+++ b/src/test/java/org/crocuspost/lead/MalformedRowTests.java
@@ -10,6 +10,7 @@
 import io.netty.channel.EventLoop;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.crocuspost.dispatch.DispatchSettings;
+import org.crocuspost.hostlink.HostLink;
 import org.crocuspost.job.JobSpecification;
 import org.crocuspost.job.JobState;
 import org.crocuspost.job.JobSubmission;
@@ -239,7 +240,8 @@
 		writeRow(Tables.LEDGER, Tables.LEADER_KEY, RECORD.write());
 		return new Leader(this.store, RECORD, this.store.row(Tables.LEDGER, Tables.LEADER_KEY).version(),
 				new OneQueueView(this.queue), new DispatchSettings(Duration.ofSeconds(6), Duration.ofMinutes(2), 1.5),
-				new LeaderMetrics(new PrometheusRegistry()), new TrafficCounters(new PrometheusRegistry()), this.loop,
+				new LeaderMetrics(new PrometheusRegistry()), new TrafficCounters(new PrometheusRegistry()),
+				HostLink.connector(new TrafficCounters(new PrometheusRegistry()), this.loop, this.time, this.time),
 				this.time, this.time, () -> {
 				});
 	}
