--- a/src/main/java/org/crocuspost/lead/LeaderElector.java
+++ b/src/main/java/org/crocuspost/lead/LeaderElector.java
@@ -5,8 +5,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
-import io.netty.channel.EventLoop;
 import org.crocuspost.dispatch.DispatchSettings;
+import org.crocuspost.hostlink.HostConnector;
 import org.crocuspost.log.EventLog;
 import org.crocuspost.log.Field;
 import org.crocuspost.net.TrafficCounters;
@@ -48,7 +48,7 @@
 
 	private final TrafficCounters traffic;
 
-	private final EventLoop loop;
+	private final HostConnector connector;
 
 	private final Clock clock;
 
@@ -85,7 +85,7 @@
 	 * @param settings times and thresholds of the dispatcher's decisions
 	 * @param metrics the metrics of leader election and of the decisions
 	 * @param traffic counts the bytes of the process
-	 * @param loop the event loop of the process
+	 * @param connector creates the connections to the agents of hosts
 	 * @param clock the clock of the process
 	 * @param timer the timer of the event loop
 	 * @param processStartNanos the start of this process, in nanoseconds of its clock:
@@ -93,7 +93,7 @@
 	 */
 	public LeaderElector(String name, CandidateCapacity capacity, RowStore store, RowWatch ledgerWatch,
 			OperatorView operator, DispatchSettings settings, LeaderMetrics metrics, TrafficCounters traffic,
-			EventLoop loop, Clock clock, Timer timer, long processStartNanos) {
+			HostConnector connector, Clock clock, Timer timer, long processStartNanos) {
 		this.name = name;
 		this.takeoverDelay = capacity.takeoverDelay();
 		this.store = store;
@@ -102,7 +102,7 @@
 		this.settings = settings;
 		this.metrics = metrics;
 		this.traffic = traffic;
-		this.loop = loop;
+		this.connector = connector;
 		this.clock = clock;
 		this.timer = timer;
 		this.processStartNanos = processStartNanos;
@@ -226,7 +226,7 @@
 						Duration.ofNanos(former.endNanos() - this.clock.nanoTime()).toMillis()),
 				Field.of("basis", former.basis()));
 		this.leader = new Leader(this.store, record, version, storeClock, former, this.operator, this.settings,
-				this.metrics, this.traffic, this.loop, this.clock, this.timer, () -> handleLeadershipLost(record));
+				this.metrics, this.traffic, this.connector, this.clock, this.timer, () -> handleLeadershipLost(record));
 	}
 
 	private void handleLeadershipLost(LeaderRecord record) {
