Count the lease of a host that reports late from the end of the former leaders

A host that came back shortly before its runs would have been declared lost waited for another lease, counted from the start of its agent. Both moments are proof that no later extension exists, so the earlier one counts. The new test fails without the change: the task starts a lease after the agent's report.

--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -55,6 +56,8 @@
 
 	private final CrashAttribution crashAttribution;
 
+	private OptionalLong formerExtensionsEndNanos = OptionalLong.empty();
+
 	/**
 	 * Creates the processor.
 	 * @param dispatcher holds the working copy of jobs and hosts
@@ -67,6 +70,15 @@
 		this.crashAttribution = new CrashAttribution(dispatcher);
 	}
 
+	/**
+	 * Sets until when former leaders may have extended leases. A host whose first report
+	 * comes later waits no longer than one that never reports.
+	 * @param endNanos the end of that time, in nanoseconds of the process clock
+	 */
+	public void formerExtensionsEnd(long endNanos) {
+		this.formerExtensionsEndNanos = OptionalLong.of(endNanos);
+	}
+
 	/**
 	 * Records that the connection to a host was opened or closed.
 	 * @param name the name of the host
@@ -95,7 +107,8 @@
 		long now = this.dispatcher.clock().nanoTime();
 		host.connected(true);
 		// An agent of the previous version sends no age. Its lease counts from now on.
-		host.startLease(now - TimeUnit.MILLISECONDS.toNanos(Math.max(0, report.getLeaseBasisAgeMillis())));
+		long agentBasis = now - TimeUnit.MILLISECONDS.toNanos(Math.max(0, report.getLeaseBasisAgeMillis()));
+		host.startLease(Math.min(agentBasis, this.formerExtensionsEndNanos.orElse(agentBasis)));
 		if (report.getWorker().getId().isEmpty()) {
 			// The agent has no information on its worker and its runs yet.
 			host.workerResponds(false);
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -148,6 +148,7 @@
 		this.rejectedJobs = new RejectedJobs(store, settings.retention(), clock);
 		this.admissionPublisher = new AdmissionPublisher(this.dispatcher, record.epoch(), clock);
 		this.reportProcessor = new ReportProcessor(this.dispatcher, this.imagePressure);
+		this.reportProcessor.formerExtensionsEnd(formerExtensions.endNanos());
 		this.intakeWatch = new RowWatch(store, Tables.INTAKE, TableWatchSettings.INTAKE_WATCH, new IntakeListener(),
 				clock, timer);
 		this.submissionWatch = new RowWatch(store, Tables.SUBMISSIONS, TableWatchSettings.SUBMISSION_WATCH, this, clock,
--- a/src/test/java/org/crocuspost/dispatch/RunsOfSilentWorkersAfterTakeoverTests.java
+++ b/src/test/java/org/crocuspost/dispatch/RunsOfSilentWorkersAfterTakeoverTests.java
@@ -113,6 +113,25 @@
 		assertThat(other.executedOrders).extracting(StartOrder::getRun).containsExactly(2);
 	}
 
+	/**
+	 * The host comes back after the last extension that a former leader may have sent. It
+	 * must not wait for a whole lease once more.
+	 */
+	@Test
+	void startsTaskOneLeaseAfterTheFormerLeadersAlthoughItsHostReportsLater() {
+		SimulatedWorker silent = workerWithRun();
+		SimulatedWorker other = takeOver();
+		this.fixture.reports.formerExtensionsEnd(this.takeoverNanos);
+		advanceWhileReporting(other, LEASE_TIMEOUT.minusSeconds(1));
+		receive(silent.reportOfRestartedAgent(SHORT_TIME));
+		advanceWhileReporting(other, Duration.ofSeconds(1));
+		expireLeasesAndSchedule();
+		assertThat(status()).isEqualTo(TaskStatus.PLACED);
+		advanceWhileReporting(other, SHORT_TIME);
+		expireLeasesAndSchedule();
+		assertThat(other.executedOrders).extracting(StartOrder::getRun).containsExactly(2);
+	}
+
 	/**
 	 * The worker was cut off from its agent, and its lease has almost lapsed.
 	 */
