Assert that no run is lost before its lease lapses, not that its task is assigned

Cause: RunsOfSilentWorkersAfterTakeoverTests checked the state of the task after a scheduling pass. A run that was lost too early passed that check, since its task was assigned again in the same pass. Found by a mutation: a leader that starts the lease anew with each report passed all nine tests.

Change: the six checks assert that no run has been declared lost, which is stricter.

After: the mutation fails countsLeaseFromOwnExtensionAfterFirstReport; so do these mutations, each in a trial copy: the age by ClockReading (leaseBasisIsNotOlderBecauseTheWallClockWasSetForward), the start of the agent alone (noLeaseEndsMoreThanOneLeaseAfterItsBasis and one more), the age of the lists for the lease (startsNoSecondRunBecauseWallClockOfHostWasSetForward and one more) or for its runs (taskWaitsWhileListsThatMayBeYoungerThanLeaseNameItsRun). The unchanged code passes all nine.

--- a/src/test/java/org/crocuspost/dispatch/RunsOfSilentWorkersAfterTakeoverTests.java
+++ b/src/test/java/org/crocuspost/dispatch/RunsOfSilentWorkersAfterTakeoverTests.java
@@ -90,7 +90,7 @@
 		receive(silent.reportOfSilence(Duration.ofSeconds(4)));
 		advanceWhileReporting(other, LEASE_TIMEOUT.minusSeconds(4));
 		expireLeasesAndSchedule();
-		assertThat(status()).isEqualTo(TaskStatus.PLACED);
+		assertThat(this.fixture.lostRuns).isEmpty();
 		advanceWhileReporting(other, SHORT_TIME);
 		expireLeasesAndSchedule();
 		assertThat(other.executedOrders).extracting(StartOrder::getRun).containsExactly(2);
@@ -107,7 +107,7 @@
 		receive(silent.reportOfRestartedAgent(Duration.ofSeconds(3)));
 		advanceWhileReporting(other, LEASE_TIMEOUT.minusSeconds(3));
 		expireLeasesAndSchedule();
-		assertThat(status()).isEqualTo(TaskStatus.PLACED);
+		assertThat(this.fixture.lostRuns).isEmpty();
 		advanceWhileReporting(other, SHORT_TIME);
 		expireLeasesAndSchedule();
 		assertThat(other.executedOrders).extracting(StartOrder::getRun).containsExactly(2);
@@ -127,7 +127,7 @@
 		assertThat(receive(worker.report()).leaseStamp()).isPositive();
 		advanceWhileReporting(other, LEASE_TIMEOUT);
 		expireLeasesAndSchedule();
-		assertThat(status()).isEqualTo(TaskStatus.PLACED);
+		assertThat(this.fixture.lostRuns).isEmpty();
 		assertThat(other.executedOrders).isEmpty();
 	}
 
@@ -142,7 +142,7 @@
 		receive(worker.reportOfSilence(Duration.ofSeconds(1)).toBuilder().setListsAgeMillis(20_000).build());
 		advanceWhileReporting(other, LEASE_TIMEOUT.minusSeconds(1));
 		expireLeasesAndSchedule();
-		assertThat(status()).isEqualTo(TaskStatus.PLACED);
+		assertThat(this.fixture.lostRuns).isEmpty();
 		assertThat(other.executedOrders).isEmpty();
 	}
 
@@ -158,7 +158,7 @@
 		receive(silent.reportOfSilence(Duration.ofSeconds(7)).toBuilder().clearLeaseBasisAgeMillis().build());
 		advanceWhileReporting(other, LEASE_TIMEOUT);
 		expireLeasesAndSchedule();
-		assertThat(status()).isEqualTo(TaskStatus.PLACED);
+		assertThat(this.fixture.lostRuns).isEmpty();
 		advanceWhileReporting(other, SHORT_TIME);
 		expireLeasesAndSchedule();
 		assertThat(other.executedOrders).extracting(StartOrder::getRun).containsExactly(2);
@@ -176,7 +176,7 @@
 		receive(worker.reportOfSilence(Duration.ofSeconds(10)));
 		advanceWhileReporting(other, LEASE_TIMEOUT.minusSeconds(4));
 		expireLeasesAndSchedule();
-		assertThat(status()).isEqualTo(TaskStatus.PLACED);
+		assertThat(this.fixture.lostRuns).isEmpty();
 		advanceWhileReporting(other, SHORT_TIME);
 		expireLeasesAndSchedule();
 		assertThat(other.executedOrders).extracting(StartOrder::getRun).containsExactly(2);
