Log and measure why long-running tasks are not at work

Ruled out: one line for each task and tick, which floods the log after a power loss; a line for each reason, of which the number grows; naming the tasks that are down for the longest time, which hides all others while many are down. The host of a run is not kept in the progress of its task after the run has ended, so a tracker remembers it.

Change: - UnavailableTaskSurvey gives the reason for each task of a long-running step that is not known to run, of jobs of which a task was assigned. It only reads state. - tasks-unavailable, at most once a second: numbers by reason, and up to 12 tasks in turn. - task-regained, crocuspost_task_unavailable_seconds: the time from the end or the loss of a run to the first report of a worker that answers which lists the next one; for inherited tasks from the moment at which the leader read them, with a label of their own. - crocuspost_unavailable_tasks by reason; zero after the term. - leadership-won has the former leader, for how long its row was unchanged and the age of the view of the ledger; state-restored has the inherited runs and their hosts; inherited-hosts-checked names 2 s later the hosts that have not reported.

The new events are in the catalogue. No decision of the leader changes.

Before: run-lost and task-placed alone.

--- a/src/main/java/org/crocuspost/dispatch/DispatchListener.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchListener.java
@@ -79,6 +79,14 @@
 	 */
 	void runLost(TaskProgress task, int run, String host, String reason, Evidence evidence, Duration observedRunTime);
 
+	/**
+	 * Called at the first report that lists the next run of a long-running task after the
+	 * end or the loss of its last one.
+	 * @param task the task
+	 * @param regained the run and the time since the last one
+	 */
+	void taskRegained(TaskProgress task, RegainedTask regained);
+
 	/**
 	 * Called when a worker has crashed with runs that this leader assigned to it or
 	 * inherited.
--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -69,6 +69,8 @@
 
 	private final LoadMeasurements load;
 
+	private final UnavailabilityTracker unavailability = new UnavailabilityTracker();
+
 	private QueueConfiguration configuration = new QueueConfiguration(0, List.of(), List.of(), 0);
 
 	private Set<String> evacuated = Set.of();
@@ -135,6 +137,9 @@
 		if (job.state().terminal()) {
 			addEnded(job);
 		}
+		if (!job.state().terminal()) {
+			job.allTasks().forEach((task) -> this.unavailability.inherited(task, this.clock.nanoTime()));
+		}
 		for (TaskProgress task : job.allTasks()) {
 			if (task.status() == TaskStatus.PLACED) {
 				inheritRun(task);
@@ -216,6 +221,7 @@
 		job.end(state, this.clock.instant().toEpochMilli());
 		addEnded(job);
 		this.changes.jobChanged(job.id());
+		this.unavailability.jobEnded(job.id());
 		this.listener.jobEnded(job, reason, timing(job));
 		Set<String> affected = new LinkedHashSet<>();
 		for (TaskProgress task : job.allTasks()) {
@@ -598,6 +604,23 @@
 		return this.configuration.findByName(job.submission().queue());
 	}
 
+	/**
+	 * Records that the run of a task has ended or was lost.
+	 * @param task the task
+	 * @param run the number of the run
+	 * @param host the host
+	 */
+	void markInterrupted(TaskProgress task, int run, HostState host) {
+		TrackedJob tracked = this.jobs.get(task.key().job());
+		if (tracked != null && !tracked.job().state().terminal()) {
+			this.unavailability.interrupted(task, run, host.name(), this.clock.nanoTime());
+		}
+	}
+
+	UnavailabilityTracker unavailability() {
+		return this.unavailability;
+	}
+
 	DispatchListener listener() {
 		return this.listener;
 	}
--- a/src/main/java/org/crocuspost/dispatch/HostState.java
+++ b/src/main/java/org/crocuspost/dispatch/HostState.java
@@ -372,6 +372,10 @@
 		return this.connections;
 	}
 
+	boolean workerResponds() {
+		return this.workerResponds;
+	}
+
 	void workerResponds(boolean value) {
 		this.workerResponds = value;
 	}
--- a/src/main/java/org/crocuspost/dispatch/LoadMeasurements.java
+++ b/src/main/java/org/crocuspost/dispatch/LoadMeasurements.java
@@ -1,8 +1,10 @@
 package org.crocuspost.dispatch;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -44,6 +46,36 @@
 		return survey.loads();
 	}
 
+	/**
+	 * Returns the tasks of long-running steps that are not known to run, of jobs of which
+	 * a task was assigned.
+	 * @param conditions what the leader knows about its permission to start tasks
+	 * @return the tasks with the reasons
+	 */
+	public List<UnavailableTask> unavailableTasks(StartConditions conditions) {
+		return new UnavailableTaskSurvey(this.dispatcher, conditions, this.clock.nanoTime()).survey();
+	}
+
+	/**
+	 * Returns the hosts with runs of former leaders that no report has confirmed or ended
+	 * yet.
+	 * @return the hosts
+	 */
+	public List<InheritedHost> inheritedHosts() {
+		List<InheritedHost> inherited = new ArrayList<>();
+		for (HostState host : this.dispatcher.hosts()) {
+			int runs = (int) host.placements()
+				.values()
+				.stream()
+				.filter((placement) -> placement.phase() == Placement.Phase.INHERITED)
+				.count();
+			if (runs > 0) {
+				inherited.add(new InheritedHost(host.name(), runs, host.leaseStarted()));
+			}
+		}
+		return inherited;
+	}
+
 	/**
 	 * Returns the number of workers that accept tasks and run no service. Fillers that
 	 * press hard on services run nowhere else.
--- a/src/main/java/org/crocuspost/dispatch/Placement.java
+++ b/src/main/java/org/crocuspost/dispatch/Placement.java
@@ -152,6 +152,14 @@
 		return this.listed ? Duration.ofMillis(this.lastListedMillis - this.firstListedMillis) : Duration.ZERO;
 	}
 
+	/**
+	 * Returns whether a report to this leader has listed the run as running.
+	 * @return true if it has run
+	 */
+	boolean listed() {
+		return this.listed;
+	}
+
 	/**
 	 * Returns whether the run has not been seen to run for long enough to exclude it as
 	 * the cause of a crash of its worker.
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -232,6 +232,7 @@
 			this.dispatcher.markChanged(task.key());
 			this.dispatcher.listener()
 				.runLost(task, placement.run(), host.name(), reason, evidence, placement.observedRunTime());
+			this.dispatcher.markInterrupted(task, placement.run(), host);
 		}
 	}
 
@@ -276,6 +277,7 @@
 		}
 		else if (task.status() == TaskStatus.PLACED || task.status() == TaskStatus.WAITING_AFTER_LOSS) {
 			applyEnd(job.get(), task, ended, host.name());
+			this.dispatcher.markInterrupted(task, ended.getRun(), host);
 		}
 		else {
 			ignoreEnd(key, ended, host, "an end of this run is recorded");
@@ -376,11 +378,26 @@
 			Placement placement = host.placements().get(key);
 			if (placement != null && placement.run() == running.getRun()) {
 				placement.listedRunning(running, listedMillis);
+				if (report.getWorkerAnswers()) {
+					noteRegained(placement, host, evidence);
+				}
 				this.crashAttribution.clearIfOutlived(placement);
 			}
 		}
 	}
 
+	private void noteRegained(Placement placement, HostState host, Evidence evidence) {
+		// A run that is only confirmed is not the next run.
+		this.dispatcher.unavailability()
+			.listed(placement.task())
+			.filter((interruption) -> placement.run() > interruption.run())
+			.ifPresent((interruption) -> this.dispatcher.listener()
+				.taskRegained(placement.task(),
+						new RegainedTask(host.name(),
+								Duration.ofNanos(this.dispatcher.clock().nanoTime() - interruption.sinceNanos()),
+								interruption.inherited(), evidence)));
+	}
+
 	private static double pressure(StepSpecification step, RunningTask running) {
 		return step.tailTarget().isZero() ? 0 : running.getLoad() / (double) step.tailTarget().toMillis();
 	}
--- a/src/main/java/org/crocuspost/lead/DecisionLog.java
+++ b/src/main/java/org/crocuspost/lead/DecisionLog.java
@@ -6,6 +6,7 @@
 import org.crocuspost.dispatch.Evidence;
 import org.crocuspost.dispatch.JobStart;
 import org.crocuspost.dispatch.JobTiming;
+import org.crocuspost.dispatch.RegainedTask;
 import org.crocuspost.dispatch.SelectionEvidence;
 import org.crocuspost.dispatch.StopEvidence;
 import org.crocuspost.dispatch.WorkerCrash;
@@ -94,6 +95,16 @@
 				Field.of("observedRunMillis", observedRunTime.toMillis()));
 	}
 
+	@Override
+	public void taskRegained(TaskProgress task, RegainedTask regained) {
+		this.metrics.taskRegained(regained.duration(), regained.inherited());
+		EventLog.info(LeadEvent.TASK_REGAINED, Field.of("job", task.key().job()), Field.of("task", task.key()),
+				Field.of("run", task.run()), Field.of("host", regained.host()),
+				Field.of("unavailableMillis", regained.duration().toMillis()),
+				Field.of("inherited", regained.inherited()), Field.of("agent", regained.evidence().agentIncarnation()),
+				Field.of("evidenceAgeMillis", regained.evidence().age().toMillis()));
+	}
+
 	@Override
 	public void workerCrashed(String host, WorkerCrash crash) {
 		this.metrics.workerCrashed();
--- a/src/main/java/org/crocuspost/lead/LeadEvent.java
+++ b/src/main/java/org/crocuspost/lead/LeadEvent.java
@@ -95,6 +95,24 @@
 	 */
 	RUN_LOST,
 
+	/**
+	 * A report lists the next run of a long-running task after the end or the loss of its
+	 * last one.
+	 */
+	TASK_REGAINED,
+
+	/**
+	 * Long-running tasks are not known to run, at most once a second. The line counts
+	 * them by reason and names some. One without tasks follows when all run again.
+	 */
+	TASKS_UNAVAILABLE,
+
+	/**
+	 * Some time after a takeover, the hosts that have not reported to the new leader and
+	 * to which former leaders assigned runs.
+	 */
+	INHERITED_HOSTS_CHECKED,
+
 	/**
 	 * A worker has crashed. The line names the tasks that were started shortly before.
 	 */
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 
@@ -20,6 +21,7 @@
 import org.crocuspost.dispatch.Dispatcher;
 import org.crocuspost.dispatch.ImagePressure;
 import org.crocuspost.dispatch.ReportProcessor;
+import org.crocuspost.dispatch.StartConditions;
 import org.crocuspost.error.Failure;
 import org.crocuspost.hostlink.HostLink;
 import org.crocuspost.hostlink.HostLinkListener;
@@ -72,6 +74,10 @@
 
 	private final RecordBacklogLog recordBacklogLog;
 
+	private final UnavailableTaskLog unavailableTaskLog;
+
+	private final InheritedRunsLog inheritedRunsLog;
+
 	private final FencedWriter writer;
 
 	private final Dispatcher dispatcher;
@@ -143,6 +149,8 @@
 				new DecisionLog(metrics));
 		this.queueLoadLog = new QueueLoadLog(this.dispatcher, metrics, clock);
 		this.recordBacklogLog = new RecordBacklogLog(this.dispatcher, clock);
+		this.unavailableTaskLog = new UnavailableTaskLog(this.dispatcher.load(), metrics, clock);
+		this.inheritedRunsLog = new InheritedRunsLog(this.dispatcher.load());
 		this.rejectedJobs = new RejectedJobs(store, settings.retention(), clock);
 		this.admissionPublisher = new AdmissionPublisher(this.dispatcher, record.epoch(), clock);
 		this.reportProcessor = new ReportProcessor(this.dispatcher, this.imagePressure);
@@ -229,7 +237,10 @@
 			EventLog.info(LeadEvent.STATE_RESTORED, Field.of("epoch", this.record.epoch()),
 					Field.of("rows", rows.size()), Field.of("progress", this.restoredRows.jobCount()),
 					Field.of("jobsWithoutRow", this.restoredRows.countJobsWithoutRow()),
-					Field.of("hosts", this.links.size()));
+					Field.of("hosts", this.links.size()), Field.of("inheritedRuns", this.inheritedRunsLog.runs()),
+					Field.of("hostsWithInheritedRuns", this.inheritedRunsLog.hosts()), Field.of("sinceTakeoverMillis",
+							TimeUnit.NANOSECONDS.toMillis(this.clock.nanoTime() - this.takeoverNanos)));
+			this.inheritedRunsLog.schedule(this.record.epoch(), this.timer);
 			this.restoredRows.release();
 		}
 		scheduleDecision();
@@ -448,12 +459,22 @@
 			}
 			this.rejectedJobs.removeIfDue();
 			decide();
+			this.unavailableTaskLog.writeIfDue(startConditions());
 		}
 		else if (!this.writer.busy()) {
 			renewIfDue();
 		}
 	}
 
+	private StartConditions startConditions() {
+		return new StartConditions(this.takeoverNanos, mayAssign(), this.writer.confirmationAge(), this.operator.age());
+	}
+
+	private boolean mayAssign() {
+		return this.operator.age().compareTo(LeadershipTimings.MAXIMUM_OPERATOR_VIEW_AGE) < 0
+				&& this.writer.confirmed();
+	}
+
 	/**
 	 * Schedules a decision, which also covers whatever else arrives until then.
 	 */
@@ -473,7 +494,7 @@
 		}
 		this.operator.configuration().ifPresent(this.dispatcher::configure);
 		this.dispatcher.setEvacuatedDomains(this.operator.evacuatedDomains());
-		if (this.operator.age().compareTo(LeadershipTimings.MAXIMUM_OPERATOR_VIEW_AGE) < 0 && this.writer.confirmed()) {
+		if (mayAssign()) {
 			this.dispatcher.schedule();
 		}
 		if (this.rejected && this.writer.confirmationAge().compareTo(LeadershipTimings.RENEWAL_INTERVAL) > 0) {
@@ -636,6 +657,8 @@
 
 	void close() {
 		this.closed = true;
+		this.unavailableTaskLog.close();
+		this.inheritedRunsLog.close();
 		this.tickTimer.cancel();
 		this.writer.close();
 		this.intakeWatch.close();
--- a/src/main/java/org/crocuspost/lead/LeaderElector.java
+++ b/src/main/java/org/crocuspost/lead/LeaderElector.java
@@ -59,6 +59,8 @@
 
 	private long unchangedSinceNanos;
 
+	private Duration unchangedBeforeCampaign = Duration.ZERO;
+
 	private boolean campaigning;
 
 	private boolean resigned;
@@ -158,6 +160,7 @@
 
 	private void campaign() {
 		this.campaigning = true;
+		this.unchangedBeforeCampaign = Duration.ofNanos(this.clock.nanoTime() - this.unchangedSinceNanos);
 		StoredRow observed = this.leaderRow;
 		LeaderRecord next = new LeaderRecord(this.holder.epoch() + 1, 0, this.name);
 		claim(observed, next);
@@ -186,16 +189,19 @@
 						.findFirst()
 						.orElse(observed);
 			this.campaigning = false;
+			String former = this.holder.name();
 			leaderRowChanged(current);
 			if (current.value().equals(next.write()) && !this.resigned) {
-				becomeLeader(next, current.version());
+				becomeLeader(next, current.version(), former);
 			}
 		});
 	}
 
-	private void becomeLeader(LeaderRecord record, long version) {
+	private void becomeLeader(LeaderRecord record, long version, String former) {
 		this.metrics.setLeader(true);
-		EventLog.info(LeadEvent.LEADERSHIP_WON, Field.of("epoch", record.epoch()), Field.of("version", version));
+		EventLog.info(LeadEvent.LEADERSHIP_WON, Field.of("epoch", record.epoch()), Field.of("version", version),
+				Field.of("former", former), Field.of("rowUnchangedMillis", this.unchangedBeforeCampaign.toMillis()),
+				Field.of("ledgerAgeMillis", this.ledgerWatch.age().toMillis()));
 		this.leader = new Leader(this.store, record, version, this.operator, this.settings, this.metrics, this.traffic,
 				this.loop, this.clock, this.timer, () -> handleLeadershipLost(record));
 	}
--- a/src/main/java/org/crocuspost/lead/LeaderMetrics.java
+++ b/src/main/java/org/crocuspost/lead/LeaderMetrics.java
@@ -7,6 +7,7 @@
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.crocuspost.dispatch.UnavailabilityReason;
 
 /**
  * Metrics of leader election and of the leader's decisions.
@@ -27,6 +28,10 @@
 
 	private final Histogram jobStartSeconds;
 
+	private final Gauge unavailableTasks;
+
+	private final Histogram unavailableSeconds;
+
 	private final Gauge deferredJobs;
 
 	private final Gauge leader;
@@ -84,6 +89,19 @@
 			.name("crocuspost_workers_without_services_wanted")
 			.help("Workers without services that present and waiting fillers could fill.")
 			.register(registry);
+		this.unavailableTasks = Gauge.builder()
+			.name("crocuspost_unavailable_tasks")
+			.help("Long-running tasks that are not known to run, by what the leader waits for.")
+			.labelNames("reason")
+			.register(registry);
+		this.unavailableSeconds = Histogram.builder()
+			.name("crocuspost_task_unavailable_seconds")
+			.help("Time from the end or loss of a run of a long-running task to the first report that lists its next "
+					+ "run, in seconds. If inherited, it counts from the moment at which this leader read the task.")
+			.labelNames("inherited")
+			.classicOnly()
+			.classicUpperBounds(0.3, 1, 3, 7, 10, 20, 30)
+			.register(registry);
 		this.deferredJobs = Gauge.builder()
 			.name("crocuspost_deferred_jobs")
 			.help("Jobs ranked behind all jobs of use, by queue.")
@@ -123,6 +141,15 @@
 		this.jobStartSeconds.observe(sinceAssigned.toNanos() / (double) TimeUnit.SECONDS.toNanos(1));
 	}
 
+	void unavailableTasks(UnavailabilityReason reason, long number) {
+		this.unavailableTasks.labelValues(reason.label()).set(number);
+	}
+
+	void taskRegained(Duration unavailable, boolean inherited) {
+		this.unavailableSeconds.labelValues(String.valueOf(inherited))
+			.observe(unavailable.toNanos() / (double) TimeUnit.SECONDS.toNanos(1));
+	}
+
 	void workersWithoutServices(int actual, int wanted) {
 		this.workersWithoutServices.set(actual);
 		this.wantedWorkersWithoutServices.set(wanted);
--- a/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
@@ -53,6 +53,8 @@
 
 	final List<LostRun> lostRuns = new ArrayList<>();
 
+	final List<RegainedTask> regainedTasks = new ArrayList<>();
+
 	final List<WorkerCrash> crashes = new ArrayList<>();
 
 	final List<String> hostAssessments = new ArrayList<>();
@@ -408,6 +410,11 @@
 			DispatchFixture.this.lostRuns.add(new LostRun(reason, evidence));
 		}
 
+		@Override
+		public void taskRegained(TaskProgress task, RegainedTask regained) {
+			DispatchFixture.this.regainedTasks.add(regained);
+		}
+
 		@Override
 		public void workerCrashed(String host, WorkerCrash crash) {
 			DispatchFixture.this.crashes.add(crash);
--- a/src/test/java/org/crocuspost/dispatch/SilentDispatchListener.java
+++ b/src/test/java/org/crocuspost/dispatch/SilentDispatchListener.java
@@ -40,6 +40,10 @@
 			Duration observedRunTime) {
 	}
 
+	@Override
+	public void taskRegained(TaskProgress task, RegainedTask regained) {
+	}
+
 	@Override
 	public void workerCrashed(String host, WorkerCrash crash) {
 	}
--- a/src/test/java/org/crocuspost/lead/DecisionLogTests.java
+++ b/src/test/java/org/crocuspost/lead/DecisionLogTests.java
@@ -9,13 +9,17 @@
 import io.prometheus.metrics.model.snapshots.HistogramSnapshot;
 import org.crocuspost.dispatch.Evidence;
 import org.crocuspost.dispatch.JobStart;
+import org.crocuspost.dispatch.RegainedTask;
 import org.crocuspost.job.JobProgress;
 import org.crocuspost.job.JobSpecification;
 import org.crocuspost.job.JobSubmission;
 import org.crocuspost.job.StepSpecification;
 import org.crocuspost.job.TaskKey;
+import org.crocuspost.job.TaskProgress;
 import org.crocuspost.log.RecentEvents;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -79,6 +83,37 @@
 		assertThat(measuredSeconds()).isEmpty();
 	}
 
+	/**
+	 * Guards against the time of an inherited task, which a new leader knows in part
+	 * only, among the whole times.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "false, 6500, 7.0", "true, 19000, 20.0" })
+	void timeUntilATaskRunsAgainIsMeasured(boolean inherited, long millis, double bound) {
+		StepSpecification step = new StepSpecification(1, 100, 100, 0, Duration.ZERO, List.of(), false, false, false,
+				"", "", 0, false, true, "", Duration.ZERO, false, -1);
+		String id = "regained-" + inherited;
+		TaskProgress task = new TaskProgress(new TaskKey(id, 0, 0, 0), step);
+		task.assign(2, "host", "worker", 1);
+		this.log.taskRegained(task, new RegainedTask("host", Duration.ofMillis(millis), inherited,
+				new Evidence("life", Duration.ofMillis(40))));
+		assertThat(firstLine(id)).containsEntry("event", "task-regained")
+			.containsEntry("run", "2")
+			.containsEntry("unavailableMillis", String.valueOf(millis))
+			.containsEntry("inherited", String.valueOf(inherited))
+			.containsEntry("evidenceAgeMillis", "40");
+		HistogramSnapshot.HistogramDataPointSnapshot point = this.registry
+			.scrape((name) -> name.equals("crocuspost_task_unavailable_seconds"))
+			.stream()
+			.flatMap((metric) -> ((HistogramSnapshot) metric).getDataPoints().stream())
+			.findFirst()
+			.orElseThrow();
+		assertThat(point.getLabels().get("inherited")).isEqualTo(String.valueOf(inherited));
+		assertThat(point.getClassicBuckets().stream().filter((bucket) -> bucket.getCount() > 0))
+			.extracting((bucket) -> bucket.getUpperBound())
+			.containsExactly(bound);
+	}
+
 	/**
 	 * Guards against an end that is acknowledged without a trace although it was not
 	 * applied.
