Show in the timeline of a job why its tasks are not at work

Cause: the lines tasks-unavailable name tasks of several jobs, and have no field with one job, so `explain job` did not list them.

Ruled out: listing every such line, since most concern other jobs.

Change: a line is context of the jobs of which it names a task; inherited-hosts-checked is context of every job, as state-restored is. task-regained has the job and needs no change.

Before: neither line in the timeline.

--- a/src/main/java/org/crocuspost/timeline/JobTimeline.java
+++ b/src/main/java/org/crocuspost/timeline/JobTimeline.java
@@ -15,7 +15,7 @@
  * Timeline of one job, built from the logs of all processes. It contains, in order of
  * time, the log lines of the job and, as context, the lines about changes that the
  * processes observed in the leader, the store, the operator's settings and the hosts of
- * the job's tasks.
+ * the job's tasks, and those that say why a task of the job is not known to run.
  */
 public final class JobTimeline {
 
@@ -24,14 +24,19 @@
 	 */
 	private static final Set<String> CONTEXT_EVENTS = Set.of("leadership-won", "leadership-lost", "leadership-resigned",
 			"state-restored", "record-delayed", "record-regained", "row-watch-lost", "row-watch-regained",
-			"row-history-lost", "configuration-in-force", "failure-domains-out", "readiness-changed",
-			"log-lines-dropped");
+			"row-history-lost", "inherited-hosts-checked", "configuration-in-force", "failure-domains-out",
+			"readiness-changed", "log-lines-dropped");
 
 	/**
 	 * Events of a host that are context for the jobs whose tasks were assigned to it.
 	 */
 	private static final Set<String> HOST_EVENTS = Set.of("host-changed", "worker-crashed");
 
+	/**
+	 * Event whose lines name tasks of several jobs.
+	 */
+	private static final String TASKS_EVENT = "tasks-unavailable";
+
 	/**
 	 * Time before the first line of the job from which context lines are included, since
 	 * a change shortly before may still affect the job.
@@ -66,7 +71,8 @@
 		for (LogLine line : log) {
 			boolean isContext = CONTEXT_EVENTS.contains(line.event());
 			boolean concernsJobHost = HOST_EVENTS.contains(line.event()) && hosts.contains(line.field("host"));
-			if ((isContext || concernsJobHost) && !concerns(jobId, line) && !line.time().isBefore(from)
+			boolean namesTask = line.event().equals(TASKS_EVENT) && line.field("named").contains(jobId + '.');
+			if ((isContext || concernsJobHost || namesTask) && !concerns(jobId, line) && !line.time().isBefore(from)
 					&& !line.time().isAfter(until)) {
 				lines.add(line);
 			}
--- a/src/test/java/org/crocuspost/timeline/JobTimelineTests.java
+++ b/src/test/java/org/crocuspost/timeline/JobTimelineTests.java
@@ -50,6 +50,22 @@
 		assertThat(timeline.lines().get(4).field("host")).isEqualTo("side-3");
 	}
 
+	/**
+	 * Guards against a timeline that does not tell why a long-running task is down: the
+	 * lines that do name tasks of several jobs.
+	 */
+	@Test
+	void linesOnUnavailableTasksAreContextOfTheJobsThatTheyName() {
+		String named = ",\"named\":\"[%s.0.0.0 run 1 on side-3 no-room for 900 ms, evidence 40 ms old]\"";
+		List<LogLine> log = List.of(line("10.0", "job-seen", ofJob("")),
+				line("11.0", "tasks-unavailable", named.formatted(JOB)),
+				line("12.0", "tasks-unavailable", named.formatted("ffffffffffffffff")),
+				line("13.0", "inherited-hosts-checked", ",\"withoutReport\":\"1\""),
+				line("14.0", "task-regained", ofJob(",\"run\":\"2\"")));
+		assertThat(JobTimeline.of(JOB, log).orElseThrow().lines()).extracting(LogLine::event)
+			.containsExactly("job-seen", "tasks-unavailable", "inherited-hosts-checked", "task-regained");
+	}
+
 	@Test
 	void theSummaryContainsTheOutcomeAndTheLongestWait() {
 		JobTimeline timeline = JobTimeline.of(JOB, LOG).orElseThrow();
