Test what a takeover tells of the age of its information

Cause: nothing guarded the new fields of leadership-won and state-restored, nor that the leader itself writes inherited-hosts-checked.

Change: a test with a former leader's row that stands still, and one with an inherited run on a host that never reports.

Before: not tested.

--- a/src/test/java/org/crocuspost/lead/LeaderElectorTests.java
+++ b/src/test/java/org/crocuspost/lead/LeaderElectorTests.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -11,6 +12,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.crocuspost.dispatch.DispatchSettings;
 import org.crocuspost.job.QueueConfiguration;
+import org.crocuspost.log.RecentEvents;
 import org.crocuspost.net.TrafficCounters;
 import org.crocuspost.rows.MemoryRowStore;
 import org.crocuspost.rows.RowTransaction;
@@ -114,6 +116,25 @@
 		assertThat(this.elector.isLeader()).isTrue();
 	}
 
+	/**
+	 * Guards against a takeover of which the log does not tell how long nobody led.
+	 */
+	@Test
+	void takeoverIsLoggedWithTheTimeWithoutAChangeOfTheFormerLeadersRow() {
+		writeLeaderRow(new LeaderRecord(70_000, 7, "entry-2"));
+		startCandidate();
+		this.time.advance(LeadershipTimings.TAKEOVER_TIMEOUT.plusMillis(400));
+		Map<String, String> line = RecentEvents.after(0)
+			.stream()
+			.map(RecentEvents.Line::fields)
+			.filter((fields) -> "leadership-won".equals(fields.get("event")) && "70001".equals(fields.get("epoch")))
+			.findFirst()
+			.orElseThrow();
+		assertThat(line).containsEntry("former", "entry-2").containsKey("ledgerAgeMillis");
+		assertThat(Duration.ofMillis(Long.parseLong(line.get("rowUnchangedMillis"))))
+			.isBetween(LeadershipTimings.TAKEOVER_TIMEOUT, LeadershipTimings.TAKEOVER_TIMEOUT.plusMillis(400));
+	}
+
 	/**
 	 * A weak host must leave the leadership to a strong one, and take it if there is
 	 * none.
--- a/src/test/java/org/crocuspost/lead/LeaderTests.java
+++ b/src/test/java/org/crocuspost/lead/LeaderTests.java
@@ -24,6 +24,7 @@
 import org.crocuspost.job.StepSpecification;
 import org.crocuspost.job.SubmissionCodec;
 import org.crocuspost.job.TaskKey;
+import org.crocuspost.log.RecentEvents;
 import org.crocuspost.net.TrafficCounters;
 import org.crocuspost.rows.MemoryRowStore;
 import org.crocuspost.rows.MemoryRowStore.Fault;
@@ -261,6 +262,30 @@
 		leader.close();
 	}
 
+	/**
+	 * Guards against a takeover of which the log does not tell for how many hosts the
+	 * leader may have to wait.
+	 */
+	@Test
+	void restoredStateIsLoggedWithTheInheritedRuns() {
+		submitJob(WAITING_JOB);
+		writeRow(Tables.LEDGER, Tables.PROGRESS_PREFIX + WAITING_JOB,
+				new JobSummary("queue", JobState.ACTIVE, 0).write());
+		writeRow(Tables.TASKS, new TaskKey(WAITING_JOB, 0, 0, 0).toString(), "2 3 0 host worker 17 -");
+		long before = RecentEvents.after(0).stream().mapToLong(RecentEvents.Line::sequence).max().orElse(0);
+		Leader leader = startLeader();
+		this.time.advance(InheritedRunsLog.DELAY.plusMillis(500));
+		leader.close();
+		assertThat(RecentEvents.after(before)).map(RecentEvents.Line::fields)
+			.anySatisfy((fields) -> assertThat(fields).containsEntry("event", "state-restored")
+				.containsEntry("inheritedRuns", "1")
+				.containsEntry("hostsWithInheritedRuns", "1")
+				.containsKey("sinceTakeoverMillis"))
+			.anySatisfy((fields) -> assertThat(fields).containsEntry("event", "inherited-hosts-checked")
+				.containsEntry("withoutReport", "1")
+				.containsEntry("hosts", "[host]"));
+	}
+
 	private StoredRow submissionRow(String job) {
 		return this.store.rows.row(Tables.SUBMISSIONS, Tables.JOB_PREFIX + job);
 	}
