Log from which moment a lapsed lease was counted

Cause: run-lost tells "lease lapsed" and the time that had passed, but not from when. A new leader that waits for a host that never reports to it, and one that counts a whole lease from the first report of an agent whose worker is silent, look alike.

Ruled out: deriving it from the time alone, since the leases of both are counted from moments that differ by seconds from one takeover to the next.

Change: Evidence has a basis: report, departure, lease-extension, first-report or takeover. HostState keeps it with the time of the lease, and run-lost has it as a field. The moments themselves stay as they are. LostRunTests compares the basis as well.

Before: no such field.

--- a/src/main/java/org/crocuspost/dispatch/Evidence.java
+++ b/src/main/java/org/crocuspost/dispatch/Evidence.java
@@ -13,12 +13,23 @@
  * @param age the age of the worker's lists in the report, the age of the record, or the
  * time since the lease started or was last extended, or since the takeover of the leader
  * for a host that never reported to it
+ * @param basis the kind of information, or the moment from which the lease was counted
  */
-public record Evidence(String agentIncarnation, Duration age) {
+public record Evidence(String agentIncarnation, Duration age, EvidenceBasis basis) {
 
 	public Evidence {
 		Objects.requireNonNull(agentIncarnation, "agentIncarnation");
 		Objects.requireNonNull(age, "age");
+		Objects.requireNonNull(basis, "basis");
+	}
+
+	/**
+	 * Creates the evidence of a report.
+	 * @param agentIncarnation the incarnation of the agent
+	 * @param age the age of the worker's lists in the report
+	 */
+	public Evidence(String agentIncarnation, Duration age) {
+		this(agentIncarnation, age, EvidenceBasis.REPORT);
 	}
 
 	static Evidence of(HostReport report) {
@@ -27,11 +38,11 @@
 
 	static Evidence of(Departure departure, long nowMillis) {
 		return new Evidence(departure.agentIncarnation(),
-				Duration.ofMillis(Math.max(0, nowMillis - departure.detectedMillis())));
+				Duration.ofMillis(Math.max(0, nowMillis - departure.detectedMillis())), EvidenceBasis.DEPARTURE);
 	}
 
-	static Evidence ofTimeout(Duration elapsed) {
-		return new Evidence("", elapsed);
+	static Evidence ofTimeout(Duration elapsed, EvidenceBasis basis) {
+		return new Evidence("", elapsed, basis);
 	}
 
 }
--- /dev/null
+++ b/src/main/java/org/crocuspost/dispatch/EvidenceBasis.java
@@ -0,0 +1,45 @@
+package org.crocuspost.dispatch;
+
+import java.util.Locale;
+
+/**
+ * The kind of information on which the leader based a decision, or the moment from which
+ * it counted a lease.
+ */
+public enum EvidenceBasis {
+
+	/**
+	 * A report of the agent.
+	 */
+	REPORT,
+
+	/**
+	 * The recorded departure of the worker.
+	 */
+	DEPARTURE,
+
+	/**
+	 * The last extension of the lease by this leader.
+	 */
+	LEASE_EXTENSION,
+
+	/**
+	 * The first report of the agent to this leader, which has not extended the lease
+	 * since.
+	 */
+	FIRST_REPORT,
+
+	/**
+	 * The takeover of this leader, to which the agent has never reported.
+	 */
+	TAKEOVER;
+
+	/**
+	 * Returns the basis as it appears in logs.
+	 * @return the name in lower case with hyphens
+	 */
+	public String label() {
+		return name().toLowerCase(Locale.ROOT).replace('_', '-');
+	}
+
+}
--- a/src/main/java/org/crocuspost/dispatch/HostState.java
+++ b/src/main/java/org/crocuspost/dispatch/HostState.java
@@ -34,6 +34,8 @@
 
 	private long lastExtensionNanos;
 
+	private EvidenceBasis leaseBasis = EvidenceBasis.TAKEOVER;
+
 	private long newestOrder;
 
 	private long processedEnds;
@@ -395,6 +397,10 @@
 		return this.leaseStarted && nowNanos - this.lastExtensionNanos > timeout.toNanos();
 	}
 
+	EvidenceBasis leaseBasis() {
+		return this.leaseBasis;
+	}
+
 	long lastExtensionNanos() {
 		return this.lastExtensionNanos;
 	}
@@ -407,6 +413,7 @@
 	void startLease(long nowNanos) {
 		if (!this.leaseStarted) {
 			extendLease(nowNanos);
+			this.leaseBasis = EvidenceBasis.FIRST_REPORT;
 		}
 	}
 
@@ -421,6 +428,7 @@
 	void extendLease(long nowNanos) {
 		this.leaseStarted = true;
 		this.lastExtensionNanos = nowNanos;
+		this.leaseBasis = EvidenceBasis.LEASE_EXTENSION;
 	}
 
 	long nextOrderNumber() {
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -184,7 +184,8 @@
 					.stream()
 					.filter((placement) -> placement.current() && placement.phase() != Placement.Phase.RECORDING)
 					.toList();
-				loseRuns(host, LEASE_LAPSED, host.worker(), Set.of(), Evidence.ofTimeout(elapsed));
+				loseRuns(host, LEASE_LAPSED, host.worker(), Set.of(),
+						Evidence.ofTimeout(elapsed, hasLease ? host.leaseBasis() : EvidenceBasis.TAKEOVER));
 				this.crashAttribution.countUnresolved(host, lapsed);
 				host.unassignedRuns().clear();
 			}
--- a/src/main/java/org/crocuspost/lead/DecisionLog.java
+++ b/src/main/java/org/crocuspost/lead/DecisionLog.java
@@ -90,7 +90,7 @@
 		this.metrics.runEnded(reason);
 		EventLog.warn(LeadEvent.RUN_LOST, Field.of("job", task.key().job()), Field.of("task", task.key()),
 				Field.of("run", run), Field.of("host", host), Field.of("outcome", reason),
-				Field.of("agent", evidence.agentIncarnation()),
+				Field.of("agent", evidence.agentIncarnation()), Field.of("basis", evidence.basis().label()),
 				Field.of("evidenceAgeMillis", evidence.age().toMillis()),
 				Field.of("observedRunMillis", observedRunTime.toMillis()));
 	}
--- a/src/test/java/org/crocuspost/dispatch/LostRunTests.java
+++ b/src/test/java/org/crocuspost/dispatch/LostRunTests.java
@@ -11,6 +11,8 @@
 import org.crocuspost.wire.RunningTask;
 import org.crocuspost.wire.StartOrder;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -233,7 +235,31 @@
 		this.fixture.reports.expireLeases(Duration.ofSeconds(18), 0);
 		assertThat(this.fixture.lostRuns).containsExactly(
 				new DispatchFixture.LostRun("not running", new Evidence("next", Duration.ofMillis(40))),
-				new DispatchFixture.LostRun("lease lapsed", new Evidence("", Duration.ofSeconds(7))));
+				new DispatchFixture.LostRun("lease lapsed",
+						new Evidence("", Duration.ofSeconds(7), EvidenceBasis.LEASE_EXTENSION)));
+	}
+
+	/**
+	 * Guards against a lost lease of which nobody can tell from when it was counted: the
+	 * leader may have waited for a host that never reported to it, or for one whose
+	 * worker was silent when it first reported.
+	 */
+	@ParameterizedTest
+	@EnumSource(names = { "TAKEOVER", "FIRST_REPORT", "LEASE_EXTENSION" })
+	void lostLeaseTellsFromWhenItWasCounted(EvidenceBasis basis) {
+		SimulatedWorker worker = this.fixture.worker("host", 4_000);
+		this.fixture.submit("0123456789abcdef", DispatchFixture.step(1, 1_000));
+		this.fixture.runSchedulingRound();
+		this.fixture.takeOver();
+		long takeoverNanos = this.fixture.time.nanoTime();
+		this.fixture.time.advance(Duration.ofSeconds(1));
+		if (basis != EvidenceBasis.TAKEOVER) {
+			this.fixture.reports.reported(
+					worker.report().toBuilder().setWorkerAnswers(basis == EvidenceBasis.LEASE_EXTENSION).build(), true);
+		}
+		this.fixture.time.advance(Duration.ofSeconds(18));
+		this.fixture.reports.expireLeases(Duration.ofSeconds(18), takeoverNanos);
+		assertThat(this.fixture.lostRuns).extracting((lost) -> lost.evidence().basis()).containsExactly(basis);
 	}
 
 	/**
--- a/src/test/java/org/crocuspost/lead/DecisionLogTests.java
+++ b/src/test/java/org/crocuspost/lead/DecisionLogTests.java
@@ -8,6 +8,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.prometheus.metrics.model.snapshots.HistogramSnapshot;
 import org.crocuspost.dispatch.Evidence;
+import org.crocuspost.dispatch.EvidenceBasis;
 import org.crocuspost.dispatch.JobStart;
 import org.crocuspost.dispatch.RegainedTask;
 import org.crocuspost.job.JobProgress;
@@ -114,6 +115,21 @@
 			.containsExactly(bound);
 	}
 
+	/**
+	 * Guards against a lost run of which the line does not tell for what the leader
+	 * waited.
+	 */
+	@Test
+	void lostRunIsLoggedWithTheBasisOfTheDecision() {
+		StepSpecification step = new StepSpecification(1, 100, 100, 0, Duration.ZERO, List.of(), false, false, false,
+				"", "", 0, false, true, "", Duration.ZERO, false, -1);
+		this.log.runLost(new TaskProgress(new TaskKey("lost-with-basis", 0, 0, 0), step), 1, "host", "lease lapsed",
+				new Evidence("", Duration.ofMillis(6_500), EvidenceBasis.FIRST_REPORT), Duration.ZERO);
+		assertThat(firstLine("lost-with-basis")).containsEntry("event", "run-lost")
+			.containsEntry("basis", "first-report")
+			.containsEntry("evidenceAgeMillis", "6500");
+	}
+
 	/**
 	 * Guards against an end that is acknowledged without a trace although it was not
 	 * applied.
