--- a/src/main/java/org/crocuspost/lead/LeaderElector.java
+++ b/src/main/java/org/crocuspost/lead/LeaderElector.java
@@ -70,6 +70,8 @@
 
 	private long unchangedSinceNanos;
 
+	private Duration unchangedBeforeCampaign = Duration.ZERO;
+
 	private boolean campaigning;
 
 	private boolean resigned;
@@ -172,6 +174,7 @@
 
 	private void campaign() {
 		this.campaigning = true;
+		this.unchangedBeforeCampaign = Duration.ofNanos(this.clock.nanoTime() - this.unchangedSinceNanos);
 		LeaderRecord predecessor = this.holder;
 		boolean restarted = !this.claimed && predecessor.name().equals(this.name);
 		LeaderRecord next = new LeaderRecord(predecessor.epoch() + 1, 0, this.name,
@@ -222,6 +225,8 @@
 		this.metrics.setLeader(true);
 		EventLog.info(LeadEvent.LEADERSHIP_WON, Field.of("epoch", record.epoch()), Field.of("version", version),
 				Field.of("former", claim.predecessor().name()),
+				Field.of("rowUnchangedMillis", this.unchangedBeforeCampaign.toMillis()),
+				Field.of("ledgerAgeMillis", this.ledgerWatch.age().toMillis()),
 				Field.of("formerExtensionsEndInMillis",
 						Duration.ofNanos(former.endNanos() - this.clock.nanoTime()).toMillis()),
 				Field.of("basis", former.basis()));
--- a/src/test/java/org/crocuspost/dispatch/RunsOfSilentWorkersAfterTakeoverTests.java
+++ b/src/test/java/org/crocuspost/dispatch/RunsOfSilentWorkersAfterTakeoverTests.java
@@ -79,7 +79,7 @@
 		expireLeasesAndSchedule();
 		assertThat(other.executedOrders).extracting(StartOrder::getRun).containsExactly(2);
 		assertThat(this.fixture.lostRuns).extracting(DispatchFixture.LostRun::evidence)
-			.containsExactly(new Evidence("", Duration.ofSeconds(7)));
+			.containsExactly(new Evidence("", Duration.ofSeconds(7), EvidenceBasis.FIRST_REPORT));
 	}
 
 	@Test
