Record the rows of long-running tasks before those of other tasks

Cause: PendingChanges recorded rows in the order of their first change, 90 a transaction. After a takeover the rows of several hundred lost batch tasks go before the starts of long-running tasks, although these are assigned first.

Ruled out: the order of assignment (WaitingOrder ranks jobs with long-running steps first) and the order of the orders of a batch (that of its starts).

Change: rows of long-running tasks go first, up to three quarters of a batch, so that others don't wait for ever. The row of a task still takes the waiting row of its job along, ends still wait for all changes, and a row that the store rejected still waits behind all others.

--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -183,7 +183,7 @@
 			.filter((recorded) -> recorded.endsRunsOf(task.worker(), task.workerStartMillis()));
 		if (departure.isPresent()) {
 			task.loseRun();
-			this.changes.taskChanged(task.key());
+			markChanged(task.key());
 			this.listener.runLost(task, task.run(), host.name(), ReportProcessor.WORKER_LEFT,
 					Evidence.of(departure.get(), this.clock.millis()), Duration.ZERO);
 			return;
@@ -389,7 +389,7 @@
 		host.placements().put(task.key(), new Placement(task, Placement.Phase.RECORDING, now));
 		tracked.markRunning(now);
 		tracked.markAssigned(now);
-		this.changes.runPlaced(new DispatchBatch.Start(task.key(), run, host.name()));
+		this.changes.runPlaced(new DispatchBatch.Start(task.key(), run, host.name()), task.step().lasting());
 		this.listener.placed(task, (now - tracked.acceptedNanos()) / 1_000_000);
 	}
 
@@ -524,7 +524,7 @@
 	private void cancelUnsentStart(HostState host, Placement placement) {
 		host.placements().remove(placement.task().key());
 		placement.task().endRun(false);
-		this.changes.taskChanged(placement.task().key());
+		markChanged(placement.task().key());
 		this.listener.runEnded(placement.task(), placement.run(), host.name(), "never ordered");
 	}
 
@@ -556,8 +556,11 @@
 		}
 	}
 
-	void markChanged(TaskKey task) {
-		this.changes.taskChanged(task);
+	void markChanged(TaskKey key) {
+		boolean longRunning = job(key.job()).map((job) -> job.task(key))
+			.filter((task) -> task.step().lasting())
+			.isPresent();
+		this.changes.taskChanged(key, longRunning);
 	}
 
 	void markEndsProcessed(HostState host) {
--- a/src/main/java/org/crocuspost/dispatch/PendingChanges.java
+++ b/src/main/java/org/crocuspost/dispatch/PendingChanges.java
@@ -19,7 +19,9 @@
  * <p>
  * Each row counts once, however often it changes before it is recorded. Rows are recorded
  * in the order in which they changed first, so that none waits for ever when changes
- * arrive faster than they are recorded.
+ * arrive faster than they are recorded. Rows of long-running tasks go first, up to three
+ * quarters of a batch: after a takeover, several hundred rows of other tasks may wait,
+ * and the users of a long-running task are not served until its start is recorded.
  *
  * <p>
  * A leader that takes over between two batches must find the job of each recorded task.
@@ -32,8 +34,16 @@
  */
 final class PendingChanges {
 
+	/**
+	 * Share of a batch that rows of long-running tasks leave to others, so that these do
+	 * not wait for ever beside long-running tasks that fail again and again.
+	 */
+	private static final double SHARE_OF_OTHER_ROWS = 0.25;
+
 	private final Set<String> jobs = new LinkedHashSet<>();
 
+	private final Set<TaskKey> longRunningTasks = new LinkedHashSet<>();
+
 	private final Set<TaskKey> tasks = new LinkedHashSet<>();
 
 	private final Map<TaskKey, DispatchBatch.Start> starts = new HashMap<>();
@@ -44,40 +54,54 @@
 		this.jobs.add(job);
 	}
 
-	void taskChanged(TaskKey task) {
-		this.tasks.add(task);
+	void taskChanged(TaskKey task, boolean longRunning) {
+		if (!longRunning) {
+			this.tasks.add(task);
+		}
+		else if (!this.tasks.contains(task)) {
+			this.longRunningTasks.add(task);
+		}
 	}
 
-	void runPlaced(DispatchBatch.Start start) {
-		this.tasks.add(start.task());
+	void runPlaced(DispatchBatch.Start start, boolean longRunning) {
+		taskChanged(start.task(), longRunning);
 		this.starts.put(start.task(), start);
 	}
 
 	/**
-	 * Takes back a batch that was not recorded. Its changes are recorded after those that
-	 * wait already.
+	 * Takes back a batch that was not recorded. Its changes, those of long-running tasks
+	 * too, are recorded after those that wait already.
 	 * @param batch the batch
 	 */
 	void takeBack(DispatchBatch batch) {
 		this.jobs.addAll(batch.jobs().keySet());
-		this.tasks.addAll(batch.tasks().keySet());
+		batch.tasks().keySet().forEach(this::postpone);
 		batch.starts().forEach((start) -> {
-			this.tasks.add(start.task());
+			postpone(start.task());
 			this.starts.putIfAbsent(start.task(), start);
 		});
 		batch.ends().forEach(this.ends::putIfAbsent);
 	}
 
+	private void postpone(TaskKey task) {
+		this.longRunningTasks.remove(task);
+		this.tasks.add(task);
+	}
+
 	void endsProcessed(String host, DispatchBatch.WorkerEnds processed) {
 		this.ends.put(host, processed);
 	}
 
 	boolean isEmpty() {
-		return this.jobs.isEmpty() && this.tasks.isEmpty() && this.ends.isEmpty();
+		return this.jobs.isEmpty() && waitingTasks() == 0 && this.ends.isEmpty();
 	}
 
 	RecordBacklog backlog() {
-		return new RecordBacklog(this.jobs.size(), this.tasks.size(), this.starts.size());
+		return new RecordBacklog(this.jobs.size(), waitingTasks(), this.starts.size());
+	}
+
+	private int waitingTasks() {
+		return this.longRunningTasks.size() + this.tasks.size();
 	}
 
 	/**
@@ -95,8 +119,12 @@
 			Function<TaskKey, String> taskRow) {
 		Rows rows = new Rows(limit, characterLimit);
 		List<DispatchBatch.Start> taken = new ArrayList<>();
+		boolean othersWait = !this.jobs.isEmpty() || !this.tasks.isEmpty();
+		int longRunningLimit = othersWait ? limit - (int) (limit * SHARE_OF_OTHER_ROWS) : limit;
+		takeTasks(this.longRunningTasks, longRunningLimit, rows, taken, jobRow, taskRow);
 		// Neither kind of rows may delay the other when there are too many of one.
-		int jobLimit = Math.max(limit / 2, limit - this.tasks.size());
+		int left = limit - rows.size();
+		int jobLimit = rows.jobs.size() + Math.max(left / 2, left - waitingTasks());
 		for (Iterator<String> iterator = this.jobs.iterator(); iterator.hasNext() && rows.jobs.size() < jobLimit;) {
 			String job = iterator.next();
 			if (!rows.addJob(job, jobRow.apply(job))) {
@@ -104,7 +132,19 @@
 			}
 			iterator.remove();
 		}
-		for (Iterator<TaskKey> iterator = this.tasks.iterator(); iterator.hasNext() && rows.size() < limit;) {
+		takeTasks(this.tasks, limit, rows, taken, jobRow, taskRow);
+		takeTasks(this.longRunningTasks, limit, rows, taken, jobRow, taskRow);
+		Map<String, DispatchBatch.WorkerEnds> takenEnds = Map.of();
+		if (this.jobs.isEmpty() && waitingTasks() == 0) {
+			takenEnds = Map.copyOf(this.ends);
+			this.ends.clear();
+		}
+		return new DispatchBatch(rows.jobs, rows.tasks, taken, takenEnds, DispatchBatch.Cleanup.NONE);
+	}
+
+	private void takeTasks(Set<TaskKey> waiting, int limit, Rows rows, List<DispatchBatch.Start> taken,
+			Function<String, String> jobRow, Function<TaskKey, String> taskRow) {
+		for (Iterator<TaskKey> iterator = waiting.iterator(); iterator.hasNext() && rows.size() < limit;) {
 			TaskKey task = iterator.next();
 			String row = taskRow.apply(task);
 			if (!row.isEmpty() && this.jobs.contains(task.job())) {
@@ -122,12 +162,6 @@
 			}
 			iterator.remove();
 		}
-		Map<String, DispatchBatch.WorkerEnds> takenEnds = Map.of();
-		if (this.jobs.isEmpty() && this.tasks.isEmpty()) {
-			takenEnds = Map.copyOf(this.ends);
-			this.ends.clear();
-		}
-		return new DispatchBatch(rows.jobs, rows.tasks, taken, takenEnds, DispatchBatch.Cleanup.NONE);
 	}
 
 	/**
--- a/src/test/java/org/crocuspost/dispatch/RecordingOrderTests.java
+++ b/src/test/java/org/crocuspost/dispatch/RecordingOrderTests.java
@@ -138,6 +138,52 @@
 		assertThat(first.jobs().size() + first.tasks().size()).isEqualTo(LIMIT);
 	}
 
+	/**
+	 * Guards against long-running tasks that wait for their turn behind the rows of other
+	 * tasks: a new leader reads a large backlog, and its first transaction holds 90 rows.
+	 */
+	@Test
+	void afterATakeoverServicesAreRecordedAndStartedFirst() {
+		for (int host = 0; host < 10; host++) {
+			this.fixture.worker("host" + host, 60_000);
+		}
+		this.fixture.submit("service", new StepBuilder().tasks(30).milliCores(4_000).perWorker(3).service().build());
+		for (int job = 0; job < 40; job++) {
+			this.fixture.submit("batch-" + job, DispatchFixture.step(12, 1_000));
+		}
+		this.fixture.runSchedulingRound();
+		this.fixture.workers.values().forEach((worker) -> worker.running.clear());
+		for (int job = 40; job < 80; job++) {
+			this.fixture.submit("batch-" + job, DispatchFixture.step(12, 1_000));
+		}
+		this.fixture.takeOver();
+		this.fixture.reportAll();
+		assertThat(this.fixture.dispatcher.recordBacklog().taskRows()).isGreaterThan(300);
+		this.fixture.dispatcher.schedule();
+		DispatchBatch first = this.fixture.dispatcher.takeBatch(LIMIT, CHARACTERS);
+		assertThat(first.starts()).filteredOn((start) -> start.task().job().equals("service")).hasSize(30);
+		this.fixture.store(first);
+		Map<String, List<StartOrder>> orders = this.fixture.dispatcher.recorded(first, true);
+		orders.values()
+			.forEach((sent) -> assertThat(sent.stream().map((order) -> TaskNames.key(order.getTask()).job()).toList())
+				.isSortedAccordingTo((one, other) -> Boolean.compare(other.equals("service"), one.equals("service"))));
+		assertThat(this.fixture.job("service").allTasks()).allMatch((task) -> task.status() == TaskStatus.PLACED);
+	}
+
+	/**
+	 * Guards against other rows that wait for ever while those of long-running tasks keep
+	 * changing.
+	 */
+	@Test
+	void rowsOfServicesLeaveRoomForOtherRows() {
+		this.fixture.worker("one", 1_000_000);
+		this.fixture.submit("service", new StepBuilder().tasks(200).milliCores(1_000).service().build());
+		this.fixture.submit("batch", DispatchFixture.step(100, 1_000));
+		this.fixture.dispatcher.schedule();
+		DispatchBatch first = this.fixture.dispatcher.takeBatch(LIMIT, CHARACTERS);
+		assertThat(first.starts()).filteredOn((start) -> start.task().job().equals("batch")).isNotEmpty();
+	}
+
 	/**
 	 * Guards against starts without a recorded job when the store rejects a transaction,
 	 * which is then divided, and one part is rejected for good.
