Stop batch runs to make room for interrupted long-running tasks

Cause: in a full fleet, what becomes free in small parts goes to batch tasks, and an interrupted long-running task, though first in the order, waits until several runs of one worker end between two passes.

Ruled out: the order of waiting jobs (long-running ones come first), and probation after the crash of 6 of 11 workers behind a takeover: all 30 suspected long-running tasks start within 3 s (RoomForServicesTests.suspectedServicesStartAgainInTime).

Change: RoomForServices chooses the worker where the least work is lost, stops as many batch runs as the task needs and holds the room. Runs of gangs and long-running steps are never stopped, nor is more than 64 at a time.

Before: RoomForServicesTests.interruptedServicesStartAgainInAFullFleet fails: none of three services is at work 3 s after its loss. After: all are, for 6 stopped runs of two cores.

--- a/src/main/java/org/crocuspost/dispatch/CandidateHost.java
+++ b/src/main/java/org/crocuspost/dispatch/CandidateHost.java
@@ -124,6 +124,27 @@
 				? step.milliCores() * DispatchSettings.LONG_RUNNING_UTILIZATION : step.milliCores();
 	}
 
+	/**
+	 * Holds resources for a task that starts here once they are free. What is free may
+	 * become negative, and nothing else starts then.
+	 * @param step the step of the task
+	 */
+	void holdRoom(StepSpecification step) {
+		this.freeMilliCores -= step.reservedMilliCores();
+		this.freeMemoryMegabytes -= step.memoryMegabytes();
+		this.freeAccelerators -= step.accelerators();
+	}
+
+	/**
+	 * Returns the resources of a task that were held, or that a run would free.
+	 * @param step the step of the task
+	 */
+	void releaseRoom(StepSpecification step) {
+		this.freeMilliCores += step.reservedMilliCores();
+		this.freeMemoryMegabytes += step.memoryMegabytes();
+		this.freeAccelerators += step.accelerators();
+	}
+
 	/**
 	 * Reserves resources in a trial assignment of a gang. The task is not assigned yet,
 	 * since the rest of its gang may not fit.
@@ -193,6 +214,14 @@
 		return this.freeMilliCores;
 	}
 
+	int freeMemoryMegabytes() {
+		return this.freeMemoryMegabytes;
+	}
+
+	int freeAccelerators() {
+		return this.freeAccelerators;
+	}
+
 	double freeFillerMilliCores() {
 		return this.freeFillerMilliCores;
 	}
--- a/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
@@ -143,6 +143,41 @@
 	 */
 	static final int MAXIMUM_MOVED_TASKS = 8;
 
+	/**
+	 * Time that a stop of a run usually takes, from the decision to its reported end. No
+	 * run is stopped that is expected to end sooner.
+	 */
+	static final Duration STOP_DURATION = Duration.ofMillis(500);
+
+	/**
+	 * Time after which runs that were expected to end by themselves are stopped after
+	 * all. A long-running task must be at work again within 3 s.
+	 */
+	static final Duration MAXIMUM_WAIT_FOR_ENDS = Duration.ofMillis(1_000);
+
+	/**
+	 * Time after which room for a long-running task is made on another worker. The
+	 * platform stops a run within 0.9 s, so the worker or its agent is slow.
+	 */
+	static final Duration ROOM_TIMEOUT = Duration.ofMillis(2_000);
+
+	/**
+	 * Time between two attempts to find a worker on which room can be made for a task.
+	 */
+	static final Duration ROOM_ATTEMPT_INTERVAL = Duration.ofMillis(200);
+
+	/**
+	 * Maximum number of runs that are stopped for long-running tasks at the same time, so
+	 * that an error in the figures of many tasks cannot stop all batch work. A worker
+	 * with 16 cores holds about 60 of the smallest runs.
+	 */
+	static final int MAXIMUM_RUNS_STOPPED_FOR_ROOM = 64;
+
+	/**
+	 * Cost of another start of a stopped run, in core-seconds.
+	 */
+	static final double START_COST = 0.2;
+
 	/**
 	 * Time for which a run must have been listed as running before it no longer counts as
 	 * a possible cause of a crash of its worker.
--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -47,6 +47,8 @@
 
 	private final ServiceConsolidation consolidation;
 
+	private final RoomForServices roomForServices;
+
 	private final FillerCapacitySurvey fillerCapacity = new FillerCapacitySurvey();
 
 	private final JobSelection selection;
@@ -87,6 +89,7 @@
 		this.startOrders = new StartOrders(policy);
 		this.probationPlacement = new ProbationPlacement(policy);
 		this.consolidation = new ServiceConsolidation(policy, listener);
+		this.roomForServices = new RoomForServices(listener);
 		this.selection = new JobSelection(policy, listener);
 		this.clock = clock;
 		this.listener = listener;
@@ -215,6 +218,7 @@
 	Set<String> endJob(JobProgress job, JobState state, String reason) {
 		job.end(state, this.clock.instant().toEpochMilli());
 		addEnded(job);
+		this.roomForServices.jobEnded(job.id());
 		this.changes.jobChanged(job.id());
 		this.listener.jobEnded(job, reason, timing(job));
 		Set<String> affected = new LinkedHashSet<>();
@@ -239,6 +243,7 @@
 			}
 		}
 		candidatesByService.forEach((service, candidates) -> this.fillerCapacity.observe(service, candidates, now));
+		this.roomForServices.beginPass(candidatesByService.values().stream().flatMap(List::stream).toList(), now);
 		if (candidatesByService.isEmpty()) {
 			return;
 		}
@@ -354,6 +359,7 @@
 			if (!task.status().waiting() || unassigned.contains(task.key())) {
 				continue;
 			}
+			this.roomForServices.releaseHeldRoom(task);
 			CandidateHost candidate = Suspicion.suspected(task) ? this.probationPlacement.choose(task, candidates)
 					: this.policy.choose(task, candidates);
 			if (candidate == null && tracked.starving(this.clock.nanoTime()) && !candidates.isEmpty()
@@ -361,6 +367,10 @@
 				candidate = this.policy.chooseForStarving(task, candidates);
 			}
 			if (candidate == null) {
+				if (RoomForServices.concerns(task)) {
+					this.roomForServices.makeRoom(task, candidates, this.clock.nanoTime());
+					continue;
+				}
 				if (Suspicion.suspected(task)) {
 					continue;
 				}
@@ -385,6 +395,7 @@
 		if (task.step().filler() && host.runsService()) {
 			host.addExpectedIncrease(this.policy.reservedPressure(task.step(), host.worker()));
 		}
+		this.roomForServices.placed(task.key());
 		task.assign(run, host.name(), host.worker().getId(), host.worker().getBorn());
 		host.placements().put(task.key(), new Placement(task, Placement.Phase.RECORDING, now));
 		tracked.markRunning(now);
@@ -510,7 +521,8 @@
 			if (!mayStart || tracked.job().state().terminal() || !host.available()
 					|| host.leaseLapsed(this.settings.leaseTimeout(), this.clock.nanoTime())
 					|| placement.task().workerStartMillis() != host.worker().getBorn() || host.overCapacity()
-					|| this.evacuated.contains(host.worker().getFailureDomain())) {
+					|| this.evacuated.contains(host.worker().getFailureDomain())
+					|| this.roomForServices.stops(placement)) {
 				cancelUnsentStart(host, placement);
 				continue;
 			}
@@ -601,6 +613,10 @@
 		return this.configuration.findByName(job.submission().queue());
 	}
 
+	RoomForServices roomForServices() {
+		return this.roomForServices;
+	}
+
 	DispatchListener listener() {
 		return this.listener;
 	}
--- a/src/main/java/org/crocuspost/dispatch/Placement.java
+++ b/src/main/java/org/crocuspost/dispatch/Placement.java
@@ -1,6 +1,7 @@
 package org.crocuspost.dispatch;
 
 import java.time.Duration;
+import java.util.Optional;
 
 import org.crocuspost.job.TaskProgress;
 import org.crocuspost.wire.HostReport;
@@ -42,6 +43,11 @@
 
 	}
 
+	/**
+	 * Progress of a run that is done, in percent.
+	 */
+	private static final int COMPLETE = 100;
+
 	private final TaskProgress task;
 
 	private final int run;
@@ -62,6 +68,8 @@
 
 	private int progress = -1;
 
+	private int firstListedProgress;
+
 	private long progressMillis;
 
 	private @Nullable RunningTask report;
@@ -126,6 +134,7 @@
 			this.firstListedMillis = listedMillis;
 			this.lastListedMillis = listedMillis;
 			this.progressMillis = listedMillis;
+			this.firstListedProgress = running.getProgress();
 		}
 		this.lastListedMillis = Math.max(this.lastListedMillis, listedMillis);
 		// A run that is deliberately throttled is not considered stalled.
@@ -152,6 +161,17 @@
 		return this.listed ? Duration.ofMillis(this.lastListedMillis - this.firstListedMillis) : Duration.ZERO;
 	}
 
+	/**
+	 * Returns when the run is expected to end if it goes on as fast as it was observed.
+	 * Its progress at first does not count, since it may have resumed from a checkpoint.
+	 * @return the time that is left; empty if no progress was observed
+	 */
+	Optional<Duration> expectedRemaining() {
+		int observed = this.progress - this.firstListedProgress;
+		return (!this.listed || observed <= 0) ? Optional.empty()
+				: Optional.of(observedRunTime().multipliedBy(COMPLETE - this.progress).dividedBy(observed));
+	}
+
 	/**
 	 * Returns whether the run has not been seen to run for long enough to exclude it as
 	 * the cause of a crash of its worker.
@@ -203,6 +223,10 @@
 		return refused.getRun() == this.run && TaskNames.key(refused.getTask()).equals(this.task.key());
 	}
 
+	boolean stopOrdered() {
+		return this.stopOrdered;
+	}
+
 	/**
 	 * Records that a stop of the run was ordered.
 	 * @return whether this is the first order
--- a/src/main/java/org/crocuspost/dispatch/PlacementPolicy.java
+++ b/src/main/java/org/crocuspost/dispatch/PlacementPolicy.java
@@ -60,10 +60,17 @@
 	 * @return true if the worker can run the task
 	 */
 	static boolean feasible(TaskProgress task, CandidateHost candidate) {
+		return candidate.fits(task.step()) && candidate.admits(task) && permitted(task, candidate);
+	}
+
+	/**
+	 * Returns whether a worker satisfies the constraints of a task, whatever is free.
+	 * @param task the task
+	 * @param candidate the host of the worker
+	 * @return true if the worker has the label and may run one more task of the step
+	 */
+	static boolean permitted(TaskProgress task, CandidateHost candidate) {
 		StepSpecification step = task.step();
-		if (!candidate.fits(step) || !candidate.admits(task)) {
-			return false;
-		}
 		if (!step.requiredLabel().isEmpty() && !candidate.labels().contains(step.requiredLabel())) {
 			return false;
 		}
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -441,6 +441,9 @@
 		if (stalled(host, placement, now)) {
 			reason = "stalled";
 		}
+		else if (this.dispatcher.roomForServices().stops(placement)) {
+			reason = RoomForServices.STOP_REASON;
+		}
 		else if (placement.moveRequested() && host.isVacated(now)) {
 			reason = "moved to free the worker for fillers";
 		}
--- a/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
@@ -217,6 +217,8 @@
 
 		private boolean checkpointing = true;
 
+		private boolean resumable;
+
 		private int unavailableLimit = -1;
 
 		StepBuilder tasks(int count) {
@@ -260,6 +262,11 @@
 			return this;
 		}
 
+		StepBuilder checkpointing() {
+			this.resumable = true;
+			return this;
+		}
+
 		StepBuilder withoutCheckpoints() {
 			this.checkpointing = false;
 			return this;
@@ -273,8 +280,9 @@
 
 		StepSpecification build() {
 			return new StepSpecification(this.tasks, this.milliCores, 100, 0, Duration.ofSeconds(1), this.predecessors,
-					this.filler && this.checkpointing, this.gang, false, this.label, "", this.perWorker, false,
-					this.longRunning, this.image, this.tailTarget, this.filler, this.unavailableLimit);
+					this.resumable || (this.filler && this.checkpointing), this.gang, false, this.label, "",
+					this.perWorker, false, this.longRunning, this.image, this.tailTarget, this.filler,
+					this.unavailableLimit);
 		}
 
 	}
@@ -295,6 +303,10 @@
 
 		boolean ignoresOrders;
 
+		boolean ignoresStops;
+
+		final List<StopOrder> receivedStops = new ArrayList<>();
+
 		long handledOrder;
 
 		private final long createdMillis = DispatchFixture.this.time.millis();
@@ -329,6 +341,10 @@
 		}
 
 		void stop(StopOrder order) {
+			this.receivedStops.add(order);
+			if (this.ignoresStops) {
+				return;
+			}
 			RunningTask run = this.running.get(TaskNames.key(order.getTask()));
 			if (run != null && run.getRun() == order.getRun()) {
 				end(TaskNames.key(order.getTask()), "stopped");
