Assert that the tasks of the test of probation are suspected

Cause: the test passed whether or not they were. Ruled out: that they are not; the test passes with the assertion too.

--- a/src/test/java/org/crocuspost/dispatch/RoomForServicesTests.java
+++ b/src/test/java/org/crocuspost/dispatch/RoomForServicesTests.java
@@ -410,6 +410,9 @@
 		}
 		this.fixture.reportAll();
 		assertThat(this.fixture.crashes).hasSize(6);
+		for (int host = 0; host < 6; host++) {
+			assertThat(this.fixture.job("service" + host).allTasks()).allMatch(Suspicion::suspected);
+		}
 		this.fixture.runSchedulingRound();
 		play(RESTART_LIMIT);
 		for (int host = 0; host < 11; host++) {
