--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -47,6 +47,8 @@
 
 	private final ServiceConsolidation consolidation;
 
+	private final RoomForServices roomForServices;
+
 	private final FillerCapacitySurvey fillerCapacity = new FillerCapacitySurvey();
 
 	private final JobSelection selection;
@@ -89,6 +91,7 @@
 		this.startOrders = new StartOrders(policy);
 		this.probationPlacement = new ProbationPlacement(policy);
 		this.consolidation = new ServiceConsolidation(policy, listener);
+		this.roomForServices = new RoomForServices(listener);
 		this.selection = new JobSelection(policy, listener);
 		this.clock = clock;
 		this.listener = listener;
@@ -188,7 +191,7 @@
 			.filter((recorded) -> recorded.endsRunsOf(task.worker(), task.workerStartMillis()));
 		if (departure.isPresent()) {
 			task.loseRun();
-			this.changes.taskChanged(task.key());
+			markChanged(task.key());
 			this.listener.runLost(task, task.run(), host.name(), ReportProcessor.WORKER_LEFT,
 					Evidence.of(departure.get(), this.clock.millis()), Duration.ZERO);
 			return;
@@ -220,6 +223,7 @@
 	Set<String> endJob(JobProgress job, JobState state, String reason) {
 		job.end(state, this.clock.instant().toEpochMilli());
 		addEnded(job);
+		this.roomForServices.jobEnded(job.id());
 		this.changes.jobChanged(job.id());
 		this.unavailability.jobEnded(job.id());
 		this.listener.jobEnded(job, reason, timing(job));
@@ -245,6 +249,7 @@
 			}
 		}
 		candidatesByService.forEach((service, candidates) -> this.fillerCapacity.observe(service, candidates, now));
+		this.roomForServices.beginPass(candidatesByService.values().stream().flatMap(List::stream).toList(), now);
 		if (candidatesByService.isEmpty()) {
 			return;
 		}
@@ -360,6 +365,7 @@
 			if (!task.status().waiting() || unassigned.contains(task.key())) {
 				continue;
 			}
+			this.roomForServices.releaseHeldRoom(task);
 			CandidateHost candidate = Suspicion.suspected(task) ? this.probationPlacement.choose(task, candidates)
 					: this.policy.choose(task, candidates);
 			if (candidate == null && tracked.starving(this.clock.nanoTime()) && !candidates.isEmpty()
@@ -367,6 +373,10 @@
 				candidate = this.policy.chooseForStarving(task, candidates);
 			}
 			if (candidate == null) {
+				if (RoomForServices.concerns(task)) {
+					this.roomForServices.makeRoom(task, candidates, this.clock.nanoTime());
+					continue;
+				}
 				if (Suspicion.suspected(task)) {
 					continue;
 				}
@@ -391,11 +401,12 @@
 		if (task.step().filler() && host.runsService()) {
 			host.addExpectedIncrease(this.policy.reservedPressure(task.step(), host.worker()));
 		}
+		this.roomForServices.placed(task.key());
 		task.assign(run, host.name(), host.worker().getId(), host.worker().getBorn());
 		host.placements().put(task.key(), new Placement(task, Placement.Phase.RECORDING, now));
 		tracked.markRunning(now);
 		tracked.markAssigned(now);
-		this.changes.runPlaced(new DispatchBatch.Start(task.key(), run, host.name()));
+		this.changes.runPlaced(new DispatchBatch.Start(task.key(), run, host.name()), task.step().lasting());
 		this.listener.placed(task, (now - tracked.acceptedNanos()) / 1_000_000);
 	}
 
@@ -516,7 +527,8 @@
 			if (!mayStart || tracked.job().state().terminal() || !host.available()
 					|| host.leaseLapsed(this.settings.leaseTimeout(), this.clock.nanoTime())
 					|| placement.task().workerStartMillis() != host.worker().getBorn() || host.overCapacity()
-					|| this.evacuated.contains(host.worker().getFailureDomain())) {
+					|| this.evacuated.contains(host.worker().getFailureDomain())
+					|| this.roomForServices.stops(placement)) {
 				cancelUnsentStart(host, placement);
 				continue;
 			}
@@ -530,7 +542,7 @@
 	private void cancelUnsentStart(HostState host, Placement placement) {
 		host.placements().remove(placement.task().key());
 		placement.task().endRun(false);
-		this.changes.taskChanged(placement.task().key());
+		markChanged(placement.task().key());
 		this.listener.runEnded(placement.task(), placement.run(), host.name(), "never ordered");
 	}
 
@@ -562,8 +574,11 @@
 		}
 	}
 
-	void markChanged(TaskKey task) {
-		this.changes.taskChanged(task);
+	void markChanged(TaskKey key) {
+		boolean longRunning = job(key.job()).map((job) -> job.task(key))
+			.filter((task) -> task.step().lasting())
+			.isPresent();
+		this.changes.taskChanged(key, longRunning);
 	}
 
 	void markEndsProcessed(HostState host) {
@@ -621,6 +636,10 @@
 		return this.unavailability;
 	}
 
+	RoomForServices roomForServices() {
+		return this.roomForServices;
+	}
+
 	DispatchListener listener() {
 		return this.listener;
 	}
