--- a/src/main/java/org/crocuspost/dispatch/HostState.java
+++ b/src/main/java/org/crocuspost/dispatch/HostState.java
@@ -34,6 +34,8 @@
 
 	private long lastExtensionNanos;
 
+	private EvidenceBasis leaseBasis = EvidenceBasis.FORMER_LEADERS;
+
 	private long newestOrder;
 
 	private long processedEnds;
@@ -372,6 +374,10 @@
 		return this.connections;
 	}
 
+	boolean workerResponds() {
+		return this.workerResponds;
+	}
+
 	void workerResponds(boolean value) {
 		this.workerResponds = value;
 	}
@@ -391,6 +397,10 @@
 		return this.leaseStarted && nowNanos - this.lastExtensionNanos > timeout.toNanos();
 	}
 
+	EvidenceBasis leaseBasis() {
+		return this.leaseBasis;
+	}
+
 	long lastExtensionNanos() {
 		return this.lastExtensionNanos;
 	}
@@ -404,6 +414,7 @@
 	void startLease(long basisNanos) {
 		if (!this.leaseStarted) {
 			extendLease(basisNanos);
+			this.leaseBasis = EvidenceBasis.FIRST_REPORT;
 		}
 	}
 
@@ -418,6 +429,7 @@
 	void extendLease(long nowNanos) {
 		this.leaseStarted = true;
 		this.lastExtensionNanos = nowNanos;
+		this.leaseBasis = EvidenceBasis.LEASE_EXTENSION;
 	}
 
 	long nextOrderNumber() {
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -55,6 +56,8 @@
 
 	private final CrashAttribution crashAttribution;
 
+	private OptionalLong firstReportLimitNanos = OptionalLong.empty();
+
 	/**
 	 * Creates the processor.
 	 * @param dispatcher holds the working copy of jobs and hosts
@@ -67,6 +70,15 @@
 		this.crashAttribution = new CrashAttribution(dispatcher);
 	}
 
+	/**
+	 * Sets until when former leaders may have extended leases. A host whose first report
+	 * comes later waits no longer than one that never reports.
+	 * @param endNanos the end of that time, in nanoseconds of the process clock
+	 */
+	public void formerExtensionsEnd(long endNanos) {
+		this.firstReportLimitNanos = OptionalLong.of(endNanos);
+	}
+
 	/**
 	 * Records that the connection to a host was opened or closed.
 	 * @param name the name of the host
@@ -95,7 +107,8 @@
 		long now = this.dispatcher.clock().nanoTime();
 		host.connected(true);
 		// An agent of the previous version sends no age. Its lease counts from now on.
-		host.startLease(now - TimeUnit.MILLISECONDS.toNanos(Math.max(0, report.getLeaseBasisAgeMillis())));
+		long agentBasis = now - TimeUnit.MILLISECONDS.toNanos(Math.max(0, report.getLeaseBasisAgeMillis()));
+		host.startLease(Math.min(agentBasis, this.firstReportLimitNanos.orElse(agentBasis)));
 		if (report.getWorker().getId().isEmpty()) {
 			// The agent has no information on its worker and its runs yet.
 			host.workerResponds(false);
@@ -167,18 +180,18 @@
 	/**
 	 * Declares the runs lost on each host whose lease has lapsed.
 	 * @param unreachableTimeout how long a host that never reported to this leader may
-	 * still run tasks, counted from the takeover of this leader
-	 * @param takeoverNanos when this leader took over, in nanoseconds of the process
-	 * clock
+	 * still run tasks after former leaders could extend its lease
+	 * @param formerExtensionsEndNanos until when former leaders may have extended leases,
+	 * in nanoseconds of the process clock
 	 */
-	public void expireLeases(Duration unreachableTimeout, long takeoverNanos) {
+	public void expireLeases(Duration unreachableTimeout, long formerExtensionsEndNanos) {
 		long now = this.dispatcher.clock().nanoTime();
 		for (HostState host : this.dispatcher.hosts()) {
 			if (host.placements().isEmpty() && host.unassignedRuns().isEmpty()) {
 				continue;
 			}
 			boolean hasLease = host.leaseStarted();
-			long lastExtension = hasLease ? host.lastExtensionNanos() : takeoverNanos;
+			long lastExtension = hasLease ? host.lastExtensionNanos() : formerExtensionsEndNanos;
 			Duration elapsed = Duration.ofNanos(now - lastExtension);
 			if (elapsed.compareTo(hasLease ? this.dispatcher.settings().leaseTimeout() : unreachableTimeout) > 0) {
 				List<Placement> lapsed = host.placements()
@@ -186,7 +199,8 @@
 					.stream()
 					.filter((placement) -> placement.current() && placement.phase() != Placement.Phase.RECORDING)
 					.toList();
-				loseRuns(host, LEASE_LAPSED, host.worker(), Set.of(), Evidence.ofTimeout(elapsed));
+				loseRuns(host, LEASE_LAPSED, host.worker(), Set.of(),
+						Evidence.ofTimeout(elapsed, hasLease ? host.leaseBasis() : EvidenceBasis.FORMER_LEADERS));
 				this.crashAttribution.countUnresolved(host, lapsed);
 				host.unassignedRuns().clear();
 			}
@@ -234,6 +248,7 @@
 			this.dispatcher.markChanged(task.key());
 			this.dispatcher.listener()
 				.runLost(task, placement.run(), host.name(), reason, evidence, placement.observedRunTime());
+			this.dispatcher.markInterrupted(task, placement.run(), host);
 		}
 	}
 
@@ -278,6 +293,7 @@
 		}
 		else if (task.status() == TaskStatus.PLACED || task.status() == TaskStatus.WAITING_AFTER_LOSS) {
 			applyEnd(job.get(), task, ended, host.name());
+			this.dispatcher.markInterrupted(task, ended.getRun(), host);
 		}
 		else {
 			ignoreEnd(key, ended, host, "an end of this run is recorded");
@@ -391,11 +407,26 @@
 			Placement placement = host.placements().get(key);
 			if (placement != null && placement.run() == running.getRun()) {
 				placement.listedRunning(running, listedMillis);
+				if (report.getWorkerAnswers()) {
+					noteRegained(placement, host, evidence);
+				}
 				this.crashAttribution.clearIfOutlived(placement);
 			}
 		}
 	}
 
+	private void noteRegained(Placement placement, HostState host, Evidence evidence) {
+		// A run that is only confirmed is not the next run.
+		this.dispatcher.unavailability()
+			.listed(placement.task())
+			.filter((interruption) -> placement.run() > interruption.run())
+			.ifPresent((interruption) -> this.dispatcher.listener()
+				.taskRegained(placement.task(),
+						new RegainedTask(host.name(),
+								Duration.ofNanos(this.dispatcher.clock().nanoTime() - interruption.sinceNanos()),
+								interruption.inherited(), evidence)));
+	}
+
 	private static double pressure(StepSpecification step, RunningTask running) {
 		return step.tailTarget().isZero() ? 0 : running.getLoad() / (double) step.tailTarget().toMillis();
 	}
@@ -459,6 +490,9 @@
 		if (stalled(host, placement, now)) {
 			reason = "stalled";
 		}
+		else if (this.dispatcher.roomForServices().stops(placement)) {
+			reason = RoomForServices.STOP_REASON;
+		}
 		else if (placement.moveRequested() && host.isVacated(now)) {
 			reason = "moved to free the worker for fillers";
 		}
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -9,10 +9,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 
-import io.netty.channel.EventLoop;
 import org.crocuspost.dispatch.DefaultPlacementPolicy;
 import org.crocuspost.dispatch.Departure;
 import org.crocuspost.dispatch.DispatchBatch;
@@ -20,8 +21,10 @@
 import org.crocuspost.dispatch.Dispatcher;
 import org.crocuspost.dispatch.ImagePressure;
 import org.crocuspost.dispatch.ReportProcessor;
+import org.crocuspost.dispatch.StartConditions;
 import org.crocuspost.error.Failure;
-import org.crocuspost.hostlink.HostLink;
+import org.crocuspost.hostlink.HostConnection;
+import org.crocuspost.hostlink.HostConnector;
 import org.crocuspost.hostlink.HostLinkListener;
 import org.crocuspost.job.JobSummary;
 import org.crocuspost.job.SubmissionCodec;
@@ -56,7 +59,7 @@
 
 	private final OperatorView operator;
 
-	private final EventLoop loop;
+	private final HostConnector connector;
 
 	private final Clock clock;
 
@@ -64,14 +67,16 @@
 
 	private final DispatchSettings settings;
 
-	private final TrafficCounters traffic;
-
 	private final TrafficLog trafficLog;
 
 	private final QueueLoadLog queueLoadLog;
 
 	private final RecordBacklogLog recordBacklogLog;
 
+	private final UnavailableTaskLog unavailableTaskLog;
+
+	private final InheritedRunsLog inheritedRunsLog;
+
 	private final FencedWriter writer;
 
 	private final Dispatcher dispatcher;
@@ -86,7 +91,7 @@
 
 	private boolean hostsRead;
 
-	private final Map<String, HostLink> links = new HashMap<>();
+	private final Map<String, HostConnection> links = new HashMap<>();
 
 	private final Map<String, String> addresses = new HashMap<>();
 
@@ -114,6 +119,8 @@
 
 	private final long takeoverNanos;
 
+	private final FormerExtensions formerExtensions;
+
 	private final Cancellable tickTimer;
 
 	private boolean restored;
@@ -124,28 +131,34 @@
 
 	private boolean resigning;
 
+	private boolean resignationSent;
+
 	private boolean rejected;
 
-	Leader(RowStore store, LeaderRecord record, long version, OperatorView operator, DispatchSettings settings,
-			LeaderMetrics metrics, TrafficCounters traffic, EventLoop loop, Clock clock, Timer timer,
-			Runnable onLeadershipLost) {
+	Leader(RowStore store, LeaderRecord record, long version, Optional<StoreClockReading> storeClock,
+			FormerExtensions formerExtensions, OperatorView operator, DispatchSettings settings, LeaderMetrics metrics,
+			TrafficCounters traffic, HostConnector connector, Clock clock, Timer timer, Runnable onLeadershipLost) {
 		this.store = store;
 		this.record = record;
 		this.operator = operator;
 		this.settings = settings;
-		this.traffic = traffic;
 		this.trafficLog = new TrafficLog(traffic, clock);
-		this.loop = loop;
+		this.connector = connector;
 		this.clock = clock;
 		this.timer = timer;
-		this.writer = new FencedWriter(store, record, version, clock, timer, onLeadershipLost);
+		this.formerExtensions = formerExtensions;
+		this.writer = new FencedWriter(store, record, version, storeClock, formerExtensions.endMillis(), clock, timer,
+				onLeadershipLost);
 		this.dispatcher = new Dispatcher(settings, new DefaultPlacementPolicy(this.imagePressure), clock,
 				new DecisionLog(metrics));
 		this.queueLoadLog = new QueueLoadLog(this.dispatcher, metrics, clock);
 		this.recordBacklogLog = new RecordBacklogLog(this.dispatcher, clock);
+		this.unavailableTaskLog = new UnavailableTaskLog(this.dispatcher.load(), metrics, clock);
+		this.inheritedRunsLog = new InheritedRunsLog(this.dispatcher.load());
 		this.rejectedJobs = new RejectedJobs(store, settings.retention(), clock);
 		this.admissionPublisher = new AdmissionPublisher(this.dispatcher, record.epoch(), clock);
 		this.reportProcessor = new ReportProcessor(this.dispatcher, this.imagePressure);
+		this.reportProcessor.formerExtensionsEnd(formerExtensions.endNanos());
 		this.intakeWatch = new RowWatch(store, Tables.INTAKE, TableWatchSettings.INTAKE_WATCH, new IntakeListener(),
 				clock, timer);
 		this.submissionWatch = new RowWatch(store, Tables.SUBMISSIONS, TableWatchSettings.SUBMISSION_WATCH, this, clock,
@@ -156,6 +169,8 @@
 		this.takeoverNanos = clock.nanoTime();
 		this.imagesRecordedNanos = this.takeoverNanos;
 		this.tickTimer = timer.repeat(LeadershipTimings.TICK_INTERVAL, this::tick);
+		// Leases are extended only on a deadline of this leader in its row.
+		this.writer.writeLeaderRow(record.name(), this::scheduleDecision);
 		readTable(Tables.MODEL, "", this::readModel, () -> readTable(Tables.LEDGER, "", this.restoredRows::addJob,
 				() -> readTable(Tables.TASKS, "", this.restoredRows::addTask, this.intakeWatch::start)));
 	}
@@ -229,7 +244,10 @@
 			EventLog.info(LeadEvent.STATE_RESTORED, Field.of("epoch", this.record.epoch()),
 					Field.of("rows", rows.size()), Field.of("progress", this.restoredRows.jobCount()),
 					Field.of("jobsWithoutRow", this.restoredRows.countJobsWithoutRow()),
-					Field.of("hosts", this.links.size()));
+					Field.of("hosts", this.links.size()), Field.of("inheritedRuns", this.inheritedRunsLog.runs()),
+					Field.of("hostsWithInheritedRuns", this.inheritedRunsLog.hosts()), Field.of("sinceTakeoverMillis",
+							TimeUnit.NANOSECONDS.toMillis(this.clock.nanoTime() - this.takeoverNanos)));
+			this.inheritedRunsLog.schedule(this.record.epoch(), this.timer);
 			this.restoredRows.release();
 		}
 		scheduleDecision();
@@ -340,17 +358,17 @@
 			return;
 		}
 		this.addresses.put(host, text);
-		HostLink previous = this.links.remove(host);
+		HostConnection previous = this.links.remove(host);
 		if (previous != null) {
 			previous.close();
 		}
-		HostLink link = new HostLink(host, address,
+		HostConnection link = this.connector.connect(host, address,
 				LeaderHello.newBuilder()
 					.setEpoch(this.record.epoch())
 					.setLeader(this.record.name())
 					.setReadsChanges(true)
 					.build(),
-				this.traffic, this.loop, this.timer, this.clock, this);
+				this);
 		this.links.put(host, link);
 		link.open();
 	}
@@ -388,7 +406,7 @@
 		EventLog.warn(LeadEvent.HOST_CHANGED, Field.of("host", host), Field.of("belief", "gone"),
 				Field.of("detail", "host " + answering + " answers at " + this.addresses.get(host)));
 		this.addresses.remove(host);
-		HostLink link = this.links.remove(host);
+		HostConnection link = this.links.remove(host);
 		if (link != null) {
 			link.close();
 		}
@@ -413,7 +431,7 @@
 	}
 
 	private boolean mayExtendLeases() {
-		return this.writer.confirmationAge().compareTo(LeadershipTimings.LEASE_EXTENSION_WITHOUT_STORE) < 0;
+		return !this.resignationSent && this.writer.mayExtendLeases();
 	}
 
 	private void sendStops(String host) {
@@ -423,7 +441,7 @@
 	}
 
 	private void send(String host, LeaderMessage.Builder message) {
-		HostLink link = this.links.get(host);
+		HostConnection link = this.links.get(host);
 		if (link != null) {
 			link.send(message.setOrder(this.reportProcessor.newestOrder(host))
 				.setWorkerBorn(this.reportProcessor.workerBorn(host))
@@ -435,12 +453,10 @@
 		if (this.closed) {
 			return;
 		}
-		this.links.values().forEach(HostLink::closeIfUnresponsive);
+		this.links.values().forEach(HostConnection::closeIfUnresponsive);
 		this.trafficLog.writeIfDue();
 		if (this.restored) {
-			this.reportProcessor.expireLeases(
-					LeadershipTimings.LEASE_EXTENSION_WITHOUT_STORE.plus(this.settings.leaseTimeout()),
-					this.takeoverNanos);
+			this.reportProcessor.expireLeases(this.settings.leaseTimeout(), this.formerExtensions.endNanos());
 			this.queueLoadLog.writeIfDue();
 			this.recordBacklogLog.writeIfDue();
 			if (this.settings.admissionControl()) {
@@ -448,12 +464,22 @@
 			}
 			this.rejectedJobs.removeIfDue();
 			decide();
+			this.unavailableTaskLog.writeIfDue(startConditions());
 		}
 		else if (!this.writer.busy()) {
 			renewIfDue();
 		}
 	}
 
+	private StartConditions startConditions() {
+		return new StartConditions(this.takeoverNanos, mayAssign(), this.writer.confirmationAge(), this.operator.age());
+	}
+
+	private boolean mayAssign() {
+		return this.operator.age().compareTo(LeadershipTimings.MAXIMUM_OPERATOR_VIEW_AGE) < 0
+				&& this.writer.confirmed();
+	}
+
 	/**
 	 * Schedules a decision, which also covers whatever else arrives until then.
 	 */
@@ -473,7 +499,7 @@
 		}
 		this.operator.configuration().ifPresent(this.dispatcher::configure);
 		this.dispatcher.setEvacuatedDomains(this.operator.evacuatedDomains());
-		if (this.operator.age().compareTo(LeadershipTimings.MAXIMUM_OPERATOR_VIEW_AGE) < 0 && this.writer.confirmed()) {
+		if (mayAssign()) {
 			this.dispatcher.schedule();
 		}
 		if (this.rejected && this.writer.confirmationAge().compareTo(LeadershipTimings.RENEWAL_INTERVAL) > 0) {
@@ -504,8 +530,17 @@
 			.keepingStates(this.submissionCleanup::isUnreduced);
 	}
 
+	private boolean isRenewalDue() {
+		// A transaction that was retried through an outage rests on an answer from
+		// before.
+		return this.writer.confirmationAge().compareTo(LeadershipTimings.RENEWAL_INTERVAL) > 0
+				|| this.writer.extensionBasisAge()
+					.filter((age) -> age.compareTo(LeadershipTimings.MAXIMUM_EXTENSION_BASIS_AGE) < 0)
+					.isEmpty();
+	}
+
 	private void renewIfDue() {
-		if (this.writer.confirmationAge().compareTo(LeadershipTimings.RENEWAL_INTERVAL) > 0) {
+		if (isRenewalDue()) {
 			List<RowTransaction.Write> writes = new ArrayList<>();
 			addAdmission(writes);
 			addRecordedSubmissions(writes);
@@ -628,6 +663,8 @@
 			return;
 		}
 		EventLog.info(LeadEvent.LEADERSHIP_RESIGNED, Field.of("epoch", this.record.epoch()));
+		// The next leader counts on it that a leader that has resigned extends no lease.
+		this.resignationSent = true;
 		this.writer.writeLeaderRow("", () -> {
 			close();
 			onResigned.run();
@@ -636,12 +673,14 @@
 
 	void close() {
 		this.closed = true;
+		this.unavailableTaskLog.close();
+		this.inheritedRunsLog.close();
 		this.tickTimer.cancel();
 		this.writer.close();
 		this.intakeWatch.close();
 		this.submissionWatch.close();
 		this.submissionCleanup.close();
-		this.links.values().forEach(HostLink::close);
+		this.links.values().forEach(HostConnection::close);
 	}
 
 	/**
--- a/src/main/java/org/crocuspost/platform/hosted/EntryProgram.java
+++ b/src/main/java/org/crocuspost/platform/hosted/EntryProgram.java
@@ -1,5 +1,6 @@
 package org.crocuspost.platform.hosted;
 
+import java.lang.management.ManagementFactory;
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -10,6 +11,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.crocuspost.daemon.DaemonCommand;
 import org.crocuspost.dispatch.DispatchSettings;
+import org.crocuspost.hostlink.HostLink;
 import org.crocuspost.ingress.AdmissionControl;
 import org.crocuspost.ingress.IngressEvent;
 import org.crocuspost.ingress.IngressMetrics;
@@ -122,13 +124,18 @@
 				new DispatchSettings(settings.limits().leaseDuration(),
 						settings.limits().statusRetention().plus(DispatchSettings.RETENTION_MARGIN),
 						settings.limits().remotePenalty(), settings.admissionControl()),
-				new LeaderMetrics(this.registry), traffic, loop, clock, timer);
+				new LeaderMetrics(this.registry), traffic, HostLink.connector(traffic, loop, timer, clock), clock,
+				timer, processStartNanos(clock));
 		electorReference.set(this.leaderElector);
 		this.jobService = new JobService(protectedStore, store, this.operator, directory,
 				new IngressMetrics(this.registry), clock, timer);
 		timer.repeat(Duration.ofMillis(100), this::updateReadiness);
 	}
 
+	private static long processStartNanos(Clock clock) {
+		return clock.nanoTime() - TimeUnit.MILLISECONDS.toNanos(ManagementFactory.getRuntimeMXBean().getUptime());
+	}
+
 	void start() {
 		this.loop.execute(() -> {
 			this.operator.start();
