Make room for a suspected long-running task beside a long probation

Cause: makeRoom stopped nothing while a suspected task fitted on a worker on which it may not start yet, however long the probation there took.

Ruled out, by a test: that the probation always ends within half a second.

Change: after a second, room is made on a worker that admits the task.

Before: RoomForServicesTests.suspectedServiceDoesNotWaitForALongProbation fails, the service is not at work 3 s after its loss. After: it is.

--- a/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
@@ -150,8 +150,9 @@
 	static final Duration STOP_DURATION = Duration.ofMillis(500);
 
 	/**
-	 * Time after which runs that were expected to end by themselves are stopped after
-	 * all. A long-running task must be at work again within 3 s.
+	 * Time after which runs that were expected to end by themselves, or room where a
+	 * probation was expected to end, no longer count. A long-running task must be at work
+	 * again within 3 s.
 	 */
 	static final Duration MAXIMUM_WAIT_FOR_ENDS = Duration.ofMillis(1_000);
 
--- a/src/main/java/org/crocuspost/dispatch/RoomForServices.java
+++ b/src/main/java/org/crocuspost/dispatch/RoomForServices.java
@@ -46,6 +46,8 @@
 
 	private final Map<TaskKey, FailedAttempt> failedAttempts = new HashMap<>();
 
+	private final Map<TaskKey, Long> waitingForProbationSince = new HashMap<>();
+
 	RoomForServices(DispatchListener listener) {
 		this.listener = listener;
 	}
@@ -101,7 +103,7 @@
 			return;
 		}
 		FailedAttempt failed = this.failedAttempts.get(task.key());
-		if ((failed != null && nowNanos < failed.nextAttemptNanos()) || waitsForProbation(task, candidates)) {
+		if ((failed != null && nowNanos < failed.nextAttemptNanos()) || waitsForProbation(task, candidates, nowNanos)) {
 			return;
 		}
 		String avoided = (failed != null) ? failed.host() : "";
@@ -144,6 +146,7 @@
 	void placed(TaskKey task) {
 		this.requests.remove(task);
 		this.failedAttempts.remove(task);
+		this.waitingForProbationSince.remove(task);
 	}
 
 	/**
@@ -153,6 +156,7 @@
 	void jobEnded(String job) {
 		this.requests.keySet().removeIf((task) -> task.job().equals(job));
 		this.failedAttempts.keySet().removeIf((task) -> task.job().equals(job));
+		this.waitingForProbationSince.keySet().removeIf((task) -> task.job().equals(job));
 	}
 
 	private int stopping() {
@@ -164,10 +168,15 @@
 			.count();
 	}
 
-	// A suspected task that fits on a worker on which it may not start yet lacks no room.
-	private static boolean waitsForProbation(TaskProgress task, Collection<CandidateHost> candidates) {
-		return Suspicion.suspected(task) && candidates.stream()
-			.anyMatch((candidate) -> candidate.fits(task.step()) && PlacementPolicy.permitted(task, candidate));
+	// A suspected task that fits on a worker on which it may not start yet lacks no room,
+	// unless the probation there is a long one.
+	private boolean waitsForProbation(TaskProgress task, Collection<CandidateHost> candidates, long nowNanos) {
+		if (!Suspicion.suspected(task) || candidates.stream()
+			.noneMatch((candidate) -> candidate.fits(task.step()) && PlacementPolicy.permitted(task, candidate))) {
+			return false;
+		}
+		long since = this.waitingForProbationSince.computeIfAbsent(task.key(), (key) -> nowNanos);
+		return nowNanos - since < DispatchSettings.MAXIMUM_WAIT_FOR_ENDS.toNanos();
 	}
 
 	private @Nullable Plan plan(TaskProgress task, CandidateHost candidate, long nowNanos) {
--- a/src/test/java/org/crocuspost/dispatch/RoomForServicesTests.java
+++ b/src/test/java/org/crocuspost/dispatch/RoomForServicesTests.java
@@ -420,4 +420,39 @@
 		}
 	}
 
+	/**
+	 * Guards against a suspected service that waits for the end of a probation on the
+	 * only worker with room, however long that takes, instead of getting room elsewhere.
+	 */
+	@Test
+	void suspectedServiceDoesNotWaitForALongProbation() {
+		SimulatedWorker first = this.fixture.worker("first", 16_000);
+		this.fixture.submit("service", new StepBuilder().milliCores(4_000).service().build());
+		this.fixture.runSchedulingRound();
+		SimulatedWorker crashing = this.fixture.worker("crashing", 16_000);
+		crashing.description = crashing.description.toBuilder().addLabels("special").build();
+		this.fixture.report(crashing);
+		this.fixture.submit("batch-special", new StepBuilder().milliCores(16_000).label("special").build());
+		this.fixture.runSchedulingRound();
+		this.fixture.worker("host0", 16_000);
+		this.fixture.submit("batch", DispatchFixture.step(30, 2_000));
+		play(Duration.ofSeconds(2));
+		SimulatedWorker probation = this.fixture.worker("probation", 40_000);
+		probation.description = probation.description.toBuilder().addLabels("special").build();
+		probation.ignoresOrders = true;
+		this.fixture.takeOver();
+		for (SimulatedWorker worker : List.of(crashing, first)) {
+			worker.restart();
+			worker.description = worker.description.toBuilder().setDraining(true).build();
+			this.fixture.reportAll();
+			this.fixture.runSchedulingRound();
+		}
+		TaskProgress service = this.fixture.task("service", 0, 0);
+		assertThat(Suspicion.suspected(service)).isTrue();
+		assertThat(this.fixture.task("batch-special", 0, 0).host()).isEqualTo("probation");
+		play(RESTART_LIMIT);
+		assertThat(probation.running).isEmpty();
+		assertServicesRun("service", 0);
+	}
+
 }
