--- a/src/test/java/org/crocuspost/lead/TakeoverSimulation.java
+++ b/src/test/java/org/crocuspost/lead/TakeoverSimulation.java
@@ -139,7 +139,7 @@
 	 * @param clockRate how fast the clock of the worker on host A runs
 	 */
 	TakeoverSimulation(int entryCount, double clockRate) {
-		this.rows.setClock(() -> this.time.nanoTime() / 1_000_000 + this.storeClockOffset.toMillis());
+		this.rows.setClock(this::storeClockMillis);
 		this.time.repeat(CHECK_INTERVAL, this::check);
 		for (int number = 1; number <= entryCount; number++) {
 			this.entries.put("entry-" + number, new Entry("entry-" + number));
@@ -228,6 +228,23 @@
 		this.cutPaths.add(entry + " " + host);
 	}
 
+	/**
+	 * Restores a path that was cut.
+	 * @param entry the name of the entry
+	 * @param host the name of the host
+	 */
+	void restorePath(String entry, String host) {
+		this.cutPaths.remove(entry + " " + host);
+	}
+
+	/**
+	 * Returns the time of the store's steady clock.
+	 * @return the time in milliseconds
+	 */
+	long storeClockMillis() {
+		return this.time.nanoTime() / 1_000_000 + this.storeClockOffset.toMillis();
+	}
+
 	/**
 	 * Moves the clock of the store, as a restart of the store does.
 	 * @param duration the duration; negative to set it back
