--- a/src/test/java/org/crocuspost/lead/TakeoverSimulation.java
+++ b/src/test/java/org/crocuspost/lead/TakeoverSimulation.java
@@ -779,6 +779,8 @@
 
 		private final SimulatedProcess process = new SimulatedProcess();
 
+		private final long startedNanos = this.process.nanoTime();
+
 		private final String incarnation;
 
 		private long epoch;
@@ -874,6 +876,7 @@
 				.setWorkerAnswers(workerResponsive())
 				.setHandledOrder(this.handledOrder)
 				.setSequence(++this.sequence)
+				.setLeaseBasisAgeMillis(leaseBasisAgeMillis())
 				.setListsAgeMillis(this.answered ? (this.process.nanoTime() - this.answeredNanos) / 1_000_000 : 0)
 				.addAllRunning(this.running)
 				.addAllEnded(this.ended.values())
@@ -884,6 +887,11 @@
 			return report.build();
 		}
 
+		private long leaseBasisAgeMillis() {
+			long basis = this.answered ? Math.max(this.answeredNanos, this.startedNanos) : this.startedNanos;
+			return Math.max(1, (this.process.nanoTime() - basis) / 1_000_000);
+		}
+
 		private void greeted(SimulatedConnection next, int number) {
 			if (next.hello.getEpoch() < this.epoch) {
 				next.closedByAgent(number);
