--- a/src/test/java/org/crocuspost/lead/TakeoverSimulation.java
+++ b/src/test/java/org/crocuspost/lead/TakeoverSimulation.java
@@ -139,7 +139,7 @@
 	 * @param clockRate how fast the clock of the worker on host A runs
 	 */
 	TakeoverSimulation(int entryCount, double clockRate) {
-		this.rows.setClock(() -> this.time.nanoTime() / 1_000_000 + this.storeClockOffset.toMillis());
+		this.rows.setClock(this::storeClockMillis);
 		this.time.repeat(CHECK_INTERVAL, this::check);
 		for (int number = 1; number <= entryCount; number++) {
 			this.entries.put("entry-" + number, new Entry("entry-" + number));
@@ -228,6 +228,23 @@
 		this.cutPaths.add(entry + " " + host);
 	}
 
+	/**
+	 * Restores a path that was cut.
+	 * @param entry the name of the entry
+	 * @param host the name of the host
+	 */
+	void restorePath(String entry, String host) {
+		this.cutPaths.remove(entry + " " + host);
+	}
+
+	/**
+	 * Returns the time of the store's steady clock.
+	 * @return the time in milliseconds
+	 */
+	long storeClockMillis() {
+		return this.time.nanoTime() / 1_000_000 + this.storeClockOffset.toMillis();
+	}
+
 	/**
 	 * Moves the clock of the store, as a restart of the store does.
 	 * @param duration the duration; negative to set it back
@@ -494,7 +511,7 @@
 			@Override
 			public void rowsChanged(List<StoredRow> changedRows) {
 				changedRows.stream()
-					.filter((row) -> row.key().equals(Tables.LEADER_KEY))
+					.filter((row) -> row.key().equals(Tables.LEADER_KEY) || row.key().equals(Tables.FORMER_LEADER_KEY))
 					.forEach(Entry.this.elector::leaderRowChanged);
 			}
 
@@ -762,6 +779,8 @@
 
 		private final SimulatedProcess process = new SimulatedProcess();
 
+		private final long startedNanos = this.process.nanoTime();
+
 		private final String incarnation;
 
 		private long epoch;
@@ -857,6 +876,7 @@
 				.setWorkerAnswers(workerResponsive())
 				.setHandledOrder(this.handledOrder)
 				.setSequence(++this.sequence)
+				.setLeaseBasisAgeMillis(leaseBasisAgeMillis())
 				.setListsAgeMillis(this.answered ? (this.process.nanoTime() - this.answeredNanos) / 1_000_000 : 0)
 				.addAllRunning(this.running)
 				.addAllEnded(this.ended.values())
@@ -867,6 +887,11 @@
 			return report.build();
 		}
 
+		private long leaseBasisAgeMillis() {
+			long basis = this.answered ? Math.max(this.answeredNanos, this.startedNanos) : this.startedNanos;
+			return Math.max(1, (this.process.nanoTime() - basis) / 1_000_000);
+		}
+
 		private void greeted(SimulatedConnection next, int number) {
 			if (next.hello.getEpoch() < this.epoch) {
 				next.closedByAgent(number);
