Add failing tests of takeovers and of stops that take their full time

Failing: a task runs twice when a restarted agent that does not know the epoch obeys the former leader; tasks are down too long when the former leader is back last after a power loss; runs are stopped on a second worker while a stop on the first takes 900 ms.

--- a/src/test/java/org/crocuspost/dispatch/RoomForServicesTests.java
+++ b/src/test/java/org/crocuspost/dispatch/RoomForServicesTests.java
@@ -455,4 +455,34 @@
 		assertServicesRun("service", 0);
 	}
 
+	/**
+	 * Guards against runs that are stopped on a second worker while those of the first
+	 * are being stopped. A stop may take 900 ms.
+	 */
+	@Test
+	void stopsNothingElsewhereWhileARunThatDidNotEndAsExpectedIsStopped() {
+		this.fixture.worker("first", 16_000);
+		this.fixture.submit("service", new StepBuilder().milliCores(4_000).service().build());
+		this.fixture.runSchedulingRound();
+		SimulatedWorker stopping = this.fixture.worker("host0", 4_000);
+		SimulatedWorker other = this.fixture.worker("host1", 4_000);
+		this.fixture.submit("batch", DispatchFixture.step(6, 4_000));
+		play(Duration.ofSeconds(2));
+		TaskKey ending = stopping.running.keySet().iterator().next();
+		this.runTimes.put(ending, this.elapsed.get(ending).plus(Duration.ofMillis(7_000)));
+		stopping.ignoresStops = true;
+		lose("first");
+		Duration sinceStop = Duration.ZERO;
+		for (Duration played = Duration.ZERO; played.compareTo(RESTART_LIMIT) < 0; played = played.plus(ROUND)) {
+			playRound();
+			sinceStop = stopping.receivedStops.isEmpty() ? Duration.ZERO : sinceStop.plus(ROUND);
+			if (sinceStop.toMillis() >= 900 && stopping.running.containsKey(ending)) {
+				stopping.end(ending, "stopped");
+			}
+		}
+		assertServicesRun("service", 0);
+		assertThat(stopping.receivedStops).isNotEmpty();
+		assertThat(other.receivedStops).isEmpty();
+	}
+
 }
--- a/src/test/java/org/crocuspost/lead/LongRunningTasksNotRestartedTests.java
+++ b/src/test/java/org/crocuspost/lead/LongRunningTasksNotRestartedTests.java
@@ -311,4 +311,56 @@
 		assertThatTasksAreRestartedBy(simulation, 40.5 + RESTART_BOUND_SECONDS);
 	}
 
+	@Test
+	void tasksAreRestartedAfterAnOutageWhenTheFormerLeaderStaysAway() {
+		TakeoverSimulation simulation = start();
+		simulation.at(18.9, simulation.host("A")::losePower);
+		planOutage(simulation);
+		simulation.at(40.5, simulation.entry(ENTRY_2)::start);
+		simulation.at(40.5, simulation.entry(ENTRY_3)::start);
+		assertThatTasksAreRestartedBy(simulation, 40.5 + RESTART_BOUND_SECONDS);
+	}
+
+	/**
+	 * The store answers all the time. The entry that led is back last, so another one
+	 * takes over.
+	 */
+	@Test
+	void tasksAreRestartedAfterAPowerLossWhenTheFormerLeaderIsBackLast() {
+		TakeoverSimulation simulation = start();
+		simulation.at(18.9, simulation.host("A")::losePower);
+		simulation.at(20, () -> simulation.eachEntry(TakeoverSimulation.Entry::kill));
+		simulation.at(21.5, simulation.entry(ENTRY_2)::start);
+		simulation.at(21.5, simulation.entry(ENTRY_3)::start);
+		simulation.at(24.5, simulation.entry(ENTRY_1)::start);
+		assertThatTasksAreRestartedBy(simulation, 24.5 + RESTART_BOUND_SECONDS);
+	}
+
+	/**
+	 * The agent of host A restarts while the store does not answer it, so it does not
+	 * know the epoch and obeys the former leader, which goes on to extend the lease. The
+	 * new leader, to which the former incarnation of the agent has reported, is cut off.
+	 */
+	@Test
+	void tasksDoNotRunTwiceWhenARestartedAgentObeysTheFormerLeader() {
+		TakeoverSimulation simulation = start();
+		simulation.at(20, () -> simulation.entry(ENTRY_1).store(StoreMode.SILENT));
+		simulation.at(24, () -> {
+			simulation.host("A").restartAgent();
+			simulation.cutPath(ENTRY_2, "A");
+			simulation.cutPath(ENTRY_3, "A");
+		});
+		simulation.advanceTo(90);
+		assertThat(simulation.tasksRunTwice()).isEmpty();
+	}
+
+	@ParameterizedTest
+	@ValueSource(doubles = { 20, 21, 22, 24, 26, 30 })
+	void tasksDoNotRunTwiceWhenTheAgentRestartsAroundTheTakeover(double second) {
+		TakeoverSimulation simulation = start();
+		planCutOfLeader(simulation);
+		simulation.at(second, () -> simulation.host("A").restartAgent());
+		assertThatNoTaskRunsTwice(simulation);
+	}
+
 }
--- a/src/test/java/org/crocuspost/lead/TakeoverSimulation.java
+++ b/src/test/java/org/crocuspost/lead/TakeoverSimulation.java
@@ -753,6 +753,15 @@
 			this.agent = new Agent(this);
 		}
 
+		/**
+		 * Replaces the agent by a new incarnation, which does not know the epoch. The
+		 * worker goes on.
+		 */
+		void restartAgent() {
+			this.agent.process.ended = true;
+			this.agent = new Agent(this);
+		}
+
 		/**
 		 * Ends the agent and the worker.
 		 */
