Let a stop for a long-running task take its time before another worker is tried

A run that was expected to end is stopped after 1 s, and a stop may take 900 ms and a report. Room on another worker was made 2 s after the decision, so runs on a second worker were stopped while the first was still stopping. The time counts from the latest stop now.

RoomForServicesTests.stopsNothingElsewhereWhileARunThatDidNotEndAsExpectedIsStopped failed before and passes.

--- a/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
@@ -157,8 +157,8 @@
 	static final Duration MAXIMUM_WAIT_FOR_ENDS = Duration.ofMillis(1_000);
 
 	/**
-	 * Time after which room for a long-running task is made on another worker, so that a
-	 * worker that stops nothing does not use up the 3 s.
+	 * Time after the latest stop after which room for a long-running task is made on
+	 * another worker, so that a worker that stops nothing does not use up the 3 s.
 	 */
 	static final Duration ROOM_TIMEOUT = Duration.ofMillis(2_000);
 
--- a/src/main/java/org/crocuspost/dispatch/RoomForServices.java
+++ b/src/main/java/org/crocuspost/dispatch/RoomForServices.java
@@ -25,7 +25,7 @@
  * on the other workers runs of one or two cores end every few seconds. The services are
  * first in the order of waiting jobs, but each end frees one or two cores, which a batch
  * task fits into and a service does not. The services wait until several runs of one
- * worker happen to end between two scheduling passes, for 17 s in one case.
+ * worker happen to end between two scheduling passes.
  *
  * <p>
  * Waiting jobs that leave the freed capacity to the services do not suffice: the runs
@@ -97,8 +97,7 @@
 		if (present != null) {
 			present.candidate.holdRoom(task.step());
 			if (present.age(nowNanos).compareTo(DispatchSettings.MAXIMUM_WAIT_FOR_ENDS) >= 0) {
-				present.stopped.addAll(present.awaited);
-				present.awaited.clear();
+				present.stopAwaited(nowNanos);
 			}
 			return;
 		}
@@ -328,6 +327,8 @@
 
 		private final long sinceNanos;
 
+		private long latestStopNanos;
+
 		private final Set<Placement> stopped;
 
 		private final List<Placement> awaited;
@@ -340,6 +341,7 @@
 			this.worker = this.host.worker().getId();
 			this.workerStartMillis = this.host.worker().getBorn();
 			this.sinceNanos = nowNanos;
+			this.latestStopNanos = nowNanos;
 			this.stopped = new HashSet<>(plan.stopped());
 			this.awaited = new ArrayList<>(plan.awaited());
 			this.candidate = plan.candidate();
@@ -349,6 +351,13 @@
 			return Duration.ofNanos(nowNanos - this.sinceNanos);
 		}
 
+		private void stopAwaited(long nowNanos) {
+			if (this.stopped.addAll(this.awaited)) {
+				this.latestStopNanos = nowNanos;
+			}
+			this.awaited.clear();
+		}
+
 		private boolean continues(Map<HostState, CandidateHost> candidates, long nowNanos) {
 			CandidateHost present = candidates.get(this.host);
 			if (present == null || !this.task.status().waiting() || this.host.overCapacity()
@@ -356,7 +365,7 @@
 					|| this.host.worker().getBorn() != this.workerStartMillis) {
 				return false;
 			}
-			if (age(nowNanos).compareTo(DispatchSettings.ROOM_TIMEOUT) >= 0) {
+			if (nowNanos - this.latestStopNanos >= DispatchSettings.ROOM_TIMEOUT.toNanos()) {
 				RoomForServices.this.failedAttempts.put(this.task.key(), new FailedAttempt(this.host.name(), nowNanos));
 				return false;
 			}
