Log while a leader has not restored its state or dispatches nothing

Cause: a leader whose reads go on failing after a takeover starts nothing, and goes on to renew its row. The log had the first failure of each table only (read-delayed, row-watch-lost), and nothing if a read got no answer. Nor did it tell that dispatching stood still, because of an old view of the operator's rows, of the confirmation of the leadership, or of a transaction without an answer.

Change: state-not-restored, 2 s after the takeover and every 2 s until the state is restored, has the table, its rows, the failures with the last reason, and the time since the last answer. submissions-delayed is the same for accepted jobs that are not read for 3 s later. dispatch-suspended follows 1 s without a scheduling pass, again after 5 s or with other reasons, and dispatch-resumed its end. state-restored has the number of failures, and crocuspost_leader_state_restored tells whether the leader knows its jobs. The intervals are chosen, not measured. No decision changes: RowWatch tells its listener of pages and failures, which are only counted.

--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -73,6 +73,8 @@
 
 	private final UnavailabilityTracker unavailability = new UnavailabilityTracker();
 
+	private long lastPassNanos;
+
 	private QueueConfiguration configuration = new QueueConfiguration(0, List.of(), List.of(), 0);
 
 	private Set<String> evacuated = Set.of();
@@ -96,6 +98,7 @@
 		this.clock = clock;
 		this.listener = listener;
 		this.load = new LoadMeasurements(this, policy, clock);
+		this.lastPassNanos = clock.nanoTime();
 	}
 
 	/**
@@ -242,6 +245,7 @@
 	public void schedule() {
 		Map<String, List<CandidateHost>> candidatesByService = new HashMap<>();
 		long now = this.clock.nanoTime();
+		this.lastPassNanos = now;
 		for (HostState host : this.hosts.values()) {
 			if (schedulable(host)) {
 				candidatesByService.computeIfAbsent(host.worker().getService(), (service) -> new ArrayList<>())
@@ -636,6 +640,10 @@
 		return this.unavailability;
 	}
 
+	long lastPassNanos() {
+		return this.lastPassNanos;
+	}
+
 	RoomForServices roomForServices() {
 		return this.roomForServices;
 	}
--- a/src/main/java/org/crocuspost/dispatch/LoadMeasurements.java
+++ b/src/main/java/org/crocuspost/dispatch/LoadMeasurements.java
@@ -56,6 +56,15 @@
 		return new UnavailableTaskSurvey(this.dispatcher, conditions, this.clock.nanoTime()).survey();
 	}
 
+	/**
+	 * Returns the time since waiting tasks were last assigned to workers or were found to
+	 * have none.
+	 * @return the time since the last pass, or since this leader took over
+	 */
+	public Duration sinceLastPass() {
+		return Duration.ofNanos(this.clock.nanoTime() - this.dispatcher.lastPassNanos());
+	}
+
 	/**
 	 * Returns the hosts with runs of former leaders that no report has confirmed or ended
 	 * yet.
--- a/src/main/java/org/crocuspost/lead/LeadEvent.java
+++ b/src/main/java/org/crocuspost/lead/LeadEvent.java
@@ -39,6 +39,28 @@
 	 */
 	STATE_RESTORED,
 
+	/**
+	 * A new leader has not restored its state yet and starts nothing, at an interval of
+	 * seconds. The line names the table that it reads, the failures and their reason.
+	 */
+	STATE_NOT_RESTORED,
+
+	/**
+	 * The leader has not read accepted jobs for some seconds, at an interval of seconds.
+	 */
+	SUBMISSIONS_DELAYED,
+
+	/**
+	 * The leader has assigned no tasks to workers for over a second, with the reasons and
+	 * the ages of the information, at an interval of seconds.
+	 */
+	DISPATCH_SUSPENDED,
+
+	/**
+	 * The leader assigns tasks to workers again.
+	 */
+	DISPATCH_RESUMED,
+
 	/**
 	 * A read of a table by a new leader has failed and is retried.
 	 */
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -76,6 +76,12 @@
 
 	private final UnavailableTaskLog unavailableTaskLog;
 
+	private final RestorationLog restorationLog;
+
+	private final DispatchSuspensionLog dispatchSuspensionLog;
+
+	private final LeaderMetrics metrics;
+
 	private final InheritedRunsLog inheritedRunsLog;
 
 	private final FencedWriter writer;
@@ -156,6 +162,9 @@
 		this.queueLoadLog = new QueueLoadLog(this.dispatcher, metrics, clock);
 		this.recordBacklogLog = new RecordBacklogLog(this.dispatcher, clock);
 		this.unavailableTaskLog = new UnavailableTaskLog(this.dispatcher.load(), metrics, clock);
+		this.restorationLog = new RestorationLog(record.epoch(), clock);
+		this.dispatchSuspensionLog = new DispatchSuspensionLog(clock);
+		this.metrics = metrics;
 		this.inheritedRunsLog = new InheritedRunsLog(this.dispatcher.load());
 		this.rejectedJobs = new RejectedJobs(store, settings.retention(), clock);
 		this.admissionPublisher = new AdmissionPublisher(this.dispatcher, record.epoch(), clock);
@@ -173,8 +182,19 @@
 		this.tickTimer = timer.repeat(LeadershipTimings.TICK_INTERVAL, this::tick);
 		// Leases are extended only on a deadline of this leader in its row.
 		writeFirstRow(predecessor);
-		readTable(Tables.MODEL, "", this::readModel, () -> readTable(Tables.LEDGER, "", this.restoredRows::addJob,
-				() -> readTable(Tables.TASKS, "", this.restoredRows::addTask, this.intakeWatch::start)));
+		readTable(Tables.MODEL, this::readModel,
+				() -> readTable(Tables.LEDGER, this.restoredRows::addJob, () -> readTable(Tables.TASKS,
+						this.restoredRows::addTask, () -> watch(Tables.INTAKE, this.intakeWatch))));
+	}
+
+	private void watch(String table, RowWatch watch) {
+		this.restorationLog.reading(table);
+		watch.start();
+	}
+
+	private void readTable(String table, Consumer<StoredRow> reader, Runnable next) {
+		this.restorationLog.reading(table);
+		readTable(table, "", reader, next);
 	}
 
 	private void writeFirstRow(FormerLeader predecessor) {
@@ -200,10 +220,12 @@
 			if (answer.isLeft()) {
 				EventLog.warn(LeadEvent.READ_DELAYED, Field.of("table", table),
 						Field.of("reason", answer.getLeft().message()));
+				this.restorationLog.readFailed(answer.getLeft().message());
 				this.timer.schedule(LeadershipTimings.RETRY_DELAY, () -> readTable(table, fromKey, reader, next));
 				return;
 			}
 			List<StoredRow> rows = answer.get().rows();
+			this.restorationLog.pageRead(rows.size());
 			IsolatedRows.apply(rows, reader);
 			if (answer.get().complete()) {
 				next.run();
@@ -250,11 +272,13 @@
 		IsolatedRows.apply(rows, this::applySubmission);
 		if (!this.restored) {
 			this.restored = true;
+			this.metrics.setStateRestored(true);
 			EventLog.info(LeadEvent.STATE_RESTORED, Field.of("epoch", this.record.epoch()),
 					Field.of("rows", rows.size()), Field.of("progress", this.restoredRows.jobCount()),
 					Field.of("jobsWithoutRow", this.restoredRows.countJobsWithoutRow()),
 					Field.of("hosts", this.links.size()), Field.of("inheritedRuns", this.inheritedRunsLog.runs()),
-					Field.of("hostsWithInheritedRuns", this.inheritedRunsLog.hosts()), Field.of("sinceTakeoverMillis",
+					Field.of("hostsWithInheritedRuns", this.inheritedRunsLog.hosts()),
+					Field.of("failures", this.restorationLog.failures()), Field.of("sinceTakeoverMillis",
 							TimeUnit.NANOSECONDS.toMillis(this.clock.nanoTime() - this.takeoverNanos)));
 			this.inheritedRunsLog.schedule(this.record.epoch(), this.timer);
 			this.restoredRows.release();
@@ -262,6 +286,16 @@
 		scheduleDecision();
 	}
 
+	@Override
+	public void pageRead(int rows) {
+		this.restorationLog.pageRead(rows);
+	}
+
+	@Override
+	public void readFailed(String reason) {
+		this.restorationLog.readFailed(reason);
+	}
+
 	@Override
 	public void rowsChanged(List<StoredRow> rows) {
 		IsolatedRows.apply(rows, this::applySubmission);
@@ -496,10 +530,17 @@
 			}
 			this.rejectedJobs.removeIfDue();
 			decide();
-			this.unavailableTaskLog.writeIfDue(startConditions());
+			this.restorationLog.writeIfDelayed(this.submissionWatch.age());
+			StartConditions conditions = startConditions();
+			this.dispatchSuspensionLog.writeIfDue(this.dispatcher.load().sinceLastPass(), conditions,
+					this.writer.confirmed(), this.writer.busy(), this.resigning);
+			this.unavailableTaskLog.writeIfDue(conditions);
 		}
-		else if (!this.writer.busy()) {
-			renewIfDue();
+		else {
+			this.restorationLog.writeIfDue();
+			if (!this.writer.busy()) {
+				renewIfDue();
+			}
 		}
 	}
 
@@ -706,6 +747,7 @@
 	void close() {
 		this.closed = true;
 		this.unavailableTaskLog.close();
+		this.metrics.setStateRestored(false);
 		this.inheritedRunsLog.close();
 		this.tickTimer.cancel();
 		this.writer.close();
@@ -726,11 +768,21 @@
 			IsolatedRows.apply(rows, Leader.this::applyRow);
 			if (!Leader.this.hostsRead) {
 				Leader.this.hostsRead = true;
-				Leader.this.submissionWatch.start();
+				watch(Tables.SUBMISSIONS, Leader.this.submissionWatch);
 			}
 			scheduleDecision();
 		}
 
+		@Override
+		public void pageRead(int rows) {
+			Leader.this.restorationLog.pageRead(rows);
+		}
+
+		@Override
+		public void readFailed(String reason) {
+			Leader.this.restorationLog.readFailed(reason);
+		}
+
 		@Override
 		public void rowsChanged(List<StoredRow> rows) {
 			IsolatedRows.apply(rows, Leader.this::applyRow);
--- a/src/main/java/org/crocuspost/lead/LeaderMetrics.java
+++ b/src/main/java/org/crocuspost/lead/LeaderMetrics.java
@@ -32,6 +32,8 @@
 
 	private final Histogram unavailableSeconds;
 
+	private final Gauge stateRestored;
+
 	private final Gauge deferredJobs;
 
 	private final Gauge leader;
@@ -102,17 +104,20 @@
 			.classicOnly()
 			.classicUpperBounds(0.3, 1, 3, 7, 10, 20, 30)
 			.register(registry);
-		this.deferredJobs = Gauge.builder()
-			.name("crocuspost_deferred_jobs")
-			.help("Jobs ranked behind all jobs of use, by queue.")
-			.labelNames("queue")
-			.register(registry);
+		this.stateRestored = gauge(registry, "crocuspost_leader_state_restored",
+				"1 while this process leads and has read the jobs and hosts from the store, otherwise 0.");
+		this.deferredJobs = gauge(registry, "crocuspost_deferred_jobs", "Jobs ranked behind all jobs of use, by queue.",
+				"queue");
 		this.leader = Gauge.builder()
 			.name("crocuspost_leader")
 			.help("1 while this process leads, otherwise 0.")
 			.register(registry);
 	}
 
+	private static Gauge gauge(PrometheusRegistry registry, String name, String help, String... labels) {
+		return Gauge.builder().name(name).help(help).labelNames(labels).register(registry);
+	}
+
 	void jobEnded(String state) {
 		this.jobsEnded.labelValues(state).inc();
 	}
@@ -145,6 +150,10 @@
 		this.unavailableTasks.labelValues(reason.label()).set(number);
 	}
 
+	void setStateRestored(boolean restored) {
+		this.stateRestored.set(restored ? 1 : 0);
+	}
+
 	void taskRegained(Duration unavailable, boolean inherited) {
 		this.unavailableSeconds.labelValues(String.valueOf(inherited))
 			.observe(unavailable.toNanos() / (double) TimeUnit.SECONDS.toNanos(1));
--- a/src/main/java/org/crocuspost/rows/RowWatch.java
+++ b/src/main/java/org/crocuspost/rows/RowWatch.java
@@ -163,6 +163,7 @@
 			}
 			RowPage page = answer.get();
 			rows.addAll(page.rows());
+			this.listener.pageRead(page.rows().size());
 			long version = (firstVersion < 0) ? page.storeVersion() : firstVersion;
 			if (!page.complete()) {
 				String last = rows.get(rows.size() - 1).key();
@@ -233,6 +234,7 @@
 		catch (RuntimeException | StackOverflowError ex) {
 			EventLog.error(ex, RowEvent.ROWS_NOT_APPLIED, Field.of("table", this.table),
 					Field.of("version", this.version));
+			this.listener.readFailed("the rows were not applied");
 			this.timer.schedule(ERROR_PAUSE, () -> readTable("", new ArrayList<>(), -1, null));
 			return false;
 		}
@@ -282,6 +284,7 @@
 			EventLog.warn(RowEvent.ROW_WATCH_LOST, Field.of("table", this.table), Field.of("version", this.version),
 					Field.of("reason", failure.message()));
 		}
+		this.listener.readFailed(failure.message());
 		this.timer.schedule(RETRY_PAUSE, retry);
 	}
 
--- a/src/main/java/org/crocuspost/rows/RowWatchListener.java
+++ b/src/main/java/org/crocuspost/rows/RowWatchListener.java
@@ -21,4 +21,19 @@
 	 */
 	void rowsChanged(List<StoredRow> rows);
 
+	/**
+	 * Called for each page of the table that the store returns, before the whole table is
+	 * passed on.
+	 * @param rows the number of rows in the page
+	 */
+	default void pageRead(int rows) {
+	}
+
+	/**
+	 * Called for each call of the store that has failed and is repeated.
+	 * @param reason why it failed
+	 */
+	default void readFailed(String reason) {
+	}
+
 }
--- a/src/test/java/org/crocuspost/lead/LeaderTests.java
+++ b/src/test/java/org/crocuspost/lead/LeaderTests.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -311,6 +312,68 @@
 				.containsEntry("hosts", "[host]"));
 	}
 
+	/**
+	 * Guards against a leader that goes on to renew its row, starts nothing and logs only
+	 * the first of its failed reads.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "tasks, false", "submissions, false", "ledger, true" })
+	void leaderTellsWhichTableItReadsUntilItsStateIsRestored(String table, boolean silent) {
+		submitJob(WAITING_JOB);
+		this.store.unreadableTable = table;
+		this.store.silent = silent;
+		long before = lastLine();
+		Leader leader = startLeader();
+		this.time.advance(Duration.ofSeconds(5));
+		List<Map<String, String>> lines = lines(before, "state-not-restored");
+		assertThat(lines).hasSize(2);
+		assertThat(lines.get(1)).containsEntry("table", table).containsEntry("sinceTakeoverMillis", "4000");
+		if (silent) {
+			assertThat(lines.get(1)).containsEntry("failures", "0").containsEntry("sinceAnswerMillis", "4000");
+		}
+		else {
+			assertThat(Integer.parseInt(lines.get(1).get("failures"))).isGreaterThan(10);
+			assertThat(lines.get(1).get("reason")).contains("table");
+		}
+		assertThat(lines(before, "state-restored")).isEmpty();
+		this.store.unreadableTable = "";
+		this.time.advance(Duration.ofSeconds(5));
+		assertThat(lines(before, "state-restored")).hasSize(silent ? 0 : 1);
+		assertThat(lines(before, "state-not-restored")).hasSize(silent ? 5 : 2);
+		assertThat(lines(before, "submissions-delayed")).isEmpty();
+		leader.close();
+	}
+
+	/**
+	 * Guards against a leader that no longer reads accepted jobs, and logs only the first
+	 * failure.
+	 */
+	@Test
+	void submissionsThatAreNotReadAreLogged() {
+		Leader leader = startLeader();
+		this.time.advance(Duration.ofSeconds(2));
+		long before = lastLine();
+		this.store.unwatchableTable = Tables.SUBMISSIONS;
+		this.time.advance(Duration.ofSeconds(6));
+		assertThat(lines(before, "submissions-delayed")).hasSize(2).last().satisfies((fields) -> {
+			assertThat(Integer.parseInt(fields.get("ageMillis"))).isGreaterThanOrEqualTo(4_900);
+			assertThat(Integer.parseInt(fields.get("failures"))).isGreaterThan(10);
+		});
+		leader.close();
+	}
+
+	private static long lastLine() {
+		return RecentEvents.after(0).stream().mapToLong(RecentEvents.Line::sequence).max().orElse(0);
+	}
+
+	private static List<Map<String, String>> lines(long before, String event) {
+		return RecentEvents.after(before)
+			.stream()
+			.map(RecentEvents.Line::fields)
+			.filter((fields) -> event.equals(fields.get("event")))
+			.toList();
+	}
+
 	private StoredRow submissionRow(String job) {
 		return this.store.rows.row(Tables.SUBMISSIONS, Tables.JOB_PREFIX + job);
 	}
@@ -334,6 +397,12 @@
 
 		private String unavailableTable = "";
 
+		private String unreadableTable = "";
+
+		private String unwatchableTable = "";
+
+		private boolean silent;
+
 		@Override
 		public void commit(RowTransaction transaction, Consumer<Either<Failure, RowCommit>> answer) {
 			if (transaction.writes().size() + transaction.removals().size() > this.maximumEntries) {
@@ -358,12 +427,21 @@
 
 		@Override
 		public void scan(String table, String fromKey, Consumer<Either<Failure, RowPage>> answer) {
-			this.rows.scan(table, fromKey, answer);
+			if (!table.equals(this.unreadableTable)) {
+				this.rows.scan(table, fromKey, answer);
+			}
+			else if (!this.silent) {
+				answer.accept(Either.left(ErrorCode.STORE_UNAVAILABLE.with("table")));
+			}
 		}
 
 		@Override
 		public void changes(String table, long afterVersion, Duration maximumWait,
 				Consumer<Either<Failure, RowChanges>> answer) {
+			if (table.equals(this.unwatchableTable)) {
+				answer.accept(Either.left(ErrorCode.STORE_UNAVAILABLE.with("table")));
+				return;
+			}
 			if (this.historyLost) {
 				this.historyLost = false;
 				answer.accept(Either.right(RowChanges.HISTORY_LOST));
