Log why nothing runs of an accepted batch job

Cause: tasks-unavailable is for long-running tasks only. Of a batch task that was accepted and not started for seconds, no line told whether the leader believed that it runs, or which condition kept it from a worker with room. It named the probation for each suspected task, with room or without. Refused starts were visible one by one only.

Change: job-unavailable, for each batch job of which nothing has been known to run for 3 s (the time that the platform's rule allows) although the turn of a task has come, and for each reason of its tasks. It has the phase of the assignment with host and ages, or the number of workers by the first condition that keeps the task from them, and the ages of the store's confirmation, the operator's view and the last scheduling pass. The conditions come from the placement itself (PlacementPolicy.suitability replaces the private check of the policy), so they do not drift apart. A line is repeated after 10 s, and there are at most 10 a second; both are chosen, not measured. The reasons get excluded and gang, and probation now means that a worker has room; tasks-unavailable uses them too. Consecutive starts that were refused, lost or never ordered are counted for each task (FailedStarts) under one leader. Metrics: crocuspost_unavailable_jobs by reason, crocuspost_starts_refused_total by kind of the reason.

No decision changes: the checks of the policy and of the probation are moved, in the same order.

Cost: one survey a second, only over jobs without a run.

Tested: UnavailableJobTests (a table of reasons and conditions) and UnavailableJobLogTests; everyReasonIsTested of UnavailableTaskTests counts both tables, since gang and excluded are in the new one.

--- a/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
+++ b/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
@@ -100,9 +100,10 @@
 		StepSpecification step = task.step();
 		CandidateHost best = null;
 		double bestScore = 0;
-		boolean mayTry = step.filler() && trials(step.image(), candidates) < MAXIMUM_TRIALS;
+		boolean mayTry = mayTry(step, candidates);
 		for (CandidateHost candidate : candidates) {
-			if (!PlacementPolicy.feasible(task, candidate) || !suitable(step, candidate, mayTry)) {
+			if (!PlacementPolicy.feasible(task, candidate)
+					|| suitability(step, candidate, mayTry) != WorkerCondition.SUITED) {
 				continue;
 			}
 			double score = score(step, candidate);
@@ -184,26 +185,38 @@
 		return count;
 	}
 
-	private boolean suitable(StepSpecification step, CandidateHost candidate, boolean mayTry) {
+	@Override
+	public boolean mayTry(StepSpecification step, Collection<CandidateHost> candidates) {
+		return !step.filler() || trials(step.image(), candidates) < MAXIMUM_TRIALS;
+	}
+
+	@Override
+	public WorkerCondition suitability(StepSpecification step, CandidateHost candidate, boolean mayTry) {
 		if (!step.filler()) {
-			return true;
+			return WorkerCondition.SUITED;
 		}
 		if (candidate.freeFillerMilliCores() < step.milliCores() * DispatchSettings.MINIMUM_FILLER_SHARE) {
-			return false;
+			return WorkerCondition.FILLER_CORES;
+		}
+		if (!candidate.host().runsService()) {
+			return WorkerCondition.SUITED;
 		}
-		return !candidate.host().runsService()
-				|| (!candidate.isBackingOff(step.image()) && withinPressureLimit(step, candidate, mayTry));
+		return candidate.isBackingOff(step.image()) ? WorkerCondition.BACK_OFF
+				: pressureCondition(step, candidate, mayTry);
 	}
 
 	// Allows only one filler on a worker while its image is unknown. The effect of the
 	// filler is visible within a second.
-	private boolean withinPressureLimit(StepSpecification step, CandidateHost candidate, boolean mayTry) {
+	private WorkerCondition pressureCondition(StepSpecification step, CandidateHost candidate, boolean mayTry) {
 		OptionalDouble increase = expectedIncrease(step, candidate);
 		if (increase.isEmpty()) {
-			return mayTry && candidate.fillers() == 0 && candidate.host().pressure() < MAXIMUM_PRESSURE;
+			if (!mayTry || candidate.fillers() > 0) {
+				return WorkerCondition.TRIAL;
+			}
+			return (candidate.host().pressure() < MAXIMUM_PRESSURE) ? WorkerCondition.SUITED : WorkerCondition.PRESSURE;
 		}
 		double expected = candidate.host().pressure() + candidate.pendingIncrease() + increase.getAsDouble();
-		return expected <= MAXIMUM_PRESSURE;
+		return (expected <= MAXIMUM_PRESSURE) ? WorkerCondition.SUITED : WorkerCondition.PRESSURE;
 	}
 
 	private OptionalDouble expectedIncrease(StepSpecification step, CandidateHost candidate) {
--- a/src/main/java/org/crocuspost/dispatch/DispatchListener.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchListener.java
@@ -79,6 +79,16 @@
 	 */
 	void runLost(TaskProgress task, int run, String host, String reason, Evidence evidence, Duration observedRunTime);
 
+	/**
+	 * Called when a start was refused by the agent or the worker, before the run is
+	 * declared lost.
+	 * @param task the task
+	 * @param run the number of the run
+	 * @param host the host
+	 * @param reason why the start was refused, in the words of the agent or the worker
+	 */
+	void startRefused(TaskProgress task, int run, String host, String reason);
+
 	/**
 	 * Called at the first report that lists the next run of a long-running task after the
 	 * end or the loss of its last one.
--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -37,6 +37,8 @@
  */
 public final class Dispatcher {
 
+	private static final String NEVER_ORDERED = "never ordered";
+
 	private final DispatchSettings settings;
 
 	private final PlacementPolicy policy;
@@ -73,6 +75,8 @@
 
 	private final UnavailabilityTracker unavailability = new UnavailabilityTracker();
 
+	private final FailedStarts failedStarts = new FailedStarts();
+
 	private long lastPassNanos;
 
 	private QueueConfiguration configuration = new QueueConfiguration(0, List.of(), List.of(), 0);
@@ -229,6 +233,7 @@
 		this.roomForServices.jobEnded(job.id());
 		this.changes.jobChanged(job.id());
 		this.unavailability.jobEnded(job.id());
+		this.failedStarts.jobEnded(job.id());
 		this.listener.jobEnded(job, reason, timing(job));
 		Set<String> affected = new LinkedHashSet<>();
 		for (TaskProgress task : job.allTasks()) {
@@ -279,7 +284,11 @@
 	boolean schedulable(HostState host) {
 		long now = this.clock.nanoTime();
 		return host.available() && !host.quarantined(now) && !host.leaseLapsed(this.settings.leaseTimeout(), now)
-				&& !this.evacuated.contains(host.worker().getFailureDomain());
+				&& !evacuated(host);
+	}
+
+	boolean evacuated(HostState host) {
+		return this.evacuated.contains(host.worker().getFailureDomain());
 	}
 
 	/**
@@ -547,7 +556,8 @@
 		host.placements().remove(placement.task().key());
 		placement.task().endRun(false);
 		markChanged(placement.task().key());
-		this.listener.runEnded(placement.task(), placement.run(), host.name(), "never ordered");
+		this.listener.runEnded(placement.task(), placement.run(), host.name(), NEVER_ORDERED);
+		markStartFailed(placement, host, NEVER_ORDERED);
 	}
 
 	TaskTraits traits(StepSpecification step, HostState host) {
@@ -636,14 +646,48 @@
 		}
 	}
 
+	/**
+	 * Records that a run of a task was running.
+	 * @param task the task
+	 * @param age the age of the worker's list
+	 */
+	void markListed(TaskProgress task, Duration age) {
+		TrackedJob tracked = this.jobs.get(task.key().job());
+		if (tracked != null) {
+			tracked.markListed(this.clock.nanoTime() - age.toNanos());
+		}
+		this.failedStarts.begun(task.key());
+	}
+
+	/**
+	 * Records that an assignment did not lead to a run.
+	 * @param placement the assignment
+	 * @param host the host
+	 * @param reason why the run did not begin
+	 */
+	void markStartFailed(Placement placement, HostState host, String reason) {
+		TrackedJob tracked = this.jobs.get(placement.task().key().job());
+		if (tracked != null && !tracked.job().state().terminal()) {
+			this.failedStarts.add(placement.task().key(), host.name(), reason, this.clock.nanoTime());
+		}
+	}
+
 	UnavailabilityTracker unavailability() {
 		return this.unavailability;
 	}
 
+	FailedStarts failedStarts() {
+		return this.failedStarts;
+	}
+
 	long lastPassNanos() {
 		return this.lastPassNanos;
 	}
 
+	PlacementPolicy policy() {
+		return this.policy;
+	}
+
 	RoomForServices roomForServices() {
 		return this.roomForServices;
 	}
--- a/src/main/java/org/crocuspost/dispatch/LoadMeasurements.java
+++ b/src/main/java/org/crocuspost/dispatch/LoadMeasurements.java
@@ -56,6 +56,16 @@
 		return new UnavailableTaskSurvey(this.dispatcher, conditions, this.clock.nanoTime()).survey();
 	}
 
+	/**
+	 * Returns the batch jobs of which nothing has been known to run for
+	 * {@link UnavailableJobSurvey#MINIMUM_DURATION} although the turn of a task has come.
+	 * @param conditions what the leader knows about its permission to start tasks
+	 * @return the jobs with the reasons
+	 */
+	public List<UnavailableJob> unavailableJobs(StartConditions conditions) {
+		return new UnavailableJobSurvey(this.dispatcher, conditions, this.clock.nanoTime()).survey();
+	}
+
 	/**
 	 * Returns the time since waiting tasks were last assigned to workers or were found to
 	 * have none.
--- a/src/main/java/org/crocuspost/dispatch/PlacementPolicy.java
+++ b/src/main/java/org/crocuspost/dispatch/PlacementPolicy.java
@@ -52,6 +52,28 @@
 		return 0;
 	}
 
+	/**
+	 * Returns whether another filler of an unknown image may try how much it presses on
+	 * services.
+	 * @param step the step of the filler
+	 * @param candidates the hosts whose workers accept tasks
+	 * @return true if it may, or if the step is no filler
+	 */
+	default boolean mayTry(StepSpecification step, Collection<CandidateHost> candidates) {
+		return true;
+	}
+
+	/**
+	 * Returns what keeps a task from a worker that can run it.
+	 * @param step the step of the task
+	 * @param candidate the host of the worker, with its free resources
+	 * @param mayTry whether another filler of an unknown image may start beside services
+	 * @return the condition; {@link WorkerCondition#NONE} if the worker suits the task
+	 */
+	default WorkerCondition suitability(StepSpecification step, CandidateHost candidate, boolean mayTry) {
+		return WorkerCondition.SUITED;
+	}
+
 	/**
 	 * Returns whether a worker satisfies the constraints of a task and has enough free
 	 * resources for it.
--- a/src/main/java/org/crocuspost/dispatch/ProbationPlacement.java
+++ b/src/main/java/org/crocuspost/dispatch/ProbationPlacement.java
@@ -44,17 +44,27 @@
 		return chooseAmong(task, sound.isEmpty() ? candidates : sound);
 	}
 
+	/**
+	 * Returns whether suspected tasks are on probation on as many workers as allowed.
+	 * @param candidates the hosts among which the workers are chosen
+	 * @return true if suspected tasks start on no further worker
+	 */
+	static boolean limitReached(Collection<CandidateHost> candidates) {
+		return limitReached(candidates.stream().filter(CandidateHost::hasSuspects).count(), candidates.size());
+	}
+
+	private static boolean limitReached(long withSuspects, int workers) {
+		return withSuspects >= Math.max(1, workers * DispatchSettings.MAXIMUM_PROBATION_SHARE);
+	}
+
 	private @Nullable CandidateHost chooseAmong(TaskProgress task, Collection<CandidateHost> candidates) {
 		List<CandidateHost> groups = new ArrayList<>();
 		List<CandidateHost> others = new ArrayList<>();
-		int withSuspects = 0;
 		for (CandidateHost candidate : candidates) {
-			withSuspects += candidate.hasSuspects() ? 1 : 0;
 			(candidate.hasSuspects() ? groups : others).add(candidate);
 		}
 		CandidateHost joined = this.policy.choose(task, groups);
-		if (joined != null
-				|| withSuspects >= Math.max(1, candidates.size() * DispatchSettings.MAXIMUM_PROBATION_SHARE)) {
+		if (joined != null || limitReached(groups.size(), candidates.size())) {
 			return joined;
 		}
 		others.sort(Comparator.comparingInt((candidate) -> candidate.host().placements().size()));
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -249,6 +249,9 @@
 			this.dispatcher.listener()
 				.runLost(task, placement.run(), host.name(), reason, evidence, placement.observedRunTime());
 			this.dispatcher.markInterrupted(task, placement.run(), host);
+			if (!placement.listed() && placement.phase() != Placement.Phase.INHERITED) {
+				this.dispatcher.markStartFailed(placement, host, reason);
+			}
 		}
 	}
 
@@ -292,6 +295,7 @@
 			ignoreEnd(key, ended, host, "the task is at run " + task.run());
 		}
 		else if (task.status() == TaskStatus.PLACED || task.status() == TaskStatus.WAITING_AFTER_LOSS) {
+			this.dispatcher.markListed(task, evidence.age());
 			applyEnd(job.get(), task, ended, host.name());
 			this.dispatcher.markInterrupted(task, ended.getRun(), host);
 		}
@@ -407,6 +411,7 @@
 			Placement placement = host.placements().get(key);
 			if (placement != null && placement.run() == running.getRun()) {
 				placement.listedRunning(running, listedMillis);
+				this.dispatcher.markListed(placement.task(), evidence.age());
 				if (report.getWorkerAnswers()) {
 					noteRegained(placement, host, evidence);
 				}
@@ -446,7 +451,11 @@
 			if (!gone || listedTasks.contains(key)) {
 				continue;
 			}
-			loseRun(host, placement, refusals.getOrDefault(key, "not running"), Evidence.of(report));
+			String refusal = refusals.get(key);
+			if (refusal != null && placement.current()) {
+				this.dispatcher.listener().startRefused(placement.task(), placement.run(), host.name(), refusal);
+			}
+			loseRun(host, placement, (refusal != null) ? refusal : "not running", Evidence.of(report));
 		}
 	}
 
--- a/src/main/java/org/crocuspost/dispatch/RoomForServices.java
+++ b/src/main/java/org/crocuspost/dispatch/RoomForServices.java
@@ -138,6 +138,23 @@
 		return this.requests.values().stream().anyMatch((request) -> request.stopped.contains(placement));
 	}
 
+	/**
+	 * Returns what is left of hosts without the room that is being made on them.
+	 * @param candidates the hosts, which stay unchanged
+	 * @return copies of the hosts on which room is being made
+	 */
+	Map<HostState, CandidateHost> copiesWithHeldRoom(Collection<CandidateHost> candidates) {
+		Map<HostState, CandidateHost> copies = new HashMap<>();
+		for (Request request : this.requests.values()) {
+			for (CandidateHost candidate : candidates) {
+				if (candidate.host() == request.host) {
+					copies.computeIfAbsent(request.host, (host) -> candidate.copy()).holdRoom(request.task.step());
+				}
+			}
+		}
+		return copies;
+	}
+
 	/**
 	 * Ends the request of a task that has got a worker.
 	 * @param task the task
--- a/src/main/java/org/crocuspost/dispatch/TrackedJob.java
+++ b/src/main/java/org/crocuspost/dispatch/TrackedJob.java
@@ -28,6 +28,8 @@
 
 	private boolean begun;
 
+	private long lastListedNanos = Long.MIN_VALUE;
+
 	private boolean deferred;
 
 	private WaitingOrder.Rank rank = new WaitingOrder.Rank(0, 0, 0);
@@ -120,6 +122,23 @@
 		return first;
 	}
 
+	/**
+	 * Records that a run of the job was running.
+	 * @param nanos the time of the worker's list, in nanoseconds of the process clock
+	 */
+	void markListed(long nanos) {
+		this.lastListedNanos = Math.max(this.lastListedNanos, nanos);
+	}
+
+	/**
+	 * Returns when a run of the job was last known to run, according to a list that this
+	 * leader has received.
+	 * @return the time in nanoseconds of the process clock; the minimum if there is none
+	 */
+	long lastListedNanos() {
+		return this.lastListedNanos;
+	}
+
 	boolean starving(long nowNanos) {
 		return nowNanos - this.lastRunningNanos > DispatchSettings.STARVATION_TIMEOUT.toNanos();
 	}
--- a/src/main/java/org/crocuspost/dispatch/UnavailabilityReason.java
+++ b/src/main/java/org/crocuspost/dispatch/UnavailabilityReason.java
@@ -3,8 +3,8 @@
 import java.util.Locale;
 
 /**
- * Says why a task of a long-running step is not known to run, that is, which information
- * or decision the leader waits for.
+ * Says why a task whose turn has come is not known to run, that is, which information or
+ * decision the leader waits for.
  */
 public enum UnavailabilityReason {
 
@@ -24,7 +24,8 @@
 	UNCONFIRMED_SILENT,
 
 	/**
-	 * The worker answers, but its lists have not confirmed the inherited run yet.
+	 * The worker answers, but its lists have not confirmed the inherited run yet, or no
+	 * longer confirm a run that they contained.
 	 */
 	UNCONFIRMED_INCOMPLETE,
 
@@ -51,15 +52,28 @@
 	NO_WORKER,
 
 	/**
-	 * The task is suspected to crash workers and waits for a worker for its probation.
+	 * The task is suspected to crash workers and waits for a worker for its probation. A
+	 * worker has room.
 	 */
 	PROBATION,
 
+	/**
+	 * Workers have room for the task, and a condition excludes each of them, such as a
+	 * suspected task that is on probation there, a quarantine, or the pressure on
+	 * services.
+	 */
+	EXCLUDED,
+
 	/**
 	 * No worker that accepts tasks has room for the task.
 	 */
 	NO_ROOM,
 
+	/**
+	 * A worker has room for the task, but its gang has not found workers for all tasks.
+	 */
+	GANG,
+
 	/**
 	 * A worker has room, but the leader has not assigned the task, for example since it
 	 * waits for the answer of the store to an earlier transaction.
--- a/src/main/java/org/crocuspost/dispatch/UnavailableTaskSurvey.java
+++ b/src/main/java/org/crocuspost/dispatch/UnavailableTaskSurvey.java
@@ -2,15 +2,11 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 
 import org.crocuspost.job.JobProgress;
-import org.crocuspost.job.Queue;
 import org.crocuspost.job.StepSpecification;
-import org.crocuspost.job.TaskKey;
 import org.crocuspost.job.TaskProgress;
 import org.crocuspost.job.TaskStatus;
 
@@ -29,11 +25,9 @@
 final class UnavailableTaskSurvey {
 
 	/**
-	 * Time without an answer of the worker before a listed run counts as unconfirmed. A
-	 * single call of the agent that is lost must not make all tasks of a host look
-	 * unavailable.
+	 * Time without an answer of the worker before a listed run counts as unconfirmed.
 	 */
-	static final Duration MINIMUM_SILENCE = Duration.ofSeconds(1);
+	static final Duration MINIMUM_SILENCE = UnavailabilityCauses.MINIMUM_SILENCE;
 
 	private final Dispatcher dispatcher;
 
@@ -41,10 +35,6 @@
 
 	private final long nowNanos;
 
-	private final Map<TaskKey, HostState> unassignedRuns = new HashMap<>();
-
-	private final Map<String, List<CandidateHost>> candidatesByService = new HashMap<>();
-
 	private final List<UnavailableTask> found = new ArrayList<>();
 
 	UnavailableTaskSurvey(Dispatcher dispatcher, StartConditions conditions, long nowNanos) {
@@ -62,18 +52,12 @@
 		if (jobs.isEmpty()) {
 			return List.of();
 		}
-		for (HostState host : this.dispatcher.hosts()) {
-			host.unassignedRuns().keySet().forEach((task) -> this.unassignedRuns.put(task, host));
-			if (this.dispatcher.schedulable(host)) {
-				this.candidatesByService.computeIfAbsent(host.worker().getService(), (service) -> new ArrayList<>())
-					.add(new CandidateHost(host, this.nowNanos));
-			}
-		}
-		jobs.forEach(this::addJob);
+		UnavailabilityCauses causes = new UnavailabilityCauses(this.dispatcher, this.conditions, this.nowNanos);
+		jobs.forEach((tracked) -> addJob(tracked, causes));
 		return List.copyOf(this.found);
 	}
 
-	private void addJob(TrackedJob tracked) {
+	private void addJob(TrackedJob tracked, UnavailabilityCauses causes) {
 		JobProgress job = tracked.job();
 		List<StepSpecification> steps = job.submission().specification().steps();
 		long nowMillis = this.dispatcher.clock().millis();
@@ -83,31 +67,30 @@
 			}
 			for (int step = 0; step < steps.size(); step++) {
 				if (steps.get(step).lasting() && !steps.get(step).filler() && job.predecessorsDone(occurrence, step)) {
-					addStep(tracked, job.tasks(occurrence, step));
+					addStep(tracked, job.tasks(occurrence, step), causes);
 				}
 			}
 		}
 	}
 
-	private void addStep(TrackedJob tracked, List<TaskProgress> tasks) {
+	private void addStep(TrackedJob tracked, List<TaskProgress> tasks, UnavailabilityCauses causes) {
 		// Tasks of a step that are not suspected need the same room.
-		Optional<Cause> waiting = Optional.empty();
+		Optional<UnavailabilityCauses.Cause> waiting = Optional.empty();
 		for (TaskProgress task : tasks) {
 			if (task.status() == TaskStatus.PLACED) {
-				assigned(task).ifPresent((cause) -> add(tracked, task, cause));
+				causes.assigned(task).ifPresent((cause) -> add(tracked, task, cause));
 			}
 			else if (task.status().waiting()) {
-				HostState listing = this.unassignedRuns.get(task.key());
-				if (listing != null) {
-					add(tracked, task, new Cause(UnavailabilityReason.UNASSIGNED_RUN, listing.reportedNanos(),
-							listing.reportedNanos(), listing.name()));
+				Optional<UnavailabilityCauses.Cause> unassigned = causes.unassignedRun(task.key());
+				if (unassigned.isPresent()) {
+					add(tracked, task, unassigned.get());
 				}
 				else if (Suspicion.suspected(task)) {
-					add(tracked, task, waiting(tracked, task));
+					add(tracked, task, causes.waiting(tracked, task));
 				}
 				else {
 					if (waiting.isEmpty()) {
-						waiting = Optional.of(waiting(tracked, task));
+						waiting = Optional.of(causes.waiting(tracked, task));
 					}
 					add(tracked, task, waiting.get());
 				}
@@ -115,12 +98,12 @@
 		}
 	}
 
-	private void add(TrackedJob tracked, TaskProgress task, Cause cause) {
+	private void add(TrackedJob tracked, TaskProgress task, UnavailabilityCauses.Cause cause) {
 		Optional<UnavailabilityTracker.Interruption> interruption = this.dispatcher.unavailability().find(task.key());
 		long since = interruption.map(UnavailabilityTracker.Interruption::sinceNanos)
 			.orElse((task.status() == TaskStatus.PLACED && task.run() > 0) ? cause.sinceNanos()
 					: Math.max(tracked.acceptedNanos(), this.conditions.takeoverNanos()));
-		String host = !cause.host().isEmpty() ? cause.host()
+		String host = !cause.hostName().isEmpty() ? cause.hostName()
 				: interruption.map(UnavailabilityTracker.Interruption::host).orElse("");
 		this.found.add(new UnavailableTask(task.key(), task.run(), host, cause.reason(), since(since),
 				since(cause.evidenceNanos())));
@@ -130,86 +113,4 @@
 		return Duration.ofNanos(Math.max(0, this.nowNanos - nanos));
 	}
 
-	private Optional<Cause> assigned(TaskProgress task) {
-		HostState host = this.dispatcher.host(task.host());
-		Placement placement = host.placements().get(task.key());
-		if (placement == null) {
-			return Optional.of(new Cause(UnavailabilityReason.UNCONFIRMED_INCOMPLETE, host.reportedNanos(),
-					host.reportedNanos(), host.name()));
-		}
-		long phaseSince = placement.phaseSinceNanos();
-		if (placement.phase() == Placement.Phase.RECORDING) {
-			return Optional.of(new Cause(UnavailabilityReason.RECORDING, phaseSince, phaseSince, host.name()));
-		}
-		if (!host.leaseStarted()) {
-			return Optional.of(new Cause(UnavailabilityReason.UNCONFIRMED_NO_REPORT, phaseSince,
-					this.conditions.takeoverNanos(), host.name()));
-		}
-		if (!host.connected() || !host.workerResponds()) {
-			UnavailabilityReason reason = host.connected() ? UnavailabilityReason.UNCONFIRMED_SILENT
-					: UnavailabilityReason.UNCONFIRMED_DISCONNECTED;
-			long answered = host.lastExtensionNanos();
-			boolean confirmedRecently = placement.listed() && this.nowNanos - answered < MINIMUM_SILENCE.toNanos();
-			return confirmedRecently ? Optional.empty()
-					: Optional.of(new Cause(reason, answered, answered, host.name()));
-		}
-		return switch (placement.phase()) {
-			case RECORDING, ORDERED ->
-				Optional.of(new Cause(UnavailabilityReason.ORDERED, phaseSince, phaseSince, host.name()));
-			case INHERITED -> Optional.of(new Cause(UnavailabilityReason.UNCONFIRMED_INCOMPLETE, phaseSince,
-					host.reportedNanos(), host.name()));
-			case REPORTED -> placement.listed() ? Optional.empty() : Optional
-				.of(new Cause(UnavailabilityReason.PENDING, phaseSince, host.reportedNanos(), host.name()));
-		};
-	}
-
-	private Cause waiting(TrackedJob tracked, TaskProgress task) {
-		if (!this.conditions.mayStart()) {
-			return cause(UnavailabilityReason.STORE, this.nowNanos - this.conditions.oldest().toNanos());
-		}
-		Optional<Queue> queue = this.dispatcher.queueOf(tracked.job());
-		if (queue.isEmpty()) {
-			return cause(UnavailabilityReason.NO_QUEUE, this.conditions.takeoverNanos());
-		}
-		List<CandidateHost> candidates = this.candidatesByService.getOrDefault(queue.get().service(), List.of());
-		if (candidates.isEmpty()) {
-			return cause(UnavailabilityReason.NO_WORKER, newestReport(queue.get().service()));
-		}
-		long oldest = this.nowNanos;
-		boolean room = false;
-		for (CandidateHost candidate : candidates) {
-			oldest = Math.min(oldest, candidate.host().reportedNanos());
-			room |= PlacementPolicy.feasible(task, candidate);
-		}
-		if (Suspicion.suspected(task)) {
-			return cause(UnavailabilityReason.PROBATION, oldest);
-		}
-		return cause(room ? UnavailabilityReason.UNDECIDED : UnavailabilityReason.NO_ROOM, oldest);
-	}
-
-	private long newestReport(String service) {
-		long newest = this.conditions.takeoverNanos();
-		for (HostState host : this.dispatcher.hosts()) {
-			if (host.worker().getService().equals(service)) {
-				newest = Math.max(newest, host.reportedNanos());
-			}
-		}
-		return newest;
-	}
-
-	private static Cause cause(UnavailabilityReason reason, long evidenceNanos) {
-		return new Cause(reason, evidenceNanos, evidenceNanos, "");
-	}
-
-	/**
-	 * Why a task is not known to run.
-	 *
-	 * @param reason the reason
-	 * @param sinceNanos since when, if no interruption of the task is known
-	 * @param evidenceNanos the time of the information on which the reason is based
-	 * @param host the host that the reason concerns; empty if it is none
-	 */
-	private record Cause(UnavailabilityReason reason, long sinceNanos, long evidenceNanos, String host) {
-	}
-
 }
--- a/src/main/java/org/crocuspost/dispatch/WaitingOrder.java
+++ b/src/main/java/org/crocuspost/dispatch/WaitingOrder.java
@@ -66,9 +66,20 @@
 	 */
 	private static final double MINIMUM_TIME_SHARE = 0.5;
 
+	private static final List<String> GROUP_LABELS = List.of("none", "in-time", "late", "late-beyond-use", "deferred");
+
 	private WaitingOrder() {
 	}
 
+	/**
+	 * Returns the group of a batch job's rank as it appears in logs.
+	 * @param rank the rank
+	 * @return the name of the group; none if the job was not ranked yet
+	 */
+	static String label(Rank rank) {
+		return GROUP_LABELS.get(rank.group());
+	}
+
 	/**
 	 * Returns the latency objective of a job: the time in which it should complete.
 	 * @param queue the queue of the job
--- a/src/main/java/org/crocuspost/lead/DecisionLog.java
+++ b/src/main/java/org/crocuspost/lead/DecisionLog.java
@@ -6,6 +6,7 @@
 import org.crocuspost.dispatch.Evidence;
 import org.crocuspost.dispatch.JobStart;
 import org.crocuspost.dispatch.JobTiming;
+import org.crocuspost.dispatch.RefusalKind;
 import org.crocuspost.dispatch.RegainedTask;
 import org.crocuspost.dispatch.SelectionEvidence;
 import org.crocuspost.dispatch.StopEvidence;
@@ -95,6 +96,12 @@
 				Field.of("observedRunMillis", observedRunTime.toMillis()));
 	}
 
+	@Override
+	public void startRefused(TaskProgress task, int run, String host, String reason) {
+		// The run is logged as lost, with the reason.
+		this.metrics.startRefused(RefusalKind.of(reason));
+	}
+
 	@Override
 	public void taskRegained(TaskProgress task, RegainedTask regained) {
 		this.metrics.taskRegained(regained.duration(), regained.inherited());
--- a/src/main/java/org/crocuspost/lead/LeadEvent.java
+++ b/src/main/java/org/crocuspost/lead/LeadEvent.java
@@ -141,6 +141,13 @@
 	 */
 	TASKS_UNAVAILABLE,
 
+	/**
+	 * Nothing is known to run of a batch job although the turn of a task has come. There
+	 * is a line for each job and reason, and a limited number of them a second. It tells
+	 * the state of an assigned task, or what keeps a waiting one from each worker.
+	 */
+	JOB_UNAVAILABLE,
+
 	/**
 	 * Some time after a takeover, the hosts that have not reported to the new leader and
 	 * to which former leaders assigned runs.
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -76,6 +76,8 @@
 
 	private final UnavailableTaskLog unavailableTaskLog;
 
+	private final UnavailableJobLog unavailableJobLog;
+
 	private final RestorationLog restorationLog;
 
 	private final DispatchSuspensionLog dispatchSuspensionLog;
@@ -162,6 +164,7 @@
 		this.queueLoadLog = new QueueLoadLog(this.dispatcher, metrics, clock);
 		this.recordBacklogLog = new RecordBacklogLog(this.dispatcher, clock);
 		this.unavailableTaskLog = new UnavailableTaskLog(this.dispatcher.load(), metrics, clock);
+		this.unavailableJobLog = new UnavailableJobLog(this.dispatcher.load(), metrics, clock);
 		this.restorationLog = new RestorationLog(record.epoch(), clock);
 		this.dispatchSuspensionLog = new DispatchSuspensionLog(clock);
 		this.metrics = metrics;
@@ -535,6 +538,7 @@
 			this.dispatchSuspensionLog.writeIfDue(this.dispatcher.load().sinceLastPass(), conditions,
 					this.writer.confirmed(), this.writer.busy(), this.resigning);
 			this.unavailableTaskLog.writeIfDue(conditions);
+			this.unavailableJobLog.writeIfDue(conditions);
 		}
 		else {
 			this.restorationLog.writeIfDue();
@@ -747,6 +751,7 @@
 	void close() {
 		this.closed = true;
 		this.unavailableTaskLog.close();
+		this.unavailableJobLog.close();
 		this.metrics.setStateRestored(false);
 		this.inheritedRunsLog.close();
 		this.tickTimer.cancel();
--- a/src/main/java/org/crocuspost/lead/LeaderMetrics.java
+++ b/src/main/java/org/crocuspost/lead/LeaderMetrics.java
@@ -7,6 +7,7 @@
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.crocuspost.dispatch.RefusalKind;
 import org.crocuspost.dispatch.UnavailabilityReason;
 
 /**
@@ -32,6 +33,10 @@
 
 	private final Histogram unavailableSeconds;
 
+	private final Gauge unavailableJobs;
+
+	private final Counter refusedStarts;
+
 	private final Gauge stateRestored;
 
 	private final Gauge deferredJobs;
@@ -104,6 +109,15 @@
 			.classicOnly()
 			.classicUpperBounds(0.3, 1, 3, 7, 10, 20, 30)
 			.register(registry);
+		this.unavailableJobs = gauge(registry, "crocuspost_unavailable_jobs",
+				"Batch jobs of which nothing was known to run for three seconds although the turn of a task had come, "
+						+ "by what the leader waits for.",
+				"reason");
+		this.refusedStarts = Counter.builder()
+			.name("crocuspost_starts_refused_total")
+			.help("Starts that the agent or the worker refused, by kind of the reason.")
+			.labelNames("reason")
+			.register(registry);
 		this.stateRestored = gauge(registry, "crocuspost_leader_state_restored",
 				"1 while this process leads and has read the jobs and hosts from the store, otherwise 0.");
 		this.deferredJobs = gauge(registry, "crocuspost_deferred_jobs", "Jobs ranked behind all jobs of use, by queue.",
@@ -150,6 +164,14 @@
 		this.unavailableTasks.labelValues(reason.label()).set(number);
 	}
 
+	void unavailableJobs(UnavailabilityReason reason, long number) {
+		this.unavailableJobs.labelValues(reason.label()).set(number);
+	}
+
+	void startRefused(RefusalKind kind) {
+		this.refusedStarts.labelValues(kind.label()).inc();
+	}
+
 	void setStateRestored(boolean restored) {
 		this.stateRestored.set(restored ? 1 : 0);
 	}
--- a/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
@@ -53,6 +53,8 @@
 
 	final List<LostRun> lostRuns = new ArrayList<>();
 
+	final List<String> refusedStarts = new ArrayList<>();
+
 	final List<RegainedTask> regainedTasks = new ArrayList<>();
 
 	final List<WorkerCrash> crashes = new ArrayList<>();
@@ -452,6 +454,11 @@
 			DispatchFixture.this.lostRuns.add(new LostRun(reason, evidence));
 		}
 
+		@Override
+		public void startRefused(TaskProgress task, int run, String host, String reason) {
+			DispatchFixture.this.refusedStarts.add(reason);
+		}
+
 		@Override
 		public void taskRegained(TaskProgress task, RegainedTask regained) {
 			DispatchFixture.this.regainedTasks.add(regained);
--- a/src/test/java/org/crocuspost/dispatch/SilentDispatchListener.java
+++ b/src/test/java/org/crocuspost/dispatch/SilentDispatchListener.java
@@ -40,6 +40,10 @@
 			Duration observedRunTime) {
 	}
 
+	@Override
+	public void startRefused(TaskProgress task, int run, String host, String reason) {
+	}
+
 	@Override
 	public void taskRegained(TaskProgress task, RegainedTask regained) {
 	}
--- a/src/test/java/org/crocuspost/dispatch/UnavailableTaskTests.java
+++ b/src/test/java/org/crocuspost/dispatch/UnavailableTaskTests.java
@@ -199,7 +199,8 @@
 
 	@Test
 	void everyReasonIsTested() {
-		assertThat(reasons().map((row) -> row.get()[0])).containsAll(List.of(UnavailabilityReason.values()));
+		assertThat(Stream.concat(reasons(), UnavailableJobTests.reasons()).map((row) -> row.get()[0]))
+			.containsAll(List.of(UnavailabilityReason.values()));
 	}
 
 	/**
