--- a/src/main/java/org/crocuspost/report/CataloguePage.java
+++ b/src/main/java/org/crocuspost/report/CataloguePage.java
@@ -17,6 +17,7 @@
 import org.crocuspost.distribution.ConfigurationMetrics;
 import org.crocuspost.distribution.ConfirmationSummary;
 import org.crocuspost.error.ErrorCode;
+import org.crocuspost.lead.LeaderMetrics;
 import org.crocuspost.log.LogEvent;
 import org.crocuspost.metrics.ProcessMetrics;
 
@@ -98,6 +99,7 @@
 		ProcessMetrics.register(registry);
 		new ServiceLevelMetrics(new EmptyConfigurationSource(), registry);
 		ConfigurationMetrics.register(() -> ConfirmationSummary.NONE, registry);
+		new LeaderMetrics(registry);
 		return registry.scrape().stream().map(MetricSnapshot::getMetadata).toList();
 	}
 
