Pass over workers on which starts lead to no run

Callers saw an accepted job of which nothing ran although most workers were free. In the simulation of 80 workers, a worker that answers its polls and refuses each start, or answers none, got the same task again and again: run 138 after 5.5 s, with 79 workers free.

Cause: a refused or lost start left no trace in the leader. The worker stayed empty, so the placement scored it best and took it again in the next pass. An assignment also counted as a run of its job, so the job did not count as starving.

Change: a host whose starts lead to no run is a last resort and gets one start at a time, until a run is listed there; from the second failed start in a row on it gets none for 250 ms, doubling up to 4 s (StartBackOff). Orders that are lost with their connection or their agent do not count. A job is starving unless a run of it is listed by a worker that answers, or was assigned within the last second; a failed start does not count. For a task that is suspected to crash workers the time still counts from the last assignment, so that its probation is not passed over.

Before: taskIsNotAssignedForeverToAWorkerThatRefusesEachStart and ...ThatAnswersNoStart failed.

consecutiveFailedStartsAreCounted advances the time between its rounds now, since the single worker of the test gets no start during the back-off; its assertions are the same.

--- a/src/main/java/org/crocuspost/dispatch/CandidateHost.java
+++ b/src/main/java/org/crocuspost/dispatch/CandidateHost.java
@@ -36,6 +36,10 @@
 
 	private final boolean onProbation;
 
+	private final boolean doubtful;
+
+	private final boolean startPending;
+
 	private final Set<String> jobsStarted = new HashSet<>();
 
 	private int suspects;
@@ -54,6 +58,8 @@
 		this.fillers = host.fillers();
 		this.pendingIncrease = host.unreportedIncrease();
 		this.onProbation = host.hasSuspectOnProbation();
+		this.doubtful = host.startBackOff().doubtful(nowNanos);
+		this.startPending = this.doubtful && host.hasUnlistedStart();
 	}
 
 	private CandidateHost(CandidateHost other) {
@@ -68,6 +74,8 @@
 		this.fillers = other.fillers;
 		this.pendingIncrease = other.pendingIncrease;
 		this.onProbation = other.onProbation;
+		this.doubtful = other.doubtful;
+		this.startPending = other.startPending;
 		this.jobsStarted.addAll(other.jobsStarted);
 		this.suspects = other.suspects;
 		this.isolated = other.isolated;
@@ -82,6 +90,22 @@
 				&& step.accelerators() <= this.freeAccelerators;
 	}
 
+	/**
+	 * Returns whether the last starts here have led to no run.
+	 * @return true if tasks should start elsewhere
+	 */
+	boolean isDoubtful() {
+		return this.doubtful;
+	}
+
+	/**
+	 * Returns whether the outcome of a start must be known before the next one.
+	 * @return true if the last starts here have led to no run and another one is open
+	 */
+	boolean awaitsStart() {
+		return this.doubtful && (this.startPending || !this.jobsStarted.isEmpty());
+	}
+
 	/**
 	 * Returns whether a task may start here without blurring which task crashes the
 	 * worker, if it does. Tasks of one job need not be told apart, since a job is given
--- a/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
+++ b/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
@@ -110,7 +110,8 @@
 			if (step.lasting() && !step.filler() && !candidate.host().runsService()) {
 				score += DOMAIN_BALANCE_WEIGHT * shareWithoutServices(candidate, candidates);
 			}
-			if (best == null || score > bestScore) {
+			if (best == null || isSounder(candidate, best)
+					|| (candidate.isDoubtful() == best.isDoubtful() && score > bestScore)) {
 				best = candidate;
 				bestScore = score;
 			}
@@ -125,8 +126,8 @@
 	public @Nullable CandidateHost chooseForStarving(TaskProgress task, Collection<CandidateHost> candidates) {
 		CandidateHost best = null;
 		for (CandidateHost candidate : candidates) {
-			if (PlacementPolicy.feasible(task, candidate)
-					&& (best == null || contention(candidate) < contention(best))) {
+			if (PlacementPolicy.feasible(task, candidate) && (best == null || isSounder(candidate, best)
+					|| (candidate.isDoubtful() == best.isDoubtful() && contention(candidate) < contention(best)))) {
 				best = candidate;
 			}
 		}
@@ -163,6 +164,10 @@
 		return count / (double) candidates.size();
 	}
 
+	private static boolean isSounder(CandidateHost candidate, CandidateHost other) {
+		return !candidate.isDoubtful() && other.isDoubtful();
+	}
+
 	private static double contention(CandidateHost candidate) {
 		return candidate.fillers() + candidate.host().pressure();
 	}
--- a/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
@@ -112,6 +112,30 @@
 	 */
 	static final Duration MAXIMUM_QUARANTINE = Duration.ofSeconds(8);
 
+	/**
+	 * Time for which a worker gets no start after two in a row have led to no run. A
+	 * refusal that has a passing reason, such as a lease that is being extended, is over
+	 * by then.
+	 */
+	static final Duration MINIMUM_START_BACK_OFF = Duration.ofMillis(250);
+
+	/**
+	 * Maximum time for which a worker gets no start after several have led to no run.
+	 */
+	static final Duration MAXIMUM_START_BACK_OFF = Duration.ofSeconds(4);
+
+	/**
+	 * Time after the last failed start from which on a worker counts as sound again
+	 * although no further start was tried. Longer than the longest time without a start.
+	 */
+	static final Duration START_FAILURE_MEMORY = Duration.ofSeconds(12);
+
+	/**
+	 * Time from an assignment after which its run counts as running only if it is listed.
+	 * An order is recorded, sent and carried out within a few hundred milliseconds.
+	 */
+	static final Duration START_CONFIRMATION_TIMEOUT = Duration.ofMillis(1_000);
+
 	/**
 	 * Share of its requested processor capacity that a long-running task is assumed to
 	 * use when the free capacity for fillers is computed. Long-running tasks are sized
--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -283,8 +283,8 @@
 
 	boolean schedulable(HostState host) {
 		long now = this.clock.nanoTime();
-		return host.available() && !host.quarantined(now) && !host.leaseLapsed(this.settings.leaseTimeout(), now)
-				&& !evacuated(host);
+		return host.available() && !host.quarantined(now) && !host.startBackOff().excludes(now)
+				&& !host.leaseLapsed(this.settings.leaseTimeout(), now) && !evacuated(host);
 	}
 
 	boolean evacuated(HostState host) {
@@ -330,9 +330,12 @@
 
 	private void assign(TrackedJob tracked, List<CandidateHost> candidates, Set<TaskKey> unassigned) {
 		JobProgress job = tracked.job();
-		if (job.hasAssignedTask()) {
+		if (hasRunOrRecentStart(job)) {
 			tracked.markRunning(this.clock.nanoTime());
 		}
+		if (job.hasAssignedTask()) {
+			tracked.markAssigned(this.clock.nanoTime());
+		}
 		List<StepSpecification> steps = job.submission().specification().steps();
 		for (int occurrence = 0; occurrence < job.occurrences(); occurrence++) {
 			if (job.submission().specification().dueMillis(occurrence) > this.clock.millis()) {
@@ -346,6 +349,38 @@
 		}
 	}
 
+	// A run that a silent worker may still have, or a start that has failed, does not
+	// keep
+	// the rest of its job from starting, except for a suspected task: it may be the
+	// reason.
+	private boolean isStarving(TrackedJob tracked, TaskProgress task) {
+		long now = this.clock.nanoTime();
+		return Suspicion.suspected(task) ? tracked.withoutAssignment(now) : tracked.starving(now);
+	}
+
+	/**
+	 * Returns whether a task of a job is known to run, or was assigned so recently that
+	 * its run may not be listed yet. An assignment alone is no proof: the worker may be
+	 * silent, or never start the run.
+	 * @param job the job
+	 * @return true if the job does not have to get a worker at once
+	 */
+	private boolean hasRunOrRecentStart(JobProgress job) {
+		long now = this.clock.nanoTime();
+		for (TaskProgress task : job.allTasks()) {
+			if (task.status() != TaskStatus.PLACED) {
+				continue;
+			}
+			HostState host = host(task.host());
+			Placement placement = host.placements().get(task.key());
+			if (placement != null && ((placement.listed() && host.connected() && host.workerResponds())
+					|| placement.age(now).compareTo(DispatchSettings.START_CONFIRMATION_TIMEOUT) < 0)) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	/**
 	 * Ends a job if one of its tasks has failed too often. That is normally noticed when
 	 * the failure is reported, but a new leader may receive reports before it knows the
@@ -381,7 +416,7 @@
 			this.roomForServices.releaseHeldRoom(task);
 			CandidateHost candidate = Suspicion.suspected(task) ? this.probationPlacement.choose(task, candidates)
 					: this.policy.choose(task, candidates);
-			if (candidate == null && tracked.starving(this.clock.nanoTime()) && !candidates.isEmpty()
+			if (candidate == null && isStarving(tracked, task) && !candidates.isEmpty()
 					&& hasSpareCapacity(candidates.get(0).host().worker().getService())) {
 				candidate = this.policy.chooseForStarving(task, candidates);
 			}
@@ -669,6 +704,7 @@
 		TrackedJob tracked = this.jobs.get(placement.task().key().job());
 		if (tracked != null && !tracked.job().state().terminal()) {
 			this.failedStarts.add(placement.task().key(), host.name(), reason, this.clock.nanoTime());
+			tracked.startFailed();
 		}
 	}
 
--- a/src/main/java/org/crocuspost/dispatch/HostState.java
+++ b/src/main/java/org/crocuspost/dispatch/HostState.java
@@ -52,6 +52,8 @@
 
 	private final Map<TaskKey, StepSpecification> unassignedRuns = new LinkedHashMap<>();
 
+	private final StartBackOff startBackOff = new StartBackOff();
+
 	private int consecutiveFailures;
 
 	private long quarantinedUntilNanos = Long.MIN_VALUE;
@@ -118,6 +120,27 @@
 		return nowNanos < this.quarantinedUntilNanos;
 	}
 
+	/**
+	 * Returns the experience with recent starts on the worker.
+	 * @return the state; mutable
+	 */
+	StartBackOff startBackOff() {
+		return this.startBackOff;
+	}
+
+	/**
+	 * Returns whether a start was decided or ordered here whose run is not listed yet.
+	 * @return true if its outcome is open
+	 */
+	boolean hasUnlistedStart() {
+		for (Placement placement : this.placements.values()) {
+			if (!placement.listed() && placement.phase() != Placement.Phase.INHERITED) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	/**
 	 * Excludes the worker for a time from fillers of an image, after one was stopped here
 	 * for its low pace.
@@ -346,6 +369,7 @@
 		this.consecutiveFailures = 0;
 		this.quarantinedUntilNanos = Long.MIN_VALUE;
 		this.nextQuarantine = DispatchSettings.MINIMUM_QUARANTINE;
+		this.startBackOff.runListed();
 		this.unassignedRuns.clear();
 		this.backOffUntilNanos.clear();
 	}
--- a/src/main/java/org/crocuspost/dispatch/Placement.java
+++ b/src/main/java/org/crocuspost/dispatch/Placement.java
@@ -227,6 +227,15 @@
 		};
 	}
 
+	/**
+	 * Returns whether the start order was sent on a connection.
+	 * @param connection the number of the connection
+	 * @return false also if this leader has not sent an order
+	 */
+	boolean orderedOn(long connection) {
+		return this.orderNumber > 0 && this.orderConnection == connection;
+	}
+
 	private boolean refersTo(RefusedStart refused) {
 		return refused.getRun() == this.run && TaskNames.key(refused.getTask()).equals(this.task.key());
 	}
--- a/src/main/java/org/crocuspost/dispatch/PlacementPolicy.java
+++ b/src/main/java/org/crocuspost/dispatch/PlacementPolicy.java
@@ -82,7 +82,8 @@
 	 * @return true if the worker can run the task
 	 */
 	static boolean feasible(TaskProgress task, CandidateHost candidate) {
-		return candidate.fits(task.step()) && candidate.admits(task) && permitted(task, candidate);
+		return candidate.fits(task.step()) && candidate.admits(task) && !candidate.awaitsStart()
+				&& permitted(task, candidate);
 	}
 
 	/**
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -121,7 +121,7 @@
 		host.workerResponds(report.getWorkerAnswers());
 		if (!host.worker().getId().isEmpty()) {
 			processEnds(host, report);
-			processRuns(host, report, now);
+			processRuns(host, report, now, newIncarnation);
 		}
 		boolean extendLease = mayExtendLease && report.getWorkerAnswers() && report.getLeaseStamp() > 0;
 		if (extendLease) {
@@ -275,6 +275,9 @@
 		Placement placement = host.placements().get(key);
 		if (placement != null && placement.run() == ended.getRun()) {
 			host.placements().remove(key);
+			if (!placement.listed() && placement.phase() != Placement.Phase.INHERITED) {
+				host.startBackOff().runListed();
+			}
 		}
 		Optional<JobProgress> job = this.dispatcher.job(key.job());
 		TaskProgress task = job.map((found) -> found.task(key)).orElse(null);
@@ -348,7 +351,7 @@
 		}
 	}
 
-	private void processRuns(HostState host, HostReport report, long now) {
+	private void processRuns(HostState host, HostReport report, long now, boolean newAgent) {
 		Set<TaskKey> listedTasks = new HashSet<>();
 		host.unassignedRuns().clear();
 		boolean listsLapsed = listsLapsed(report);
@@ -384,7 +387,7 @@
 			this.imagePressure.observe(host.name(), pressure, shares);
 		}
 		if (!report.getEndsFollow()) {
-			loseMissingRuns(host, report, listedTasks);
+			loseMissingRuns(host, report, listedTasks, newAgent);
 		}
 	}
 
@@ -410,6 +413,9 @@
 			this.dispatcher.markBegun(key, running.getRun(), host, evidence);
 			Placement placement = host.placements().get(key);
 			if (placement != null && placement.run() == running.getRun()) {
+				if (!placement.listed() && placement.phase() != Placement.Phase.INHERITED) {
+					host.startBackOff().runListed();
+				}
 				placement.listedRunning(running, listedMillis);
 				this.dispatcher.markListed(placement.task(), evidence.age());
 				if (report.getWorkerAnswers()) {
@@ -436,7 +442,7 @@
 		return step.tailTarget().isZero() ? 0 : running.getLoad() / (double) step.tailTarget().toMillis();
 	}
 
-	private void loseMissingRuns(HostState host, HostReport report, Set<TaskKey> listedTasks) {
+	private void loseMissingRuns(HostState host, HostReport report, Set<TaskKey> listedTasks, boolean newAgent) {
 		Map<TaskKey, String> refusals = new HashMap<>();
 		for (RefusedStart refused : report.getRefusedList()) {
 			refusals.put(TaskNames.key(refused.getTask()), refused.getReason());
@@ -451,6 +457,11 @@
 			if (!gone || listedTasks.contains(key)) {
 				continue;
 			}
+			// An order may be lost with its connection or with its agent.
+			if (!newAgent && placement.orderedOn(host.connections()) && !placement.listed()
+					&& !placement.stopOrdered()) {
+				noteFailedStart(host);
+			}
 			String refusal = refusals.get(key);
 			if (refusal != null && placement.current()) {
 				this.dispatcher.listener().startRefused(placement.task(), placement.run(), host.name(), refusal);
@@ -459,6 +470,15 @@
 		}
 	}
 
+	private void noteFailedStart(HostState host) {
+		long now = this.dispatcher.clock().nanoTime();
+		boolean newlyDoubtful = !host.startBackOff().doubtful(now);
+		host.startBackOff().startFailed(now);
+		if (newlyDoubtful) {
+			this.dispatcher.listener().hostChanged(host.name(), "doubtful", "a start has led to no run");
+		}
+	}
+
 	private List<StopOrder> runsToStop(HostState host, HostReport report, long now) {
 		if (listsLapsed(report)) {
 			return List.of();
@@ -519,7 +539,8 @@
 
 	private boolean hasFreeWorker(HostState host, StepSpecification step) {
 		for (HostState other : this.dispatcher.hosts()) {
-			if (other != host && this.dispatcher.schedulable(other) && !other.runsService()
+			if (other != host && this.dispatcher.schedulable(other)
+					&& !other.startBackOff().doubtful(this.dispatcher.clock().nanoTime()) && !other.runsService()
 					&& other.worker().getService().equals(host.worker().getService())
 					&& other.freeFillerMilliCores() >= step.milliCores() * DispatchSettings.MINIMUM_FILLER_SHARE
 					&& other.freeMemoryMegabytes() >= step.memoryMegabytes()) {
--- a/src/main/java/org/crocuspost/dispatch/TrackedJob.java
+++ b/src/main/java/org/crocuspost/dispatch/TrackedJob.java
@@ -20,6 +20,10 @@
 
 	private final long acceptedNanos;
 
+	private final long createdNanos;
+
+	private long lastAssignedNanos;
+
 	private long lastRunningNanos;
 
 	private final boolean assignedEarlier;
@@ -42,7 +46,9 @@
 	TrackedJob(JobProgress job, Clock clock) {
 		this.job = job;
 		this.acceptedNanos = clock.nanoTime() - age(job.submission().acceptedMillis(), clock).toNanos();
-		this.lastRunningNanos = clock.nanoTime();
+		this.createdNanos = clock.nanoTime();
+		this.lastRunningNanos = this.createdNanos;
+		this.lastAssignedNanos = this.createdNanos;
 		this.assignedEarlier = job.allTasks().stream().anyMatch(TaskProgress::everAssigned);
 		this.begun = job.state() != JobState.QUEUED || job.allTasks().stream().anyMatch(TrackedJob::hasRun);
 	}
@@ -80,6 +86,7 @@
 	 * @param nowNanos the current time
 	 */
 	void markAssigned(long nowNanos) {
+		this.lastAssignedNanos = nowNanos;
 		if (this.firstAssignedNanos.isEmpty()) {
 			this.firstAssignedNanos = OptionalLong.of(nowNanos);
 		}
@@ -139,6 +146,29 @@
 		return this.lastListedNanos;
 	}
 
+	/**
+	 * Records that an assignment has led to no run. The job has to get another worker at
+	 * once if no other run of it was listed lately.
+	 */
+	void startFailed() {
+		this.lastRunningNanos = Math.max(this.createdNanos, this.lastListedNanos);
+	}
+
+	/**
+	 * Returns whether no task of the job has been assigned for some time.
+	 * @param nowNanos the current time
+	 * @return true if a suspected task of the job should not wait any longer
+	 */
+	boolean withoutAssignment(long nowNanos) {
+		return nowNanos - this.lastAssignedNanos > DispatchSettings.STARVATION_TIMEOUT.toNanos();
+	}
+
+	/**
+	 * Returns whether no task of the job has been known to run, or to be about to run,
+	 * for some time.
+	 * @param nowNanos the current time
+	 * @return true if the job should accept any worker with enough free resources
+	 */
 	boolean starving(long nowNanos) {
 		return nowNanos - this.lastRunningNanos > DispatchSettings.STARVATION_TIMEOUT.toNanos();
 	}
--- a/src/main/java/org/crocuspost/dispatch/UnavailabilityCauses.java
+++ b/src/main/java/org/crocuspost/dispatch/UnavailabilityCauses.java
@@ -289,11 +289,17 @@
 			if (host.quarantined(UnavailabilityCauses.this.nowNanos)) {
 				return WorkerCondition.QUARANTINE;
 			}
+			if (host.startBackOff().excludes(UnavailabilityCauses.this.nowNanos)) {
+				return WorkerCondition.STARTS_FAILED;
+			}
 			return UnavailabilityCauses.this.dispatcher.evacuated(host) ? WorkerCondition.EVACUATED
 					: WorkerCondition.LEASE_LAPSED;
 		}
 
 		private WorkerCondition admission(TaskProgress task, CandidateHost candidate, boolean anySuits) {
+			if (candidate.awaitsStart()) {
+				return WorkerCondition.STARTS_FAILED;
+			}
 			if (!PlacementPolicy.permitted(task, candidate)) {
 				return WorkerCondition.WORKER_LIMIT;
 			}
--- a/src/main/java/org/crocuspost/dispatch/WorkerCondition.java
+++ b/src/main/java/org/crocuspost/dispatch/WorkerCondition.java
@@ -64,6 +64,11 @@
 	 */
 	QUARANTINE(Kind.EXCLUDED),
 
+	/**
+	 * The worker has room, and the last starts on it have led to no run.
+	 */
+	STARTS_FAILED(Kind.EXCLUDED),
+
 	/**
 	 * The worker has room and runs as many tasks of the step as it may.
 	 */
--- a/src/test/java/org/crocuspost/dispatch/UnavailableJobTests.java
+++ b/src/test/java/org/crocuspost/dispatch/UnavailableJobTests.java
@@ -88,6 +88,11 @@
 		this.fixture.report(worker());
 	}
 
+	private void failTwoStarts() {
+		host().startBackOff().startFailed(this.fixture.time.nanoTime());
+		host().startBackOff().startFailed(this.fixture.time.nanoTime() + 3_000_000_000L);
+	}
+
 	private void start() {
 		this.fixture.submit(JOB, STEP);
 		this.fixture.runSchedulingRound();
@@ -131,6 +136,8 @@
 				row(UnavailabilityReason.NO_WORKER, WorkerCondition.LEASE_LAPSED, STEP, (test) -> test.advance(4)),
 				row(UnavailabilityReason.NO_WORKER, WorkerCondition.QUARANTINE, STEP,
 						(test) -> test.host().quarantine(test.fixture.time.nanoTime() + 2_000_000_000L)),
+				row(UnavailabilityReason.NO_WORKER, WorkerCondition.STARTS_FAILED, STEP,
+						UnavailableJobTests::failTwoStarts),
 				row(UnavailabilityReason.EXCLUDED, WorkerCondition.ON_PROBATION, STEP, (test) -> {
 					test.crash(OTHER_JOB, 1);
 					test.fixture.runSchedulingRound();
@@ -238,6 +245,7 @@
 		this.fixture.submit(JOB, DispatchFixture.step(2, 1_000));
 		worker().ignoresOrders = true;
 		for (int run = 1; run <= 3; run++) {
+			this.fixture.time.advance(DispatchSettings.MAXIMUM_START_BACK_OFF);
 			this.fixture.runSchedulingRound();
 			worker().handledOrder += 2;
 			this.fixture.reports.reported(worker().report()
@@ -245,6 +253,7 @@
 				.addRefused(RefusedStart.newBuilder().setTask(TaskNames.name(TASK)).setRun(run).setReason("no lease"))
 				.build(), true);
 		}
+		this.fixture.time.advance(DispatchSettings.MAXIMUM_START_BACK_OFF);
 		this.fixture.dispatcher.schedule();
 		DispatchBatch batch = this.fixture.dispatcher.takeBatch(100, Integer.MAX_VALUE);
 		this.fixture.dispatcher.recorded(batch, false);
--- a/src/test/java/org/crocuspost/lead/WaitingTaskTests.java
+++ b/src/test/java/org/crocuspost/lead/WaitingTaskTests.java
@@ -41,7 +41,6 @@
 	 * unhealthy worker refuses each start, stays empty and is therefore the best choice.
 	 */
 	@Test
-	@Tag("known-red")
 	void taskIsNotAssignedForeverToAWorkerThatRefusesEachStart() {
 		assertThat(waitingTasksWithFaultyWorker(SimulatedWorker.Fault.REFUSES_STARTS)).isEmpty();
 	}
@@ -50,7 +49,6 @@
 	 * Guards against the same with a worker that answers its polls and no start.
 	 */
 	@Test
-	@Tag("known-red")
 	void taskIsNotAssignedForeverToAWorkerThatAnswersNoStart() {
 		assertThat(waitingTasksWithFaultyWorker(SimulatedWorker.Fault.STARTS_HANG)).isEmpty();
 	}
