Count only what the worker does against it, and starts that the leader delays as under way

A refusal by the agent itself (no lease, draining, another worker) counted against the worker, so that late answers of a busy leader could exclude all workers, and two refusals in one report excluded a worker at once. A start that waits to be recorded counted as failed after a second, so that a leader with a backlog of rows assigned more tasks of each job, and a start that the leader cancelled itself made its job starve.

Change: only a refusal by the worker or a run that is missing counts, once for each report. An assignment that waits to be recorded is under way, and the second counts from the order.

--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -374,7 +374,8 @@
 			HostState host = host(task.host());
 			Placement placement = host.placements().get(task.key());
 			if (placement != null && ((placement.listed() && host.connected() && host.workerResponds())
-					|| placement.age(now).compareTo(DispatchSettings.START_CONFIRMATION_TIMEOUT) < 0)) {
+					|| placement.phase() == Placement.Phase.RECORDING
+					|| placement.timeInPhase(now).compareTo(DispatchSettings.START_CONFIRMATION_TIMEOUT) < 0)) {
 				return true;
 			}
 		}
@@ -704,7 +705,9 @@
 		TrackedJob tracked = this.jobs.get(placement.task().key().job());
 		if (tracked != null && !tracked.job().state().terminal()) {
 			this.failedStarts.add(placement.task().key(), host.name(), reason, this.clock.nanoTime());
-			tracked.startFailed();
+			if (!reason.equals(NEVER_ORDERED)) {
+				tracked.startFailed();
+			}
 		}
 	}
 
--- a/src/main/java/org/crocuspost/dispatch/Placement.java
+++ b/src/main/java/org/crocuspost/dispatch/Placement.java
@@ -265,6 +265,10 @@
 		return this.moveRequested;
 	}
 
+	Duration timeInPhase(long nowNanos) {
+		return Duration.ofNanos(nowNanos - this.phaseSinceNanos);
+	}
+
 	Duration age(long nowNanos) {
 		return Duration.ofNanos(nowNanos - this.placedNanos);
 	}
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -457,12 +457,13 @@
 			if (!gone || listedTasks.contains(key)) {
 				continue;
 			}
-			// An order may be lost with its connection or with its agent.
-			if (!newAgent && placement.orderedOn(host.connections()) && !placement.listed()
-					&& !placement.stopOrdered()) {
+			String refusal = refusals.get(key);
+			// An order may be lost with its connection or with its agent, and an agent
+			// refuses starts for reasons that do not concern the worker.
+			if (!newAgent && placement.orderedOn(host.connections()) && !placement.listed() && !placement.stopOrdered()
+					&& (refusal == null || RefusalKind.of(refusal) == RefusalKind.WORKER)) {
 				noteFailedStart(host);
 			}
-			String refusal = refusals.get(key);
 			if (refusal != null && placement.current()) {
 				this.dispatcher.listener().startRefused(placement.task(), placement.run(), host.name(), refusal);
 			}
--- a/src/main/java/org/crocuspost/dispatch/StartBackOff.java
+++ b/src/main/java/org/crocuspost/dispatch/StartBackOff.java
@@ -30,12 +30,12 @@
 	private Duration next = DispatchSettings.MINIMUM_START_BACK_OFF;
 
 	/**
-	 * Records that a start has led to no run. Starts that fail while the worker gets none
-	 * were ordered before and do not prolong the time.
+	 * Records that a start has led to no run. Starts that fail at the same time, or while
+	 * the worker gets none, were ordered before and do not prolong the time.
 	 * @param nowNanos the current time
 	 */
 	void startFailed(long nowNanos) {
-		if (excludes(nowNanos)) {
+		if (excludes(nowNanos) || (this.failing && nowNanos == this.lastFailureNanos)) {
 			return;
 		}
 		if (doubtful(nowNanos)) {
