Keep a busy leader's decisions in date: bounded passes, held starts

Cause: after a power loss of 95 machines the leader, with a fifth of a core, made one scheduling pass after another over 2,000 waiting tasks, some of 2 s and more. Meanwhile it read neither reports nor the store's answers. 1,534 decided starts waited to be recorded; once they were, the view of the operator's rows was 1.8 to 3.6 s old (1.5 s are allowed), so they were cancelled, decided and recorded again, up to 253 a second, while 180 runs ended in 13 s. The leader closed the links whose reports it had not read, which cancelled further starts. The class: work whose permission has expired once it is done, and is then repeated.

A recorded start that may not be ordered yet is kept for up to 3 s from its decision and checked again, also for runs of its task that a host lists meanwhile. With 1,000 starts unrecorded only long-running tasks are assigned. After a late tick no link is closed as silent.

aThousandExpiredJobsAreRemovedInBatchesThatFit makes two passes for its 2,000 tasks; its checks are the same.

--- a/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
@@ -131,8 +131,27 @@
 	static final Duration START_FAILURE_MEMORY = Duration.ofSeconds(12);
 
 	/**
-	 * Time from an assignment after which its run counts as running only if it is listed.
-	 * An order is recorded, sent and carried out within a few hundred milliseconds.
+	 * Time from an assignment after which its start is not kept any longer if it may not
+	 * be ordered yet. The reasons for which its worker was chosen are out of date then.
+	 */
+	static final Duration MAXIMUM_START_HOLD = Duration.ofSeconds(3);
+
+	/**
+	 * Maximum duration of a scheduling pass, unless a single job takes longer. The leader
+	 * reads nothing meanwhile, neither reports nor the answers that confirm it.
+	 */
+	static final Duration MAXIMUM_PASS_DURATION = Duration.ofMillis(150);
+
+	/**
+	 * Number of starts that wait to be recorded from which on only long-running tasks are
+	 * assigned. The leader records 90 rows in a transaction; further starts would be out
+	 * of date once they are recorded.
+	 */
+	static final int MAXIMUM_UNRECORDED_STARTS = 1_000;
+
+	/**
+	 * Time from an order after which its run counts as running only if it is listed. An
+	 * order is recorded, sent and carried out within a few hundred milliseconds.
 	 */
 	static final Duration START_CONFIRMATION_TIMEOUT = Duration.ofMillis(1_000);
 
--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -25,6 +25,7 @@
 import org.crocuspost.time.Clock;
 import org.crocuspost.wire.StartOrder;
 import org.crocuspost.wire.TaskTraits;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Assigns tasks to workers, based on the leader's working copy of all jobs and hosts. The
@@ -79,6 +80,15 @@
 
 	private long lastPassNanos;
 
+	private @Nullable TrackedJob nextJob;
+
+	/**
+	 * Starts that are recorded, and wait until the operator's state is recent enough.
+	 * Deciding them anew instead would record their tasks twice more, while the leader is
+	 * short of time already.
+	 */
+	private final Set<DispatchBatch.Start> heldStarts = new LinkedHashSet<>();
+
 	private QueueConfiguration configuration = new QueueConfiguration(0, List.of(), List.of(), 0);
 
 	private Set<String> evacuated = Set.of();
@@ -262,12 +272,35 @@
 		if (candidatesByService.isEmpty()) {
 			return;
 		}
+		if (assignWaiting(waitingJobs(now), candidatesByService, now)) {
+			candidatesByService
+				.forEach((service, candidates) -> this.consolidation.consolidate(service, candidates, now));
+		}
+	}
+
+	/**
+	 * Assigns the tasks of waiting jobs until the pass has taken too long. The next pass
+	 * goes on with the job at which this one ends, so that jobs that find no worker do
+	 * not keep the pass from those behind them.
+	 * @param waiting the jobs, the first to be served first
+	 * @param candidatesByService the hosts whose workers accept tasks
+	 * @param startNanos the start of the pass
+	 * @return whether the pass has come to the last job
+	 */
+	private boolean assignWaiting(List<TrackedJob> waiting, Map<String, List<CandidateHost>> candidatesByService,
+			long startNanos) {
 		Set<TaskKey> unassigned = tasksWithUnassignedRuns();
-		for (TrackedJob tracked : waitingJobs(now)) {
+		int first = Math.max(0, waiting.indexOf(this.nextJob));
+		this.nextJob = null;
+		for (TrackedJob tracked : waiting.subList(first, waiting.size())) {
+			if (this.clock.nanoTime() - startNanos > DispatchSettings.MAXIMUM_PASS_DURATION.toNanos()) {
+				this.nextJob = tracked;
+				return false;
+			}
 			Queue queue = this.configuration.findByName(tracked.job().submission().queue()).orElseThrow();
 			assign(tracked, candidatesByService.getOrDefault(queue.service(), List.of()), unassigned);
 		}
-		candidatesByService.forEach((service, candidates) -> this.consolidation.consolidate(service, candidates, now));
+		return true;
 	}
 
 	/**
@@ -330,6 +363,10 @@
 
 	private void assign(TrackedJob tracked, List<CandidateHost> candidates, Set<TaskKey> unassigned) {
 		JobProgress job = tracked.job();
+		boolean longRunning = job.submission().specification().longRunning();
+		if (!longRunning && this.changes.waitingStarts() >= DispatchSettings.MAXIMUM_UNRECORDED_STARTS) {
+			return;
+		}
 		if (hasRunOrRecentStart(job)) {
 			tracked.markRunning(this.clock.nanoTime());
 		}
@@ -551,7 +588,8 @@
 
 	/**
 	 * Handles the confirmation that a batch is recorded. A start that has become invalid
-	 * in the meantime is cancelled instead of ordered.
+	 * in the meantime is cancelled instead of ordered. One that may not be ordered yet
+	 * waits for {@link #releaseStarts(boolean)}.
 	 * @param batch the batch
 	 * @param mayStart whether the operator's state is recent enough to start tasks
 	 * @return the orders to send by host
@@ -565,29 +603,55 @@
 				host.recordedEnds(ends.number());
 			}
 		});
+		return order(batch.starts(), mayStart);
+	}
+
+	/**
+	 * Orders the recorded starts that had to wait, cancels those that have become invalid
+	 * or have waited too long, and keeps the others.
+	 * @param mayStart whether the operator's state is recent enough to start tasks
+	 * @return the orders to send by host
+	 */
+	public Map<String, List<StartOrder>> releaseStarts(boolean mayStart) {
+		List<DispatchBatch.Start> held = List.copyOf(this.heldStarts);
+		this.heldStarts.clear();
+		return order(held, mayStart);
+	}
+
+	private Map<String, List<StartOrder>> order(List<DispatchBatch.Start> starts, boolean mayStart) {
 		Map<String, List<StartOrder>> orders = new LinkedHashMap<>();
-		for (DispatchBatch.Start start : batch.starts()) {
+		Set<TaskKey> unassigned = starts.isEmpty() ? Set.of() : tasksWithUnassignedRuns();
+		long now = this.clock.nanoTime();
+		for (DispatchBatch.Start start : starts) {
 			HostState host = host(start.host());
 			Placement placement = host.placements().get(start.task());
 			TrackedJob tracked = this.jobs.get(start.task().job());
 			if (placement == null || tracked == null || placement.run() != start.run() || !placement.current()) {
 				continue;
 			}
-			if (!mayStart || tracked.job().state().terminal() || !host.available()
-					|| host.leaseLapsed(this.settings.leaseTimeout(), this.clock.nanoTime())
-					|| placement.task().workerStartMillis() != host.worker().getBorn() || host.overCapacity()
-					|| this.evacuated.contains(host.worker().getFailureDomain())
-					|| this.roomForServices.stops(placement)) {
+			boolean heldTooLong = !mayStart && placement.age(now).compareTo(DispatchSettings.MAXIMUM_START_HOLD) >= 0;
+			if (heldTooLong || !mayBeOrdered(tracked, placement, host) || unassigned.contains(start.task())) {
 				cancelUnsentStart(host, placement);
 				continue;
 			}
-			placement.ordered(host.nextOrderNumber(), host.connections(), this.clock.nanoTime());
+			if (!mayStart) {
+				this.heldStarts.add(start);
+				continue;
+			}
+			placement.ordered(host.nextOrderNumber(), host.connections(), now);
 			orders.computeIfAbsent(start.host(), (name) -> new ArrayList<>())
 				.add(this.startOrders.order(tracked.job(), placement, host));
 		}
 		return orders;
 	}
 
+	private boolean mayBeOrdered(TrackedJob tracked, Placement placement, HostState host) {
+		return !tracked.job().state().terminal() && host.available()
+				&& !host.leaseLapsed(this.settings.leaseTimeout(), this.clock.nanoTime())
+				&& placement.task().workerStartMillis() == host.worker().getBorn() && !host.overCapacity()
+				&& !this.evacuated.contains(host.worker().getFailureDomain()) && !this.roomForServices.stops(placement);
+	}
+
 	private void cancelUnsentStart(HostState host, Placement placement) {
 		host.placements().remove(placement.task().key());
 		placement.task().endRun(false);
--- a/src/main/java/org/crocuspost/dispatch/PendingChanges.java
+++ b/src/main/java/org/crocuspost/dispatch/PendingChanges.java
@@ -96,6 +96,10 @@
 		return this.jobs.isEmpty() && waitingTasks() == 0 && this.ends.isEmpty();
 	}
 
+	int waitingStarts() {
+		return this.starts.size();
+	}
+
 	RecordBacklog backlog() {
 		return new RecordBacklog(this.jobs.size(), waitingTasks(), this.starts.size());
 	}
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -90,6 +90,8 @@
 
 	private final Dispatcher dispatcher;
 
+	private final PassPacer passPacer;
+
 	private final ReportProcessor reportProcessor;
 
 	private final RowWatch intakeWatch;
@@ -144,6 +146,10 @@
 
 	private boolean rejected;
 
+	private boolean renewsFirst;
+
+	private long lastTickNanos;
+
 	Leader(RowStore store, LeaderRecord record, long version, FormerLeader predecessor,
 			Optional<StoreClockReading> storeClock, FormerExtensions formerExtensions, OperatorView operator,
 			DispatchSettings settings, LeaderMetrics metrics, TrafficCounters traffic, HostConnector connector,
@@ -161,6 +167,7 @@
 				onLeadershipLost);
 		this.dispatcher = new Dispatcher(settings, new DefaultPlacementPolicy(this.imagePressure), clock,
 				new DecisionLog(metrics));
+		this.passPacer = new PassPacer(clock);
 		this.queueLoadLog = new QueueLoadLog(this.dispatcher, metrics, clock);
 		this.recordBacklogLog = new RecordBacklogLog(this.dispatcher, clock);
 		this.unavailableTaskLog = new UnavailableTaskLog(this.dispatcher.load(), metrics, clock);
@@ -181,6 +188,7 @@
 		this.submissionCleanup = new SubmissionCleanup(store, timer,
 				(job, removalVersion) -> this.removedJobs.add(List.of(job), removalVersion));
 		this.takeoverNanos = clock.nanoTime();
+		this.lastTickNanos = this.takeoverNanos;
 		this.imagesRecordedNanos = this.takeoverNanos;
 		this.tickTimer = timer.repeat(LeadershipTimings.TICK_INTERVAL, this::tick);
 		// Leases are extended only on a deadline of this leader in its row.
@@ -522,7 +530,9 @@
 		if (this.closed) {
 			return;
 		}
-		this.links.values().forEach(HostConnection::closeIfUnresponsive);
+		if (!wasBusy()) {
+			this.links.values().forEach(HostConnection::closeIfUnresponsive);
+		}
 		this.trafficLog.writeIfDue();
 		if (this.restored) {
 			this.reportProcessor.expireLeases(this.settings.leaseTimeout(), this.formerExtensions.endNanos());
@@ -548,6 +558,18 @@
 		}
 	}
 
+	/**
+	 * Returns whether this process has not read anything for some time. The reports that
+	 * a connection seems to lack may have arrived meanwhile.
+	 * @return true if the last tick was long ago
+	 */
+	private boolean wasBusy() {
+		long now = this.clock.nanoTime();
+		long sinceLastTick = now - this.lastTickNanos;
+		this.lastTickNanos = now;
+		return sinceLastTick > LeadershipTimings.LATE_TICK.toNanos();
+	}
+
 	private StartConditions startConditions() {
 		return new StartConditions(this.takeoverNanos, mayAssign(), this.writer.confirmationAge(), this.operator.age());
 	}
@@ -576,8 +598,13 @@
 		}
 		this.operator.configuration().ifPresent(this.dispatcher::configure);
 		this.dispatcher.setEvacuatedDomains(this.operator.evacuatedDomains());
-		if (mayAssign()) {
-			this.dispatcher.schedule();
+		send(this.dispatcher.releaseStarts(mayStart()));
+		// A pass may take longer than is left for the renewal of the leader's row. With
+		// slow
+		// answers of the store the renewal is always due.
+		this.renewsFirst = isRenewalDue() && !this.renewsFirst;
+		if (mayAssign() && !this.renewsFirst && this.passPacer.due()) {
+			this.passPacer.run(this.dispatcher::schedule);
 		}
 		if (this.rejected && this.writer.confirmationAge().compareTo(LeadershipTimings.RENEWAL_INTERVAL) > 0) {
 			// Rejected transactions do not renew the leader's row, however many follow.
@@ -715,18 +742,25 @@
 		this.recordedSubmissions.recorded(batch.jobs().keySet());
 		// The state of a job that is not kept any more is not recorded.
 		this.recordedSubmissions.recorded(batch.cleanup().reduced());
-		boolean mayStart = this.operator.age().compareTo(LeadershipTimings.MAXIMUM_OPERATOR_VIEW_AGE) < 0
-				&& this.writer.confirmationAge().compareTo(LeadershipTimings.MAXIMUM_START_DELAY) < 0;
 		this.dispatcher.setEvacuatedDomains(this.operator.evacuatedDomains());
-		Map<String, List<StartOrder>> orders = new LinkedHashMap<>(this.dispatcher.recorded(batch, mayStart));
+		Map<String, List<StartOrder>> orders = new LinkedHashMap<>(this.dispatcher.recorded(batch, mayStart()));
 		batch.ends().keySet().forEach((host) -> orders.putIfAbsent(host, List.of()));
+		send(orders);
+		if (this.dispatcher.hasChanges() || !this.rejectedParts.isEmpty()) {
+			scheduleDecision();
+		}
+	}
+
+	private boolean mayStart() {
+		return this.operator.age().compareTo(LeadershipTimings.MAXIMUM_OPERATOR_VIEW_AGE) < 0
+				&& this.writer.confirmationAge().compareTo(LeadershipTimings.MAXIMUM_START_DELAY) < 0;
+	}
+
+	private void send(Map<String, List<StartOrder>> orders) {
 		orders.forEach((host, starts) -> send(host,
 				LeaderMessage.newBuilder()
 					.addAllStarts(starts)
 					.setRecordedEnds(this.reportProcessor.recordedEnds(host))));
-		if (this.dispatcher.hasChanges() || !this.rejectedParts.isEmpty()) {
-			scheduleDecision();
-		}
 	}
 
 	/**
--- a/src/main/java/org/crocuspost/lead/LeadershipTimings.java
+++ b/src/main/java/org/crocuspost/lead/LeadershipTimings.java
@@ -59,6 +59,12 @@
 	 */
 	static final Duration TICK_INTERVAL = Duration.ofMillis(100);
 
+	/**
+	 * Time since the last check from which on the process counts as having been busy or
+	 * suspended.
+	 */
+	static final Duration LATE_TICK = TICK_INTERVAL.multipliedBy(4);
+
 	/**
 	 * Time for which the leader collects changes before it records them in one
 	 * transaction.
--- a/src/test/java/org/crocuspost/dispatch/RecordingTests.java
+++ b/src/test/java/org/crocuspost/dispatch/RecordingTests.java
@@ -3,10 +3,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.stream.Stream;
 
 import org.crocuspost.dispatch.DispatchFixture.SimulatedWorker;
 import org.crocuspost.job.JobState;
+import org.crocuspost.wire.StartOrder;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -69,6 +71,31 @@
 		assertThat(batch.tasks().get(this.fixture.task("job", 0, 0).key())).hasSizeLessThan(60);
 	}
 
+	/**
+	 * Guards against recorded starts that are decided and recorded again and again, since
+	 * the view of the operator's rows of a slow leader is out of date each time.
+	 */
+	@Test
+	void startThatMayNotBeOrderedYetIsKept() {
+		SimulatedWorker worker = this.fixture.worker("one", 4_000);
+		this.fixture.worker("two", 4_000);
+		this.fixture.submit("job", DispatchFixture.step(8, 1_000));
+		this.fixture.dispatcher.schedule();
+		DispatchBatch batch = this.fixture.dispatcher.takeBatch(LIMIT, Integer.MAX_VALUE);
+		assertThat(this.fixture.dispatcher.recorded(batch, false)).isEmpty();
+		assertThat(this.fixture.dispatcher.hasChanges()).isFalse();
+		this.fixture.dispatcher.schedule();
+		assertThat(this.fixture.dispatcher.hasChanges()).isFalse();
+		assertThat(this.fixture.dispatcher.releaseStarts(false)).isEmpty();
+		this.fixture.reports.connected("two", false);
+		Map<String, List<StartOrder>> orders = this.fixture.dispatcher.releaseStarts(true);
+		assertThat(orders).containsOnlyKeys("one");
+		assertThat(orders.get("one")).hasSize(4).extracting(StartOrder::getRun).containsOnly(1);
+		worker.execute(orders.get("one"));
+		assertThat(this.fixture.dispatcher.releaseStarts(true)).isEmpty();
+		assertThat(this.fixture.dispatcher.recordBacklog().taskRows()).isEqualTo(4);
+	}
+
 	/**
 	 * Guards against a backlog in which starts cannot be told from other rows.
 	 */
@@ -194,8 +221,10 @@
 		for (int number = 0; number < 1_000; number++) {
 			this.fixture.submit("job" + number, DispatchFixture.step(2, 1_000));
 		}
-		this.fixture.dispatcher.schedule();
-		recordAll();
+		for (int pass = 0; pass < 2; pass++) {
+			this.fixture.dispatcher.schedule();
+			recordAll();
+		}
 		workers.forEach((worker) -> worker.endAll("done"));
 		this.fixture.reportAll();
 		recordAll();
