Process only the newest of the reports that are read at once

The older ones are out of date, and the answers of the store wait behind them.

Change: a link decodes each report, since it contains changes only, and passes on the newest of those that one read has brought. A report describes its host as a whole, except for the refused starts, which are merged.

Before: onlyTheNewestOfTheReportsReadAtOnceIsPassedOn got the first of three reports. After: the third, with the refusals of all.

--- a/src/main/java/org/crocuspost/hostlink/HostLink.java
+++ b/src/main/java/org/crocuspost/hostlink/HostLink.java
@@ -174,6 +174,8 @@
 
 	private final class ReportHandler extends SimpleChannelInboundHandler<HostReport> {
 
+		private @Nullable HostReport newest;
+
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, HostReport report) {
 			if (HostLink.this.closed || context.channel() != HostLink.this.channel) {
@@ -188,13 +190,35 @@
 
 		private void receive(ChannelHandlerContext context, HostReport report) {
 			HostLink.this.lastActivityNanos = HostLink.this.clock.nanoTime();
-			HostLink.this.decoder.decode(report).ifPresentOrElse(HostLink.this.listener::reportReceived, () -> {
+			HostLink.this.decoder.decode(report).ifPresentOrElse(this::keep, () -> {
 				HostLink.this.listener.connectionFailed(HostLink.this.host,
 						"report " + report.getSequence() + " does not follow the previous one");
 				context.close();
 			});
 		}
 
+		// A report describes the host as a whole, except for refusals, which are reported
+		// once.
+		private void keep(HostReport report) {
+			this.newest = (this.newest == null) ? report
+					: report.toBuilder().addAllRefused(this.newest.getRefusedList()).build();
+		}
+
+		/**
+		 * Passes on the newest of the reports that were read at once. A leader that was
+		 * busy for seconds finds several of each host, and the older ones are out of
+		 * date.
+		 */
+		@Override
+		public void channelReadComplete(ChannelHandlerContext context) {
+			HostReport report = this.newest;
+			this.newest = null;
+			if (report != null && !HostLink.this.closed && context.channel() == HostLink.this.channel) {
+				HostLink.this.listener.reportReceived(report);
+			}
+			context.fireChannelReadComplete();
+		}
+
 		@Override
 		public void channelInactive(ChannelHandlerContext context) {
 			if (!HostLink.this.closed && context.channel() == HostLink.this.channel) {
--- a/src/test/java/org/crocuspost/hostlink/HostLinkTests.java
+++ b/src/test/java/org/crocuspost/hostlink/HostLinkTests.java
@@ -1,10 +1,12 @@
 package org.crocuspost.hostlink;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -16,6 +18,7 @@
 import org.crocuspost.wire.HostReport;
 import org.crocuspost.wire.LeaderHello;
 import org.crocuspost.wire.LeaderMessage;
+import org.crocuspost.wire.RefusedStart;
 import org.crocuspost.wire.RunningTask;
 import org.crocuspost.wire.TaskName;
 import org.junit.jupiter.api.AfterEach;
@@ -83,6 +86,26 @@
 		assertThat(next(this.leaderEvents)).isEqualTo("host reports 2");
 	}
 
+	/**
+	 * Guards against a leader that was busy and processes each of the reports that have
+	 * arrived meanwhile, and against refusals that are lost with the reports passed over.
+	 */
+	@Test
+	void onlyTheNewestOfTheReportsReadAtOnceIsPassedOn() throws InterruptedException {
+		open("host", 1);
+		assertThat(next(this.agentEvents)).isEqualTo("hello 1");
+		assertThat(next(this.leaderEvents)).isEqualTo("host open");
+		this.loop.execute(() -> {
+			for (String reason : List.of("first", "second", "third")) {
+				this.port.send(HostReport.newBuilder()
+					.setHost("host")
+					.addRefused(RefusedStart.newBuilder().setReason(reason))
+					.build());
+			}
+		});
+		assertThat(next(this.leaderEvents)).isEqualTo("host reports 0 refused third refused second refused first");
+	}
+
 	/**
 	 * The address of a host that is gone is given to another one. If the leader kept both
 	 * links, each would push out the other at the agent.
@@ -158,7 +181,11 @@
 
 		@Override
 		public void reportReceived(HostReport report) {
-			HostLinkTests.this.leaderEvents.add(report.getHost() + " reports " + report.getRunningCount());
+			String refused = report.getRefusedList()
+				.stream()
+				.map((start) -> " refused " + start.getReason())
+				.collect(Collectors.joining());
+			HostLinkTests.this.leaderEvents.add(report.getHost() + " reports " + report.getRunningCount() + refused);
 		}
 
 	}
