--- a/src/test/java/org/crocuspost/dispatch/RecordingTests.java
+++ b/src/test/java/org/crocuspost/dispatch/RecordingTests.java
@@ -8,6 +8,8 @@
 
 import org.crocuspost.dispatch.DispatchFixture.SimulatedWorker;
 import org.crocuspost.job.JobState;
+import org.crocuspost.job.TaskKey;
+import org.crocuspost.wire.RunningTask;
 import org.crocuspost.wire.StartOrder;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -96,6 +98,45 @@
 		assertThat(this.fixture.dispatcher.recordBacklog().taskRows()).isEqualTo(4);
 	}
 
+	/**
+	 * Guards against a task that runs twice, since a host lists an earlier run of it,
+	 * whose order was carried out late, while its start waits.
+	 */
+	@Test
+	void keptStartIsCancelledWhileAHostListsAnotherRunOfItsTask() {
+		this.fixture.worker("one", 1_000);
+		SimulatedWorker late = this.fixture.worker("two", 1_000);
+		this.fixture.submit("0123456789abcdef", DispatchFixture.step(1, 1_000));
+		this.fixture.dispatcher.schedule();
+		TaskKey task = this.fixture.task("0123456789abcdef", 0, 0).key();
+		String chosen = this.fixture.task("0123456789abcdef", 0, 0).host();
+		SimulatedWorker other = chosen.equals("two") ? this.fixture.workers.get("one") : late;
+		DispatchBatch batch = this.fixture.dispatcher.takeBatch(LIMIT, Integer.MAX_VALUE);
+		this.fixture.dispatcher.recorded(batch, false);
+		other.running.put(task, RunningTask.newBuilder().setTask(TaskNames.name(task)).setRun(9).build());
+		this.fixture.report(other);
+		assertThat(this.fixture.dispatcher.releaseStarts(true)).isEmpty();
+		assertThat(this.fixture.task("0123456789abcdef", 0, 0).status().waiting()).isTrue();
+	}
+
+	/**
+	 * Guards against a start that is kept for so long that its worker is chosen by
+	 * information that is out of date.
+	 */
+	@Test
+	void startThatIsKeptTooLongIsCancelled() {
+		this.fixture.worker("one", 1_000);
+		this.fixture.submit("job", DispatchFixture.step(1, 1_000));
+		this.fixture.dispatcher.schedule();
+		this.fixture.dispatcher.recorded(this.fixture.dispatcher.takeBatch(LIMIT, Integer.MAX_VALUE), false);
+		this.fixture.time.advance(DispatchSettings.MAXIMUM_START_HOLD.minusMillis(1));
+		this.fixture.dispatcher.releaseStarts(false);
+		assertThat(this.fixture.task("job", 0, 0).status().waiting()).isFalse();
+		this.fixture.time.advance(Duration.ofMillis(1));
+		this.fixture.dispatcher.releaseStarts(false);
+		assertThat(this.fixture.task("job", 0, 0).status().waiting()).isTrue();
+	}
+
 	/**
 	 * Guards against a backlog in which starts cannot be told from other rows.
 	 */
