--- a/src/test/java/org/crocuspost/soak/StoreServer.java
+++ b/src/test/java/org/crocuspost/soak/StoreServer.java
@@ -23,7 +23,7 @@
 /**
  * Stand-in for the platform's store over HTTP that can simulate faults.
  */
-final class StoreServer implements AutoCloseable {
+public final class StoreServer implements AutoCloseable {
 
 	private static final int OK = 200;
 
@@ -88,10 +88,10 @@
 	/**
 	 * Starts the server.
 	 * @param address the address to listen on
-	 * @param externalAddresses maps the address of an agent to the address under which
-	 * other processes reach it, as a network between them would
+	 * @param hostAddresses maps the address of an agent to the address under which other
+	 * processes reach it, as a network between them would
 	 */
-	StoreServer(InetSocketAddress address, UnaryOperator<String> hostAddresses) {
+	public StoreServer(InetSocketAddress address, UnaryOperator<String> hostAddresses) {
 		this.externalAddresses = hostAddresses;
 		this.server = HttpServers.start(address, this::handle);
 	}
@@ -109,7 +109,7 @@
 	 * @param key the key
 	 * @param value the value; if empty, the row is removed
 	 */
-	void writeOperatorRow(String key, String value) {
+	public void writeOperatorRow(String key, String value) {
 		ObjectNode body = JsonTrees.object();
 		String operation = value.isEmpty() ? "remove" : "writes";
 		body.putArray(operation)
