Bound what strangers hold on the port for leaders

Seen: 150 connections to an agent's port for leaders, each with a frame of 4 MiB less its last byte, took all direct memory, and the hello of a leader was not answered any more; 300 connections without a byte exceeded the sockets of the machine. Cause: frames of 4 MiB were collected from anyone, before the hello, and connections without a hello were not counted.

A connection accepts 4 KiB a frame until its hello is read, and then 4 MiB as before. Of the connections without a hello 64 stay open; a further one closes the oldest. 16 were too few: Netty accepts 16 connections before it reads. Anyone who reaches the port can still send a hello with a high epoch; the port is for the programs alone.

--- a/src/main/java/org/crocuspost/hostlink/LeaderPort.java
+++ b/src/main/java/org/crocuspost/hostlink/LeaderPort.java
@@ -1,6 +1,8 @@
 package org.crocuspost.hostlink;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -22,8 +24,18 @@
  */
 public final class LeaderPort {
 
+	/**
+	 * Connections without a hello that are open at once. A leader sends its hello as soon
+	 * as it is connected. The event loop accepts 16 connections before it reads from
+	 * others, and with no more than these a leader would be closed before its hello is
+	 * read.
+	 */
+	private static final int MAXIMUM_UNIDENTIFIED_CONNECTIONS = 64;
+
 	private final LeaderPortListener listener;
 
+	private final Deque<Channel> unidentified = new ArrayDeque<>();
+
 	private @Nullable Channel leader;
 
 	private @Nullable ReportEncoder encoder;
@@ -53,13 +65,26 @@
 
 				@Override
 				protected void initChannel(SocketChannel channel) {
-					FramePipeline.initialize(channel, LeaderMessage.getDefaultInstance(), new MessageHandler());
+					limitUnidentified(channel);
+					FramePipeline.initializeForHello(channel, LeaderMessage.getDefaultInstance(), new MessageHandler());
 				}
 
 			});
 		return (InetSocketAddress) bootstrap.bind(address).syncUninterruptibly().channel().localAddress();
 	}
 
+	/**
+	 * Closes the oldest connection without a hello if there are too many of them.
+	 * @param added the new connection
+	 */
+	private void limitUnidentified(Channel added) {
+		if (this.unidentified.size() >= MAXIMUM_UNIDENTIFIED_CONNECTIONS) {
+			this.unidentified.removeFirst().close();
+		}
+		this.unidentified.addLast(added);
+		added.closeFuture().addListener((closed) -> this.unidentified.remove(added));
+	}
+
 	/**
 	 * Refuses leaders of earlier epochs, as after a hello of this epoch. An agent that
 	 * restarts would otherwise obey a former leader that has not noticed its successor,
@@ -123,6 +148,9 @@
 				channel.close();
 				return;
 			}
+			if (LeaderPort.this.unidentified.remove(channel)) {
+				FramePipeline.acceptLongFrames(channel);
+			}
 			Channel previous = LeaderPort.this.leader;
 			LeaderPort.this.epoch = helloEpoch;
 			LeaderPort.this.leader = channel;
