Read the store's answers between the reports of a new leader's hosts

Change: reports wait, the newest of each host only, and are processed for 40 ms at a time; other events come between. A leader also renews its row while it applies the rows of the submissions.

--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -149,6 +149,10 @@
 
 	private boolean renewsFirst;
 
+	private final WaitingReports waitingReports = new WaitingReports();
+
+	private boolean reportsScheduled;
+
 	private long lastTickNanos;
 
 	Leader(RowStore store, LeaderRecord record, long version, FormerLeader predecessor,
@@ -256,7 +260,13 @@
 
 	@Override
 	public void tableRead(List<StoredRow> rows) {
-		IsolatedRows.apply(rows, this::applySubmission);
+		IsolatedRows.apply(rows, (row) -> {
+			applySubmission(row);
+			// Applying hundreds of rows may take longer than is left for the renewal.
+			if (!this.restored && !this.writer.busy()) {
+				renewIfDue();
+			}
+		});
 		if (!this.restored) {
 			this.restored = true;
 			this.metrics.setStateRestored(true);
@@ -436,6 +446,8 @@
 
 	@Override
 	public void connectionChanged(String host, boolean open) {
+		// A report of the former connection says nothing about the present one.
+		this.waitingReports.remove(host);
 		this.reportProcessor.connected(host, open);
 		EventLog.info(LeadEvent.HOST_CHANGED, Field.of("host", host),
 				Field.of("belief", open ? "connected" : "disconnected"));
@@ -458,6 +470,7 @@
 	public void addressReused(String host, String answering) {
 		EventLog.warn(LeadEvent.HOST_CHANGED, Field.of("host", host), Field.of("belief", "gone"),
 				Field.of("detail", "host " + answering + " answers at " + this.addresses.get(host)));
+		this.waitingReports.remove(host);
 		this.addresses.remove(host);
 		HostConnection link = this.links.remove(host);
 		if (link != null) {
@@ -468,9 +481,39 @@
 
 	@Override
 	public void reportReceived(HostReport report) {
-		if (!this.restored) {
-			return;
+		if (this.restored) {
+			this.waitingReports.add(report);
+			scheduleReports();
 		}
+	}
+
+	private void scheduleReports() {
+		if (!this.reportsScheduled && !this.closed) {
+			this.reportsScheduled = true;
+			this.timer.schedule(Duration.ZERO, this::processReports);
+		}
+	}
+
+	/**
+	 * Processes waiting reports for a short time, so that the answers of the store, which
+	 * confirm the leadership, are read between them. After a takeover the reports of all
+	 * hosts arrive at once, each with many runs that are lost.
+	 */
+	private void processReports() {
+		this.reportsScheduled = false;
+		long start = this.clock.nanoTime();
+		Optional<HostReport> next = this.waitingReports.poll();
+		while (next.isPresent() && !this.closed) {
+			processReport(next.get());
+			if (this.clock.nanoTime() - start > LeadershipTimings.MAXIMUM_REPORT_TURN.toNanos()) {
+				scheduleReports();
+				return;
+			}
+			next = this.waitingReports.poll();
+		}
+	}
+
+	private void processReport(HostReport report) {
 		this.admissionPublisher.reportReceived(report.getHost());
 		ReportProcessor.Response reaction = this.reportProcessor.reported(report, mayExtendLeases());
 		send(report.getHost(),
--- a/src/main/java/org/crocuspost/lead/LeadershipTimings.java
+++ b/src/main/java/org/crocuspost/lead/LeadershipTimings.java
@@ -59,6 +59,11 @@
 	 */
 	static final Duration TICK_INTERVAL = Duration.ofMillis(100);
 
+	/**
+	 * Time for which waiting reports are processed before other events are handled.
+	 */
+	static final Duration MAXIMUM_REPORT_TURN = Duration.ofMillis(40);
+
 	/**
 	 * Time since the last check from which on the process counts as having been busy or
 	 * suspended.
