Assign long-running jobs first in each pass

Change: long-running jobs are considered in each pass, and the limit of its duration counts from the others. The pause is as long as the pass: with the reports in turns of 40 ms, half of the time is left for them.

--- a/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
@@ -137,8 +137,9 @@
 	static final Duration MAXIMUM_START_HOLD = Duration.ofSeconds(3);
 
 	/**
-	 * Maximum duration of a scheduling pass, unless a single job takes longer. The leader
-	 * reads nothing meanwhile, neither reports nor the answers that confirm it.
+	 * Maximum duration of a scheduling pass after the long-running jobs, unless a single
+	 * job takes longer. The leader reads nothing meanwhile, neither reports nor the
+	 * answers that confirm it.
 	 */
 	static final Duration MAXIMUM_PASS_DURATION = Duration.ofMillis(150);
 
--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -272,37 +272,45 @@
 		if (candidatesByService.isEmpty()) {
 			return;
 		}
-		if (assignWaiting(waitingJobs(now), candidatesByService, now)) {
+		if (assignWaiting(waitingJobs(now), candidatesByService)) {
 			candidatesByService
 				.forEach((service, candidates) -> this.consolidation.consolidate(service, candidates, now));
 		}
 	}
 
 	/**
-	 * Assigns the tasks of waiting jobs until the pass has taken too long. The next pass
-	 * goes on with the job at which this one ends, so that jobs that find no worker do
-	 * not keep the pass from those behind them.
+	 * Assigns the tasks of waiting jobs until the pass has taken too long. Long-running
+	 * jobs come first in each pass. The next pass goes on with the job at which this one
+	 * ends, so that jobs that find no worker do not keep the pass from those behind them.
 	 * @param waiting the jobs, the first to be served first
 	 * @param candidatesByService the hosts whose workers accept tasks
-	 * @param startNanos the start of the pass
 	 * @return whether the pass has come to the last job
 	 */
-	private boolean assignWaiting(List<TrackedJob> waiting, Map<String, List<CandidateHost>> candidatesByService,
-			long startNanos) {
+	private boolean assignWaiting(List<TrackedJob> waiting, Map<String, List<CandidateHost>> candidatesByService) {
 		Set<TaskKey> unassigned = tasksWithUnassignedRuns();
-		int first = Math.max(0, waiting.indexOf(this.nextJob));
+		int others = 0;
+		while (others < waiting.size() && waiting.get(others).longRunning()) {
+			assign(waiting.get(others++), candidatesByService, unassigned);
+		}
+		long startNanos = this.clock.nanoTime();
+		int first = Math.max(others, waiting.indexOf(this.nextJob));
 		this.nextJob = null;
 		for (TrackedJob tracked : waiting.subList(first, waiting.size())) {
 			if (this.clock.nanoTime() - startNanos > DispatchSettings.MAXIMUM_PASS_DURATION.toNanos()) {
 				this.nextJob = tracked;
 				return false;
 			}
-			Queue queue = this.configuration.findByName(tracked.job().submission().queue()).orElseThrow();
-			assign(tracked, candidatesByService.getOrDefault(queue.service(), List.of()), unassigned);
+			assign(tracked, candidatesByService, unassigned);
 		}
 		return true;
 	}
 
+	private void assign(TrackedJob tracked, Map<String, List<CandidateHost>> candidatesByService,
+			Set<TaskKey> unassigned) {
+		Queue queue = this.configuration.findByName(tracked.job().submission().queue()).orElseThrow();
+		assign(tracked, candidatesByService.getOrDefault(queue.service(), List.of()), unassigned);
+	}
+
 	/**
 	 * Returns the tasks for which a host lists a run that is not assigned to it, such as
 	 * a start order that was carried out late. These tasks wait until that run has ended.
@@ -363,8 +371,7 @@
 
 	private void assign(TrackedJob tracked, List<CandidateHost> candidates, Set<TaskKey> unassigned) {
 		JobProgress job = tracked.job();
-		boolean longRunning = job.submission().specification().longRunning();
-		if (!longRunning && this.changes.waitingStarts() >= DispatchSettings.MAXIMUM_UNRECORDED_STARTS) {
+		if (!tracked.longRunning() && this.changes.waitingStarts() >= DispatchSettings.MAXIMUM_UNRECORDED_STARTS) {
 			return;
 		}
 		if (hasRunOrRecentStart(job)) {
--- a/src/main/java/org/crocuspost/dispatch/TrackedJob.java
+++ b/src/main/java/org/crocuspost/dispatch/TrackedJob.java
@@ -69,6 +69,10 @@
 		return this.job;
 	}
 
+	boolean longRunning() {
+		return this.job.submission().specification().longRunning();
+	}
+
 	long acceptedNanos() {
 		return this.acceptedNanos;
 	}
--- a/src/main/java/org/crocuspost/lead/PassPacer.java
+++ b/src/main/java/org/crocuspost/lead/PassPacer.java
@@ -22,7 +22,7 @@
 	/**
 	 * Time between two passes in relation to the duration of the earlier one.
 	 */
-	private static final int PAUSE_FACTOR = 3;
+	private static final int PAUSE_FACTOR = 1;
 
 	/**
 	 * Maximum time between two passes. A single pass may have taken long because the
--- a/src/test/java/org/crocuspost/dispatch/SlowPassTests.java
+++ b/src/test/java/org/crocuspost/dispatch/SlowPassTests.java
@@ -51,6 +51,23 @@
 		assertThat(this.fixture.job("last").hasAssignedTask()).isTrue();
 	}
 
+	/**
+	 * Guards against a long-running task that waits while several passes go on with the
+	 * jobs behind it.
+	 */
+	@Test
+	void longRunningJobsComeFirstInEachPass() {
+		slowDown();
+		this.fixture.worker("host", 1_000);
+		for (int number = 0; number < 10; number++) {
+			this.fixture.submit("large" + number, DispatchFixture.step(1, 2_000));
+		}
+		this.fixture.dispatcher.schedule();
+		this.fixture.submit("service", new DispatchFixture.StepBuilder().milliCores(500).service().build());
+		this.fixture.dispatcher.schedule();
+		assertThat(this.fixture.job("service").hasAssignedTask()).isTrue();
+	}
+
 	private final class SlowPolicy implements PlacementPolicy {
 
 		private final PlacementPolicy policy = new DefaultPlacementPolicy(SlowPassTests.this.fixture.imagePressure);
