--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -393,10 +393,14 @@
 		}
 	}
 
-	// A run that a silent worker may still have, or a start that has failed, does not
-	// keep
-	// the rest of its job from starting, except for a suspected task: it may be the
-	// reason.
+	/**
+	 * Returns whether a job should accept any worker with enough free resources. Neither
+	 * a run that a silent worker may still have nor a failed start keeps the rest of the
+	 * job from starting, except for a suspected task, which may be the reason for them.
+	 * @param tracked the job
+	 * @param task the waiting task
+	 * @return true if nothing of the job has run for some time
+	 */
 	private boolean isStarving(TrackedJob tracked, TaskProgress task) {
 		long now = this.clock.nanoTime();
 		return Suspicion.suspected(task) ? tracked.withoutAssignment(now) : tracked.starving(now);
