Tell a case that could not run from a broken rule

A Java process that fails ends with 1, which counted as a break; a broken rule is now 10 inside and 1 outside, everything else 2. All ports are chosen free, not only the store's address. Nothing is started once a run is being ended. The route of the batch work is the less urgent one. No check or bound is changed.

--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -45,7 +45,11 @@
 
 	private final Recorder recorder;
 
-	private final int octet;
+	private int octet;
+
+	private int portOffset;
+
+	private boolean closed;
 
 	final Plans plans = new Plans();
 
@@ -72,7 +76,7 @@
 		this.root = root;
 		this.folder = folder;
 		this.recorder = recorder;
-		this.octet = freeOctet();
+		findFreeAddresses();
 		this.store = new Store(at(0, 1, STORE_PORT));
 		for (int number = 1; number <= labels.size(); number++) {
 			this.workers.add(new Worker("w" + number, at(2, number, WORKER_PORT), at(2, number, CONTROL_PORT),
@@ -94,21 +98,31 @@
 		}
 	}
 
-	private static int freeOctet() {
-		for (int octet = 20 + (int) (ProcessHandle.current().pid() % 200); octet < 250; octet++) {
-			try (ServerSocket probe = new ServerSocket()) {
-				probe.bind(new InetSocketAddress("127." + octet + ".0.1", STORE_PORT));
-				return octet;
-			}
-			catch (IOException ex) {
-				// The addresses are in use by another run.
+	/** Finds loopback addresses and ports that nobody uses. */
+	private void findFreeAddresses() {
+		List<Integer> ports = List.of(CALLER_PORT, READINESS_PORT, CONTROL_PORT, WORKER_PORT, STORE_PORT, INTERNAL_PORT);
+		for (int attempt = 0; attempt < 200; attempt++) {
+			this.octet = 20 + (int) ((ProcessHandle.current().pid() + attempt) % 200);
+			this.portOffset = 100 * (attempt / 8);
+			if (ports.stream().allMatch(this::isFree)) {
+				return;
 			}
 		}
 		throw new IllegalStateException("no free loopback addresses");
 	}
 
+	private boolean isFree(int port) {
+		try (ServerSocket probe = new ServerSocket()) {
+			probe.bind(new InetSocketAddress("127." + this.octet + ".0.1", port + this.portOffset));
+			return true;
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
 	private String at(int third, int fourth, int port) {
-		return "127." + this.octet + "." + third + "." + fourth + ":" + port;
+		return "127." + this.octet + "." + third + "." + fourth + ":" + (port + this.portOffset);
 	}
 
 	private static String zone(int number) {
@@ -164,7 +178,8 @@
 				platform.row_bytes=65536
 				platform.cross_shard=false
 				platform.history_s=20
-				""".formatted(name, role, ip, zone(number), INTERNAL_PORT, INTERNAL_PORT + 15, Worker.HEARTBEAT_MILLIS,
+				""".formatted(name, role, ip, zone(number), INTERNAL_PORT + this.portOffset,
+				INTERNAL_PORT + this.portOffset + 15, Worker.HEARTBEAT_MILLIS,
 				MAXIMUM_HOLD_MILLIS, Worker.GANG_TIMEOUT_MILLIS, relayed ? ownStoreAddress(name, third, number) : at(0, 1, STORE_PORT)) + more;
 		Path file = this.folder.resolve(name + ".conf");
 		Files.writeString(file, settings);
@@ -207,7 +222,10 @@
 		run(name);
 	}
 
-	private void run(String name) throws IOException {
+	private synchronized void run(String name) throws IOException {
+		if (this.closed) {
+			return;
+		}
 		Program program = this.programs.get(name);
 		ProcessBuilder builder = new ProcessBuilder(command(program.role())).directory(this.root.toFile())
 			.redirectErrorStream(true)
@@ -300,7 +318,10 @@
 
 	@Override
 	public void close() {
-		this.processes.values().forEach(Process::destroyForcibly);
+		synchronized (this) {
+			this.closed = true;
+			this.processes.values().forEach(Process::destroyForcibly);
+		}
 		this.workers.forEach(Worker::close);
 		this.relays.values().forEach(Relay::close);
 		this.store.close();
--- a/review/standins-2/Main.java
+++ b/review/standins-2/Main.java
@@ -17,12 +17,15 @@
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 
-/** Plays a case of the review: 0 if the rule held, 1 if it was broken, 2 if the case could not run. */
+/**
+ * Plays a case of the review. Exits with 0 if the rule held, 10 if it was broken, and 2 if the case could not run: 1 is
+ * the code of a Java process that fails.
+ */
 final class Main {
 
 	private static final int HELD = 0;
 
-	private static final int BROKEN = 1;
+	private static final int BROKEN = 10;
 
 	private static final int NOT_RUN = 2;
 
@@ -124,7 +127,7 @@
 			.put("type", "non_idempotent")
 			.put("timeout_ms", timeoutMillis)
 			.put("target_latency_ms", 1_000)
-			.put("priority", 0)
+			.put("priority", name.equals("r-a") ? 0 : 2)
 			.put("service", Deployment.SERVICE)
 			.put("attempts", attempts)
 			.put("stretch", 2.0);
--- a/review/standins-2/run-case.sh
+++ b/review/standins-2/run-case.sh
@@ -9,6 +9,8 @@
 	exit 2
 fi
 timeout -k 3 110 java -Xmx256m -cp "$root/target/review-2:$root/target/crocuspost.jar" Main "$name" "$root" "$folder"
-result=$?
-[ "$result" -le 1 ] || result=2
-exit "$result"
+case $? in
+	0) exit 0 ;;
+	10) exit 1 ;;
+	*) exit 2 ;;
+esac
