Let restarted agents follow only schedulers with a valid lease

Seen in a test, by no caller yet: a scheduler that was cut off from the store and replaced without knowing it permitted a restarted agent to renew task leases for what was left of 15 min. Its successor, which the agent had acknowledged before the restart, declared the tasks lapsed 85 s after its last answer, and they ran twice.

Cause: RenewalPermissions counts from its own permission alone once the agent has acknowledged its epoch. That the agent has dropped earlier permissions and refuses lower epochs is in its memory, and ends with it.

Ruled out: a permission that is counted too short. If the agent restarts 60 or 80 s after its last answer, its tasks have stopped before.

Change: a reply tells whether the scheduler's own lease is unconfirmed, and an agent that has followed no scheduler since its start ignores such replies. A valid lease shows that no newer scheduler holds the domain. Cost: if an agent restarts while the store is down, its tasks stop after 15 s and resume later; the runbook already says not to restart agents then. Weighed: a scheduler that always waits 15 min after a takeover.

--- a/src/main/java/org/crocuspost/bench/batch/BatchDeployment.java
+++ b/src/main/java/org/crocuspost/bench/batch/BatchDeployment.java
@@ -12,6 +12,7 @@
 import org.crocuspost.placement.DefaultPlacementPolicy;
 import org.crocuspost.placement.PairPenalty;
 import org.crocuspost.placement.PlacementPolicy;
+import org.crocuspost.platform.table.TableService;
 import org.crocuspost.platform.worker.Resources;
 import org.crocuspost.scheduler.BatchScheduler;
 import org.crocuspost.scheduler.SchedulingSettings;
@@ -112,10 +113,20 @@
 	 * @param name the name of the process
 	 */
 	public void startScheduler(String name) {
+		startScheduler(name, this.table);
+	}
+
+	/**
+	 * Starts a scheduler that reaches the table over a path of its own, and connects it
+	 * to all workers.
+	 * @param name the name of the process
+	 * @param reachedTable the table as the scheduler reaches it
+	 */
+	public void startScheduler(String name, TableService reachedTable) {
 		PeerIdentity identity = new PeerIdentity(PeerIdentity.Role.SCHEDULER, name,
 				name + "-" + this.schedulersStarted++, this.domains.get(0));
 		VirtualProcess process = new VirtualProcess(this.time);
-		BatchScheduler scheduler = new BatchScheduler(this.settings, identity, this.table, this.configuration,
+		BatchScheduler scheduler = new BatchScheduler(this.settings, identity, reachedTable, this.configuration,
 				this.policy, this.time, process);
 		VirtualScheduler virtualScheduler = new VirtualScheduler(identity, process, scheduler);
 		this.schedulers.put(name, virtualScheduler);
@@ -207,6 +218,16 @@
 		return links((key) -> key.scheduler().equals(scheduler));
 	}
 
+	/**
+	 * Returns the link between the agent of a worker and a scheduler.
+	 * @param worker the name of the worker
+	 * @param scheduler the name of the process
+	 * @return the link
+	 */
+	public MemoryLink link(String worker, String scheduler) {
+		return this.links.get(new LinkKey(worker, scheduler));
+	}
+
 	private List<MemoryLink> links(Predicate<LinkKey> filter) {
 		return this.links.entrySet()
 			.stream()
--- a/src/main/java/org/crocuspost/scheduler/RenewalPermissions.java
+++ b/src/main/java/org/crocuspost/scheduler/RenewalPermissions.java
@@ -20,7 +20,8 @@
  * agents are granted the rest of the long outage duration, counted from the last renewal.
  * A scheduler that takes over has no record of the permissions of its predecessor, so it
  * waits the long outage duration for each worker that has not acknowledged its epoch; an
- * agent that acknowledges an epoch has dropped all earlier permissions.
+ * agent that acknowledges an epoch has dropped all earlier permissions, and its next
+ * incarnation takes none from a scheduler that may have been replaced.
  */
 final class RenewalPermissions {
 
--- a/src/main/java/org/crocuspost/scheduler/ReportResponder.java
+++ b/src/main/java/org/crocuspost/scheduler/ReportResponder.java
@@ -67,7 +67,9 @@
 			return reply.build();
 		}
 		long epoch = lease.get().record().epoch();
-		reply.setEpoch(epoch).setRenewalBudgetMilliseconds(permission.toMillis());
+		reply.setEpoch(epoch)
+			.setRenewalBudgetMilliseconds(permission.toMillis())
+			.setLeaseUnconfirmed(lease.get().token().isEmpty());
 		boolean exact = isExact(peer.identity().failureDomain(), epoch);
 		report.getAttemptsList()
 			.stream()
--- a/src/main/java/org/crocuspost/worker/TaskAgent.java
+++ b/src/main/java/org/crocuspost/worker/TaskAgent.java
@@ -40,7 +40,9 @@
  * report before it may conclude that the tasks have stopped. If an agent renewed leases
  * without limit, a lost worker could not be distinguished from an unreachable one, and
  * its tasks could never run elsewhere. If an agent stopped renewing at the first missing
- * reply, all work would be lost when a scheduler restarts.
+ * reply, all work would be lost when a scheduler restarts. A restarted agent does not
+ * know which scheduler is the newest, so it first follows only one whose own lease is
+ * valid.
  *
  * <p>
  * All work runs on the timer, one action at a time, because calls to the worker runtime
@@ -268,11 +270,28 @@
 			.thenAccept((answer) -> this.timer.schedule(Duration.ZERO, () -> handleReply(sent, answer)));
 	}
 
+	/**
+	 * Returns whether a newer scheduler may have replaced the sender, although this agent
+	 * knows none. An earlier incarnation of the agent may have acknowledged that
+	 * scheduler, which concludes from it that no permission of its predecessor is left.
+	 * @param reply the reply of the sender
+	 * @return false if the sender held a valid lease when it replied, or if this agent
+	 * has followed a scheduler that did since its start
+	 */
+	private boolean mayBeReplaced(WorkerReportReply reply) {
+		return this.acknowledgedEpoch == 0 && reply.getLeaseUnconfirmed();
+	}
+
 	private synchronized void handleReply(Stopwatch sent, Either<Failure, Frame> answer) {
 		if (answer.isLeft() || !answer.get().hasWorkerReportReply()) {
 			return;
 		}
 		WorkerReportReply reply = answer.get().getWorkerReportReply();
+		if (mayBeReplaced(reply)) {
+			EventLog.warn(TaskAgentEvent.UNCONFIRMED_SCHEDULER_IGNORED, Field.of("worker", this.settings.worker()),
+					Field.of("epoch", reply.getEpoch()));
+			return;
+		}
 		if (!this.epochFence.admit(reply.getEpoch())) {
 			return;
 		}
--- a/src/main/java/org/crocuspost/worker/TaskAgentEvent.java
+++ b/src/main/java/org/crocuspost/worker/TaskAgentEvent.java
@@ -12,6 +12,13 @@
 	 */
 	TASK_COMMAND_REFUSED,
 
+	/**
+	 * A scheduler whose lease is not confirmed has permitted the renewal of task leases
+	 * to an agent that has followed no scheduler since its start, and is not followed:
+	 * another scheduler may have replaced it.
+	 */
+	UNCONFIRMED_SCHEDULER_IGNORED,
+
 	/**
 	 * The memory in use exceeds the memory capacity of the worker.
 	 */
--- a/src/test/java/org/crocuspost/worker/TaskAgentTests.java
+++ b/src/test/java/org/crocuspost/worker/TaskAgentTests.java
@@ -50,11 +50,15 @@
 
 	@BeforeEach
 	void connect() {
+		start(this.agent);
+	}
+
+	private void start(TaskAgent started) {
 		VirtualProcess process = new VirtualProcess(this.time);
 		new MemoryLink(this.time, Duration.ofMillis(1),
-				new MemoryLink.End(process, identity(PeerIdentity.Role.AGENT), this.agent),
+				new MemoryLink.End(process, identity(PeerIdentity.Role.AGENT), started),
 				new MemoryLink.End(process, identity(PeerIdentity.Role.SCHEDULER), this.scheduler));
-		this.agent.start();
+		started.start();
 		this.time.advance(Duration.ofMillis(1500));
 	}
 
@@ -130,6 +134,32 @@
 		assertThat(this.runtime.history()).extracting(RunRecord::phase).containsExactly(Phase.STOPPED);
 	}
 
+	/**
+	 * The store is down, so the scheduler cannot renew its lease.
+	 */
+	@Test
+	void leasesAreRenewedWithoutAValidLeaseOfAFollowedScheduler() {
+		send(start("task/0", 1, this.scheduler.sequence));
+		this.scheduler.leaseUnconfirmed = true;
+		this.time.advance(Duration.ofMinutes(5));
+		assertThat(this.runtime.history()).extracting(RunRecord::phase).containsExactly(Phase.RUNNING);
+	}
+
+	/**
+	 * Guards against a restarted agent that follows a scheduler which was replaced by one
+	 * that its former incarnation has acknowledged.
+	 */
+	@Test
+	void restartedAgentFollowsNoSchedulerWithoutAValidLease() {
+		send(start("task/0", 1, this.scheduler.sequence));
+		this.agent.stop();
+		this.scheduler.leaseUnconfirmed = true;
+		start(new TaskAgent(new TaskAgentSettings("w", "rack", CAPACITY, TaskAgentSettings.Times.DEFAULT),
+				this.conditions, this.runtime, this.time, this.time));
+		this.time.advance(Duration.ofMinutes(1));
+		assertThat(this.runtime.history()).extracting(RunRecord::phase).containsExactly(Phase.STOPPED);
+	}
+
 	@Test
 	void evictedTaskIsStoppedAfterACheckpointOfItsProgress() {
 		send(start("task/0", 1, this.scheduler.sequence));
@@ -192,6 +222,8 @@
 
 		private boolean unresponsive;
 
+		private boolean leaseUnconfirmed;
+
 		private Peer peer() {
 			return this.peers.get(0);
 		}
@@ -214,7 +246,8 @@
 				.setWorkerReportReply(WorkerReportReply.newBuilder()
 					.setSequence(report.getSequence())
 					.setEpoch(this.epoch)
-					.setRenewalBudgetMilliseconds(this.budgetMilliseconds))
+					.setRenewalBudgetMilliseconds(this.budgetMilliseconds)
+					.setLeaseUnconfirmed(this.leaseUnconfirmed))
 				.build());
 		}
 
