Use raised fencing tokens only under the leader that needed them

Read in the code: an agent that followed a former leader is rejected about seven times a second, and its token rises by 10 s each time. The raised token was carried to the next leader, so that a later incarnation of the agent, whose token rests on the wall clock, would be rejected for up to the time by which it is ahead, while the leases of its worker go on to lapse.

Change: under the next leader an agent uses the number of its start again. Before: raisesForAFormerLeaderAreNotCarriedToTheNextLeader fails (the number is 1,000 s ahead after 100 rejections). After: it passes.

--- a/src/main/java/org/crocuspost/host/FencingTokens.java
+++ b/src/main/java/org/crocuspost/host/FencingTokens.java
@@ -42,6 +42,13 @@
 
 	private long epoch;
 
+	/**
+	 * The low bits of a token that the worker has not rejected. A number that was raised
+	 * after rejections is not used under the next leader: it would be ahead of the wall
+	 * clock, and the next incarnation of the agent would be rejected.
+	 */
+	private long number;
+
 	private long token;
 
 	private long skippedEpochs = 1;
@@ -53,7 +60,8 @@
 	 * if it was set back, the worker rejects the token.
 	 */
 	public FencingTokens(Instant start) {
-		this.token = start.toEpochMilli() & NUMBER_MASK;
+		this.number = start.toEpochMilli() & NUMBER_MASK;
+		this.token = this.number;
 	}
 
 	/**
@@ -83,7 +91,7 @@
 			return false;
 		}
 		this.epoch = newEpoch;
-		long raised = lowest(newEpoch) | (this.token & NUMBER_MASK);
+		long raised = lowest(newEpoch) | this.number;
 		boolean higher = raised > this.token;
 		this.token = Math.max(this.token, raised);
 		return higher;
@@ -94,6 +102,7 @@
 	 * former one that is delivered late has no effect.
 	 */
 	public void beginWorkerIncarnation() {
+		this.number = Math.min(this.number + 1, NUMBER_MASK);
 		raiseWithinEpoch(1);
 	}
 
@@ -119,7 +128,7 @@
 	public void skipEpochs() {
 		long next = Math.min(epochOf(this.token) + this.skippedEpochs, MAXIMUM_EPOCH);
 		this.skippedEpochs = Math.min(2 * this.skippedEpochs, MAXIMUM_EPOCH);
-		this.token = lowest(next) | (this.token & NUMBER_MASK);
+		this.token = lowest(next) | this.number;
 	}
 
 	/**
--- a/src/test/java/org/crocuspost/host/FencingTokensTests.java
+++ b/src/test/java/org/crocuspost/host/FencingTokensTests.java
@@ -53,6 +53,22 @@
 		assertThat(following(5, START.plusMillis(500)).current()).isGreaterThan(former.current());
 	}
 
+	/**
+	 * An agent that followed a former leader was rejected many times. Its next
+	 * incarnation must not be rejected for that under the present leader.
+	 */
+	@Test
+	void raisesForAFormerLeaderAreNotCarriedToTheNextLeader() {
+		FencingTokens former = following(1, START);
+		for (int attempt = 0; attempt < 100; attempt++) {
+			former.raiseAfterRejection();
+		}
+		former.beginWorkerIncarnation();
+		former.followLeader(2);
+		assertThat(following(2, START.plusMillis(500)).current()).isGreaterThan(former.current());
+		assertThat(former.current()).isGreaterThan(following(2, START).current());
+	}
+
 	@Test
 	void knownLeaderIsNotFollowedAgain() {
 		FencingTokens tokens = following(5, START);
