Count leases from every report until former leaders are excluded

The next leader counted from the first report alone, and would have given the runs up while they go on.

Change: until a report excludes former leaders, each report tells from when their extensions count. The first report that names a worker can exclude them, which was undone by the worker being new to the leader.

Considered and left out: to exclude former leaders by a report that arrives after the end of their time. The report may have been under way for longer than the agent needs to restart.

Before: countsLeaseFromListsThatWereReadBeforeWorkerRejectedFormerLeaders fails: the run is given up by the count from the first report, 11.4 s before, although a lease has not passed since the second one. After: it passes, and so do all tests of the packages dispatch, lead and host.

--- a/src/main/java/org/crocuspost/dispatch/EvidenceBasis.java
+++ b/src/main/java/org/crocuspost/dispatch/EvidenceBasis.java
@@ -24,8 +24,9 @@
 	LEASE_EXTENSION,
 
 	/**
-	 * The first report of the agent to this leader, which tells from when the extensions
-	 * of former leaders count. This leader has not extended the lease since.
+	 * The first report of the agent to this leader, or a later one until former leaders
+	 * are excluded, which tells from when their extensions count. This leader has not
+	 * extended the lease since.
 	 */
 	FIRST_REPORT,
 
--- a/src/main/java/org/crocuspost/dispatch/HostState.java
+++ b/src/main/java/org/crocuspost/dispatch/HostState.java
@@ -451,12 +451,13 @@
 	}
 
 	/**
-	 * Starts to count the lease at the first report of the agent.
+	 * Counts the lease from what a report of the agent tells of the extensions by former
+	 * leaders, unless this leader has extended it later.
 	 * @param basisNanos the time from which the extensions that former leaders have sent
 	 * until this report last for one lease duration at most
 	 */
-	void startLease(long basisNanos) {
-		if (!this.leaseStarted) {
+	void countFormerExtensions(long basisNanos) {
+		if (!this.leaseStarted || basisNanos > this.lastExtensionNanos) {
 			extendLease(basisNanos);
 			this.leaseBasis = EvidenceBasis.FIRST_REPORT;
 		}
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -110,22 +110,25 @@
 		HostState host = this.dispatcher.host(report.getHost());
 		long now = this.dispatcher.clock().nanoTime();
 		host.connected(true);
-		// An agent of the previous version sends no age. Its lease counts from now on.
-		long agentBasis = now - TimeUnit.MILLISECONDS.toNanos(Math.max(0, report.getLeaseBasisAgeMillis()));
-		host.startLease(Math.min(agentBasis, this.formerExtensionsEndNanos.orElse(agentBasis)));
-		if (listsLapsed(report)) {
+		if (!host.formerLeadersExcluded()) {
+			// An agent of the previous version sends no age. Its lease counts from now
+			// on.
+			long agentBasis = now - TimeUnit.MILLISECONDS.toNanos(Math.max(0, report.getLeaseBasisAgeMillis()));
+			host.countFormerExtensions(Math.min(agentBasis, this.formerExtensionsEndNanos.orElse(agentBasis)));
+		}
+		boolean namesWorker = !report.getWorker().getId().isEmpty();
+		if (namesWorker) {
+			host.reportedNanos(now);
+			updateWorker(host, report);
+		}
+		if (excludesFormerLeaders(report)) {
 			host.excludeFormerLeaders();
 		}
-		if (report.getWorker().getId().isEmpty()) {
+		if (!namesWorker) {
 			// The agent has no information on its worker and its runs yet.
 			host.workerResponds(false);
 			return Response.NONE;
 		}
-		host.reportedNanos(now);
-		updateWorker(host, report);
-		if (report.getFencedEpoch() >= this.epoch) {
-			host.excludeFormerLeaders();
-		}
 		boolean newIncarnation = !report.getLife().equals(host.agentIncarnation());
 		host.agentIncarnation(report.getLife());
 		host.workerResponds(report.getWorkerAnswers());
@@ -141,6 +144,17 @@
 				runsToStop(host, report, now), newIncarnation ? traits(host, report) : List.of());
 	}
 
+	/**
+	 * Returns whether a report shows that no former leader can extend a lease any more:
+	 * none of the runs that they know is left, or the worker rejects their calls. Both
+	 * hold however long the report was under way.
+	 * @param report the report
+	 * @return true if leases count from the extensions by this leader from now on
+	 */
+	private boolean excludesFormerLeaders(HostReport report) {
+		return listsLapsed(report) || report.getFencedEpoch() >= this.epoch;
+	}
+
 	private void updateWorker(HostState host, HostReport report) {
 		WorkerDescription next = report.getWorker();
 		WorkerDescription known = host.worker();
@@ -227,8 +241,8 @@
 	 * extended no lease after the last extension by this leader
 	 */
 	private boolean formerLeadersMayExtend(HostState host) {
-		return !host.formerLeadersExcluded() && this.formerExtensionsEndNanos.isPresent()
-				&& this.formerExtensionsEndNanos.getAsLong() > host.lastExtensionNanos();
+		return !host.formerLeadersExcluded()
+				&& this.formerExtensionsEndNanos.orElse(Long.MIN_VALUE) > host.lastExtensionNanos();
 	}
 
 	/**
--- a/src/test/java/org/crocuspost/dispatch/RunsOfSilentWorkersAfterTakeoverTests.java
+++ b/src/test/java/org/crocuspost/dispatch/RunsOfSilentWorkersAfterTakeoverTests.java
@@ -305,6 +305,25 @@
 		assertThat(other.executedOrders).extracting(StartOrder::getRun).containsExactly(2);
 	}
 
+	/**
+	 * The agent has restarted between two reports, and followed the former leader before
+	 * its worker rejected it. This leader may not extend leases yet.
+	 */
+	@Test
+	void countsLeaseFromListsThatWereReadBeforeWorkerRejectedFormerLeaders() {
+		SimulatedWorker worker = workerWithRun();
+		SimulatedWorker other = takeOverFromLeaderWithoutStore();
+		this.fixture.reports
+			.reported(worker.report().toBuilder().setFencedEpoch(EPOCH - 1).setLeaseBasisAgeMillis(1).build(), false);
+		advanceAndExpire(other, Duration.ofSeconds(5));
+		this.fixture.reports
+			.reported(worker.report().toBuilder().setFencedEpoch(EPOCH).setLeaseBasisAgeMillis(1).build(), false);
+		advanceAndExpire(other, LEASE_TIMEOUT.minus(SHORT_TIME));
+		assertThat(this.fixture.lostRuns).isEmpty();
+		advanceAndExpire(other, SHORT_TIME);
+		assertThat(other.executedOrders).extracting(StartOrder::getRun).containsExactly(2);
+	}
+
 	/**
 	 * What the former incarnation of the worker rejects says nothing about the next one.
 	 */
