--- a/src/test/java/org/crocuspost/lead/RestartedAgentTests.java
+++ b/src/test/java/org/crocuspost/lead/RestartedAgentTests.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
 
 import org.crocuspost.lead.WaitingTaskSimulation.Entry;
 import org.crocuspost.lead.WaitingTaskSimulation.Host;
@@ -10,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -103,6 +106,37 @@
 		assertThat(simulation.tasksRunTwice()).isEmpty();
 	}
 
+	/**
+	 * The store answers nobody, so the leader is still the newest one. Its extensions
+	 * must reach the workers although their agents do not know the epoch.
+	 */
+	@ParameterizedTest
+	@ValueSource(doubles = { 14.5, 16, 19, 22 })
+	void tasksRunOnWhenAgentsRestartDuringAnOutage(double restart) {
+		WaitingTaskSimulation simulation = new WaitingTaskSimulation(1, SCALE);
+		simulation.at(5, simulation::submitService);
+		simulation.advanceTo(DISRUPTIONS_BEGIN);
+		Set<SimulatedWorker.Run> before = runs(simulation);
+		simulation.entries().forEach((entry) -> {
+			entry.mode(SimulatedStore.Mode.SILENT);
+			simulation.at(DISRUPTIONS_BEGIN + 9, () -> entry.mode(SimulatedStore.Mode.ANSWERING));
+		});
+		simulation.hosts().forEach((host) -> {
+			host.storeMode(SimulatedStore.Mode.SILENT);
+			simulation.at(restart, () -> host.endAgent(false));
+			simulation.at(restart + 0.4, host::start);
+		});
+		simulation.advanceTo(40);
+		assertThat(runs(simulation)).isEqualTo(before).hasSize(24);
+	}
+
+	private static Set<SimulatedWorker.Run> runs(WaitingTaskSimulation simulation) {
+		return simulation.hosts()
+			.stream()
+			.flatMap((host) -> host.worker().running().values().stream())
+			.collect(Collectors.toSet());
+	}
+
 	private static boolean leads(Entry entry) {
 		return entry.elector() != null && entry.elector().isLeader();
 	}
