--- a/src/test/java/org/crocuspost/lead/RestartedAgentTests.java
+++ b/src/test/java/org/crocuspost/lead/RestartedAgentTests.java
@@ -161,7 +161,7 @@
 	 */
 	private static void disrupt(WaitingTaskSimulation simulation, SplittableRandom random) {
 		for (int number = 0; number < 3; number++) {
-			divide(simulation, random, DISRUPTIONS_BEGIN + 17 * number + 3 * random.nextDouble());
+			partition(simulation, random, DISRUPTIONS_BEGIN + 17 * number + 3 * random.nextDouble());
 		}
 		for (double second = DISRUPTIONS_BEGIN; second < DISRUPTIONS_END; second += 1 + 6 * random.nextDouble()) {
 			double end = second + (random.nextBoolean() ? random.nextDouble() : 8 * random.nextDouble());
@@ -190,19 +190,24 @@
 		}
 	}
 
-	private static void divide(WaitingTaskSimulation simulation, SplittableRandom random, double second) {
+	/**
+	 * Lets only the leader of that time reach some hosts for a time, in which the store
+	 * does not answer it or the agents of these hosts, which restart.
+	 */
+	private static void partition(WaitingTaskSimulation simulation, SplittableRandom random, double second) {
 		simulation.at(second, () -> simulation.leader().ifPresent((former) -> {
 			former.mode(SimulatedStore.Mode.SILENT);
 			simulation.at(second + 9, () -> former.mode(SimulatedStore.Mode.ANSWERING));
 			for (Host host : simulation.hosts()) {
 				if (random.nextBoolean()) {
-					divide(simulation, random, former, host);
+					partitionHost(simulation, random, former, host);
 				}
 			}
 		}));
 	}
 
-	private static void divide(WaitingTaskSimulation simulation, SplittableRandom random, Entry former, Host host) {
+	private static void partitionHost(WaitingTaskSimulation simulation, SplittableRandom random, Entry former,
+			Host host) {
 		double now = simulation.seconds();
 		for (int restarts = 1 + random.nextInt(2); restarts > 0; restarts--) {
 			double restart = now + 1 + 7 * random.nextDouble();
