Reach the highest fencing token when the epochs are used up

Read in the code: a worker that has seen a token of the last epoch with a high number, for example after a hello from another program, would have rejected its agent for ever, since skipping epochs began with a low number again.

--- a/src/main/java/org/crocuspost/host/FencingTokens.java
+++ b/src/main/java/org/crocuspost/host/FencingTokens.java
@@ -126,9 +126,9 @@
 	 * the leaders started anew, for example with an empty store.
 	 */
 	public void skipEpochs() {
-		long next = Math.min(epochOf(this.token) + this.skippedEpochs, MAXIMUM_EPOCH);
+		long next = epochOf(this.token) + this.skippedEpochs;
 		this.skippedEpochs = Math.min(2 * this.skippedEpochs, MAXIMUM_EPOCH);
-		this.token = lowest(next) | this.number;
+		this.token = (next <= MAXIMUM_EPOCH) ? lowest(next) | this.number : Long.MAX_VALUE;
 	}
 
 	/**
--- a/src/test/java/org/crocuspost/host/FencingTokensTests.java
+++ b/src/test/java/org/crocuspost/host/FencingTokensTests.java
@@ -108,8 +108,21 @@
 		assertThat(tokens.current()).isPositive();
 		assertThat(FencingTokens.epochOf(tokens.current())).isLessThan(1L << 40);
 		assertThat(tokens.current()).isGreaterThanOrEqualTo(FencingTokens.lowest(1L << 40));
-		tokens.skipEpochs();
-		assertThat(tokens.current()).isPositive();
+	}
+
+	/**
+	 * The worker accepts a token that it has seen.
+	 */
+	@Test
+	void skippedEpochsReachTheHighestToken() {
+		FencingTokens tokens = following(1L << 40, START);
+		for (int attempt = 0; attempt < 3; attempt++) {
+			tokens.skipEpochs();
+			assertThat(tokens.current()).isEqualTo(Long.MAX_VALUE);
+			tokens.raiseAfterRejection();
+			tokens.beginWorkerIncarnation();
+			assertThat(tokens.current()).isEqualTo(Long.MAX_VALUE);
+		}
 	}
 
 }
