--- a/src/test/java/org/crocuspost/lead/RestartedAgentTests.java
+++ b/src/test/java/org/crocuspost/lead/RestartedAgentTests.java
@@ -29,7 +29,7 @@
 
 	private static final double DISRUPTIONS_END = 64;
 
-	private static final int SEEDS = 15;
+	private static final int SEEDS = 200;
 
 	private static void cut(WaitingTaskSimulation simulation, Entry entry, Host host) {
 		simulation.cutPath(entry.name() + ">" + host.name());
