Log how services are packed, attempts to free workers, and image weights

Ruled out: worker lists of the agents; they are not in the leader's view. Change: service-packing with a lower bound of the occupied workers and image-pressure at fixed intervals, consolidation-attempted with each attempt. Workers rejected by an attempt are now known by host, so they are counted once and not tried again after another one was freed, which only takes room away.

--- a/src/main/java/org/crocuspost/dispatch/DispatchListener.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchListener.java
@@ -130,6 +130,12 @@
 	 */
 	void selectionChanged(JobProgress job, boolean deferred, SelectionEvidence evidence);
 
+	/**
+	 * Called after an attempt to free workers of services for fillers.
+	 * @param attempt what was attempted, and the result
+	 */
+	void consolidationAttempted(ConsolidationAttempt attempt);
+
 	/**
 	 * Called when the leader's assessment of a host changes.
 	 * @param host the host
--- a/src/main/java/org/crocuspost/dispatch/LoadMeasurements.java
+++ b/src/main/java/org/crocuspost/dispatch/LoadMeasurements.java
@@ -107,6 +107,16 @@
 			.count();
 	}
 
+	/**
+	 * Returns how many workers services occupy, and how few could hold them.
+	 * @return the packing of each service with workers that accept tasks
+	 */
+	public Collection<ServicePacking> servicePackings() {
+		ServicePackingSurvey survey = new ServicePackingSurvey();
+		this.dispatcher.hosts().stream().filter(this.dispatcher::schedulable).forEach(survey::add);
+		return survey.packings();
+	}
+
 	/**
 	 * Returns the number of workers without services that fillers could fill: those that
 	 * there are, and those that the waiting fillers need beyond them.
--- a/src/main/java/org/crocuspost/dispatch/ServiceConsolidation.java
+++ b/src/main/java/org/crocuspost/dispatch/ServiceConsolidation.java
@@ -92,12 +92,15 @@
 			return;
 		}
 		this.nextAttemptNanos.put(service, nowNanos + DispatchSettings.CONSOLIDATION_INTERVAL.toNanos());
-		for (ServingHost host : new Attempt(candidates, nowNanos).select(wanted)) {
+		Attempt attempt = new Attempt(candidates, nowNanos);
+		List<ServingHost> selected = attempt.select(wanted);
+		Duration waited = Duration.ofNanos(nowNanos - waitingSince);
+		this.listener.consolidationAttempted(attempt.result(service, waiting, waited, wanted, selected));
+		for (ServingHost host : selected) {
 			host.candidate().host().vacate(host.services(), nowNanos);
 			this.listener.hostChanged(host.candidate().host().name(), "vacated",
 					host.services().size() + " services are moved, fillers that need " + waiting
-							+ " millicores have waited for " + Duration.ofNanos(nowNanos - waitingSince).toMillis()
-							+ " ms");
+							+ " millicores have waited for " + waited.toMillis() + " ms");
 		}
 	}
 
@@ -150,6 +153,8 @@
 
 		private List<ServingHost> serving = new ArrayList<>();
 
+		private final Set<HostState> rejected = new HashSet<>();
+
 		private Attempt(Collection<CandidateHost> candidates, long nowNanos) {
 			this.nowNanos = nowNanos;
 			for (CandidateHost candidate : candidates) {
@@ -168,18 +173,25 @@
 			this.free++;
 		}
 
+		private ConsolidationAttempt result(String service, long waiting, Duration waited, int wanted,
+				List<ServingHost> selected) {
+			int fixed = (int) this.serving.stream().filter((host) -> !movable(host)).count();
+			return new ConsolidationAttempt(service, waiting, waited, wanted, selected.size(),
+					selected.stream().mapToInt((host) -> host.services().size()).sum(), this.rejected.size(), fixed,
+					this.serving.size() - fixed - this.rejected.size());
+		}
+
 		private List<ServingHost> select(int wanted) {
 			List<ServingHost> selected = new ArrayList<>();
-			Set<ServingHost> rejected = new HashSet<>();
 			int moves = DispatchSettings.MAXIMUM_MOVED_TASKS;
-			while (selected.size() < wanted && rejected.size() < DispatchSettings.MAXIMUM_CONSOLIDATION_TRIALS) {
-				ServingHost host = cheapest(moves, rejected);
+			while (selected.size() < wanted && this.rejected.size() < DispatchSettings.MAXIMUM_CONSOLIDATION_TRIALS) {
+				ServingHost host = cheapest(moves);
 				if (host == null) {
 					break;
 				}
 				List<ServingHost> others = fitElsewhere(host);
 				if (others == null) {
-					rejected.add(host);
+					this.rejected.add(host.candidate().host());
 					continue;
 				}
 				this.serving = others;
@@ -190,10 +202,16 @@
 			return selected;
 		}
 
-		private @Nullable ServingHost cheapest(int moves, Set<ServingHost> rejected) {
+		private boolean movable(ServingHost host) {
+			return host.services()
+				.stream()
+				.allMatch((placement) -> ServiceConsolidation.movable(placement, this.nowNanos));
+		}
+
+		private @Nullable ServingHost cheapest(int moves) {
 			return this.serving.stream()
-				.filter((host) -> !rejected.contains(host) && host.services().size() <= moves
-						&& host.services().stream().allMatch((placement) -> movable(placement, this.nowNanos)))
+				.filter((host) -> !this.rejected.contains(host.candidate().host()) && host.services().size() <= moves
+						&& movable(host))
 				.min(Comparator.comparingDouble(this::cost))
 				.orElse(null);
 		}
--- a/src/main/java/org/crocuspost/lead/DecisionLog.java
+++ b/src/main/java/org/crocuspost/lead/DecisionLog.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 
+import org.crocuspost.dispatch.ConsolidationAttempt;
 import org.crocuspost.dispatch.DispatchListener;
 import org.crocuspost.dispatch.Evidence;
 import org.crocuspost.dispatch.JobStart;
@@ -151,6 +152,16 @@
 				Field.of("evidenceAgeMillis", evidence.age().toMillis()));
 	}
 
+	@Override
+	public void consolidationAttempted(ConsolidationAttempt attempt) {
+		EventLog.info(LeadEvent.CONSOLIDATION_ATTEMPTED, Field.of("service", attempt.service()),
+				Field.of("waitingMilliCores", attempt.waitingMilliCores()),
+				Field.of("waitedMillis", attempt.waited().toMillis()), Field.of("wanted", attempt.wanted()),
+				Field.of("freed", attempt.freed()), Field.of("movedTasks", attempt.movedTasks()),
+				Field.of("rejected", attempt.rejected()), Field.of("fixed", attempt.fixed()),
+				Field.of("skipped", attempt.skipped()));
+	}
+
 	@Override
 	public void hostChanged(String host, String state, String detail) {
 		this.metrics.hostChanged(state);
--- a/src/main/java/org/crocuspost/lead/LeadEvent.java
+++ b/src/main/java/org/crocuspost/lead/LeadEvent.java
@@ -187,6 +187,22 @@
 	 */
 	QUEUE_LOAD,
 
+	/**
+	 * How many workers the services occupy and how few could hold them, at a fixed
+	 * interval.
+	 */
+	SERVICE_PACKING,
+
+	/**
+	 * How much the fillers of each known image press on services, at a fixed interval.
+	 */
+	IMAGE_PRESSURE,
+
+	/**
+	 * The leader has tried to move services together to free workers for fillers.
+	 */
+	CONSOLIDATION_ATTEMPTED,
+
 	/**
 	 * More rows wait to be recorded than one transaction holds, at most once a second.
 	 */
--- a/src/main/java/org/crocuspost/lead/Leader.java
+++ b/src/main/java/org/crocuspost/lead/Leader.java
@@ -173,7 +173,7 @@
 		this.dispatcher = new Dispatcher(settings, new DefaultPlacementPolicy(this.imagePressure), clock,
 				new DecisionLog(metrics));
 		this.passPacer = new PassPacer(clock);
-		this.queueLoadLog = new QueueLoadLog(this.dispatcher, metrics, clock);
+		this.queueLoadLog = new QueueLoadLog(this.dispatcher, this.imagePressure, metrics, clock);
 		this.recordBacklogLog = new RecordBacklogLog(this.dispatcher, clock);
 		this.unavailableTaskLog = new UnavailableTaskLog(this.dispatcher.load(), metrics, clock);
 		this.unavailableJobLog = new UnavailableJobLog(this.dispatcher.load(), metrics, clock);
--- a/src/test/java/org/crocuspost/dispatch/SilentDispatchListener.java
+++ b/src/test/java/org/crocuspost/dispatch/SilentDispatchListener.java
@@ -64,6 +64,10 @@
 	public void selectionChanged(JobProgress job, boolean deferred, SelectionEvidence evidence) {
 	}
 
+	@Override
+	public void consolidationAttempted(ConsolidationAttempt attempt) {
+	}
+
 	@Override
 	public void hostChanged(String host, String assessment, String detail) {
 	}
