Learn the pressure of an image for each service

Callers saw: jobs of statement-run waited, or were stopped as slow beside services, on a fleet whose processors were a third idle. Cause: the model had one weight for each image of fillers, learned from the worst service of a worker. The weight rises and falls with the services that happen to be beside the image (41d7d5: 3.1, 0, 14.1 within 30 s), so images are kept off workers that they would not harm, and placed in numbers where they harm. The pressure without fillers was assumed to be 0.3; its median of a worker's worst service is 0.57, and the difference was attributed to fillers. Class: the effect of a pair kept for one of the two. Change: weights of pairs, learned from each service's own pressure; the base of a service is learned where no filler presses on it; deviations are attributed by what was expected. Placement compares each service of a worker. A step counts as heavy if it suits less than a tenth of the workers with services. Lines of the stored model have a third field; those of the former version are ignored, and a former leader ignores the row. FillerPlacementTests and ImagePressureTests need the new signatures; where they observe one service, they are unchanged. After: they pass.

--- a/src/main/java/org/crocuspost/dispatch/AdmissionEstimator.java
+++ b/src/main/java/org/crocuspost/dispatch/AdmissionEstimator.java
@@ -10,8 +10,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiPredicate;
 import java.util.function.Function;
-import java.util.function.Predicate;
 
 import org.crocuspost.dispatch.AdmissionFigures.Backlog;
 import org.crocuspost.dispatch.AdmissionFigures.Backlogs;
@@ -75,7 +75,8 @@
 	 * @return the backlogs by queue and the exclusive images among them
 	 */
 	Result survey(Collection<TrackedJob> jobs, Function<JobProgress, Optional<Queue>> queues,
-			Predicate<StepSpecification> exclusive, Map<String, IdleCapacity> idle, long nowNanos, long nowMillis) {
+			BiPredicate<Queue, StepSpecification> exclusive, Map<String, IdleCapacity> idle, long nowNanos,
+			long nowMillis) {
 		if (nowNanos - this.surveyedNanos > MAXIMUM_SURVEY_GAP.toNanos()) {
 			this.measurements.clear();
 			this.remaining.clear();
@@ -207,8 +208,8 @@
 	/**
 	 * Sums up the unfinished work of one job.
 	 */
-	private record JobSurvey(Queue queue, JobProgress job, boolean ofUse, Predicate<StepSpecification> exclusive,
-			long nowMillis) {
+	private record JobSurvey(Queue queue, JobProgress job, boolean ofUse,
+			BiPredicate<Queue, StepSpecification> exclusive, long nowMillis) {
 
 		RemainingJob run(Map<Key, Survey> surveys, Set<String> images) {
 			Map<Key, Long> work = new HashMap<>();
@@ -225,7 +226,7 @@
 			boolean[] behindExclusive = new boolean[steps.size()];
 			for (int number = 0; number < steps.size(); number++) {
 				StepSpecification step = steps.get(number);
-				boolean kind = this.exclusive.test(step);
+				boolean kind = this.exclusive.test(this.queue, step);
 				boolean done = this.job.stepDone(occurrence, number);
 				boolean blocked = step.predecessors().stream().anyMatch((predecessor) -> behindExclusive[predecessor]);
 				behindExclusive[number] = !done && (kind || blocked);
--- a/src/main/java/org/crocuspost/dispatch/CandidateHost.java
+++ b/src/main/java/org/crocuspost/dispatch/CandidateHost.java
@@ -1,10 +1,13 @@
 package org.crocuspost.dispatch;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 
 import org.crocuspost.job.StepSpecification;
 import org.crocuspost.job.TaskProgress;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Tracks the free resources of one host's worker during a scheduling pass. Mutable, so
@@ -32,7 +35,9 @@
 
 	private int fillers;
 
-	private double pendingIncrease;
+	private final Map<String, Double> pendingIncreases = new HashMap<>();
+
+	private @Nullable Map<String, Double> servicePressures;
 
 	private final boolean onProbation;
 
@@ -56,7 +61,7 @@
 		this.freeAccelerators = host.freeAccelerators();
 		this.freeFillerMilliCores = host.freeFillerMilliCores();
 		this.fillers = host.fillers();
-		this.pendingIncrease = host.unreportedIncrease();
+		this.pendingIncreases.putAll(host.unreportedIncreases());
 		this.onProbation = host.hasSuspectOnProbation();
 		this.doubtful = host.startBackOff().doubtful(nowNanos);
 		this.startPending = this.doubtful && host.hasUnlistedStart();
@@ -72,7 +77,8 @@
 		this.freeAccelerators = other.freeAccelerators;
 		this.freeFillerMilliCores = other.freeFillerMilliCores;
 		this.fillers = other.fillers;
-		this.pendingIncrease = other.pendingIncrease;
+		this.pendingIncreases.putAll(other.pendingIncreases);
+		this.servicePressures = other.servicePressures;
 		this.onProbation = other.onProbation;
 		this.doubtful = other.doubtful;
 		this.startPending = other.startPending;
@@ -190,10 +196,21 @@
 	/**
 	 * Adds the expected pressure of a filler that this pass has placed on the worker,
 	 * perhaps only in the trial of a gang.
-	 * @param increase the expected increase of the pressure
+	 * @param increases the expected increases of the pressure by image of a service
+	 */
+	void addExpectedIncreases(Map<String, Double> increases) {
+		increases.forEach((service, increase) -> this.pendingIncreases.merge(service, increase, Double::sum));
+	}
+
+	/**
+	 * Returns the services on the worker at the beginning of the pass.
+	 * @return the reported pressures by image of a service; negative if not reported
 	 */
-	void addExpectedIncrease(double increase) {
-		this.pendingIncrease += increase;
+	Map<String, Double> servicePressures() {
+		if (this.servicePressures == null) {
+			this.servicePressures = this.host.servicePressures();
+		}
+		return this.servicePressures;
 	}
 
 	/**
@@ -218,8 +235,8 @@
 		return this.host.isUnstable(this.nowNanos);
 	}
 
-	double pendingIncrease() {
-		return this.pendingIncrease;
+	double pendingIncrease(String service) {
+		return this.pendingIncreases.getOrDefault(service, 0.0);
 	}
 
 	int fillers() {
--- a/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
+++ b/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
@@ -1,11 +1,12 @@
 package org.crocuspost.dispatch;
 
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.OptionalDouble;
 
 import org.crocuspost.job.StepSpecification;
 import org.crocuspost.job.TaskProgress;
-import org.crocuspost.wire.WorkerDescription;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -79,6 +80,30 @@
 	 */
 	private static final double LIGHT_INCREASE = 0.25;
 
+	/**
+	 * Expected increase of the pressure up to which a filler runs beside a service that
+	 * is above the maximum pressure by itself.
+	 */
+	private static final double NEGLIGIBLE_INCREASE = 0.03;
+
+	/**
+	 * Highest pressure on a service beside which fillers start that hardly raise it. The
+	 * pace control slows fillers down above it.
+	 */
+	private static final double MAXIMUM_NEGLIGIBLE_PRESSURE = 0.85;
+
+	/**
+	 * Expected increase of the pressure above which a filler does not suit a worker. The
+	 * placement admits fillers up to a pressure of 0.65, and idle services cause 0.3.
+	 */
+	private static final double HEAVY_INCREASE = 0.35;
+
+	/**
+	 * Share of the workers with services below which those that suit an image do not
+	 * count as capacity for it.
+	 */
+	private static final double MINIMUM_SUITED_SHARE = 0.1;
+
 	/**
 	 * Maximum number of fillers of an unknown image that run beside services at the same
 	 * time. A step of 100 tasks would otherwise press on 100 services at once.
@@ -117,7 +142,7 @@
 			}
 		}
 		if (best != null && step.filler() && best.host().runsService()) {
-			best.addExpectedIncrease(reservedPressure(step, best.host().worker()));
+			best.addExpectedIncreases(reservedPressures(step, best.host()));
 		}
 		return best;
 	}
@@ -135,16 +160,45 @@
 	}
 
 	@Override
-	public double addedPressure(StepSpecification step, WorkerDescription worker) {
-		double share = step.milliCores() / (double) Math.max(1, worker.getMilliCores());
-		OptionalDouble increase = this.imagePressure.expectedIncrease(step.image(), share);
-		return increase.isPresent() ? Math.max(MINIMUM_KNOWN_INCREASE, increase.getAsDouble()) : 0;
+	public double addedPressure(StepSpecification step, HostState host) {
+		double share = share(step, host);
+		double largest = 0;
+		for (String service : host.servicePressures().keySet()) {
+			OptionalDouble increase = this.imagePressure.expectedIncrease(step.image(), service, share);
+			if (increase.isEmpty()) {
+				return 0;
+			}
+			largest = Math.max(largest, Math.max(MINIMUM_KNOWN_INCREASE, increase.getAsDouble()));
+		}
+		return largest;
 	}
 
 	@Override
-	public double reservedPressure(StepSpecification step, WorkerDescription worker) {
-		double share = step.milliCores() / (double) Math.max(1, worker.getMilliCores());
-		return this.imagePressure.expectedIncrease(step.image(), share).orElse(MAXIMUM_PRESSURE);
+	public Map<String, Double> reservedPressures(StepSpecification step, HostState host) {
+		double share = share(step, host);
+		Map<String, Double> increases = new HashMap<>();
+		for (String service : host.servicePressures().keySet()) {
+			increases.put(service,
+					this.imagePressure.expectedIncrease(step.image(), service, share).orElse(MAXIMUM_PRESSURE));
+		}
+		return increases;
+	}
+
+	@Override
+	public boolean needsFreeWorker(StepSpecification step, Collection<HostState> hosts) {
+		int serving = 0;
+		int suited = 0;
+		for (HostState host : hosts) {
+			if (host.runsService()) {
+				serving++;
+				suited += (addedPressure(step, host) <= HEAVY_INCREASE) ? 1 : 0;
+			}
+		}
+		return serving > 0 && suited < serving * MINIMUM_SUITED_SHARE;
+	}
+
+	private static double share(StepSpecification step, HostState host) {
+		return step.milliCores() / (double) Math.max(1, host.worker().getMilliCores());
 	}
 
 	/**
@@ -173,23 +227,39 @@
 	}
 
 	/**
-	 * Returns how many fillers of an unknown image run beside services, to find out how
-	 * much they press on them.
+	 * Returns how many fillers of an image run beside services next to which the image is
+	 * unknown, to find out how much they press on them.
 	 * @param image the image
 	 * @param candidates the hosts
-	 * @return the number; 0 if the image is known
+	 * @return the number
 	 */
 	private int trials(String image, Collection<CandidateHost> candidates) {
-		if (this.imagePressure.expectedIncrease(image, 1).isPresent()) {
-			return 0;
-		}
 		int count = 0;
 		for (CandidateHost candidate : candidates) {
-			count += candidate.host().runsService() ? candidate.host().fillersOf(image) : 0;
+			count += isUnknown(image, candidate) ? candidate.host().fillersOf(image) : 0;
 		}
 		return count;
 	}
 
+	private boolean isUnknown(String image, CandidateHost candidate) {
+		for (String service : candidate.servicePressures().keySet()) {
+			if (this.imagePressure.expectedIncrease(image, service, 1).isEmpty()) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private boolean runsTrial(CandidateHost candidate) {
+		for (Placement placement : candidate.host().placements().values()) {
+			StepSpecification step = placement.task().step();
+			if (step.filler() && isUnknown(step.image(), candidate)) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	@Override
 	public boolean mayTry(StepSpecification step, Collection<CandidateHost> candidates) {
 		return !step.filler() || trials(step.image(), candidates) < MAXIMUM_TRIALS;
@@ -210,28 +280,29 @@
 				: pressureCondition(step, candidate, mayTry);
 	}
 
-	// Allows only one filler on a worker while its image is unknown. The effect of the
-	// filler is visible within a second.
+	// Allows only one filler on a worker whose image is unknown beside one of its
+	// services.
+	// The effect of the filler is visible within a second.
 	private WorkerCondition pressureCondition(StepSpecification step, CandidateHost candidate, boolean mayTry) {
-		OptionalDouble increase = expectedIncrease(step, candidate);
-		if (increase.isEmpty()) {
-			if (!mayTry || candidate.fillers() > 0) {
-				return WorkerCondition.TRIAL;
+		double share = share(step, candidate.host());
+		boolean unknown = false;
+		for (Map.Entry<String, Double> service : candidate.servicePressures().entrySet()) {
+			OptionalDouble increase = this.imagePressure.expectedIncrease(step.image(), service.getKey(), share);
+			unknown |= increase.isEmpty();
+			double reported = (service.getValue() >= 0) ? service.getValue()
+					: this.imagePressure.basePressure(service.getKey());
+			double pressure = reported + candidate.pendingIncrease(service.getKey());
+			boolean negligible = increase.isPresent() && increase.getAsDouble() <= NEGLIGIBLE_INCREASE;
+			double maximum = negligible ? MAXIMUM_NEGLIGIBLE_PRESSURE : MAXIMUM_PRESSURE;
+			if (pressure + increase.orElse(0) > maximum) {
+				return WorkerCondition.PRESSURE;
 			}
-			return (candidate.host().pressure() < MAXIMUM_PRESSURE) ? WorkerCondition.SUITED : WorkerCondition.PRESSURE;
 		}
-		double expected = candidate.host().pressure() + candidate.pendingIncrease() + increase.getAsDouble();
-		return (expected <= MAXIMUM_PRESSURE) ? WorkerCondition.SUITED : WorkerCondition.PRESSURE;
-	}
-
-	private OptionalDouble expectedIncrease(StepSpecification step, CandidateHost candidate) {
-		return this.imagePressure.expectedIncrease(step.image(),
-				step.milliCores() / (double) candidate.capacityMilliCores());
+		return (unknown && (!mayTry || runsTrial(candidate))) ? WorkerCondition.TRIAL : WorkerCondition.SUITED;
 	}
 
 	private boolean isLight(StepSpecification step, CandidateHost candidate) {
-		OptionalDouble increase = expectedIncrease(step, candidate);
-		return increase.isPresent() && increase.getAsDouble() <= LIGHT_INCREASE;
+		return !isUnknown(step.image(), candidate) && addedPressure(step, candidate.host()) <= LIGHT_INCREASE;
 	}
 
 	private double score(StepSpecification step, CandidateHost candidate) {
--- a/src/main/java/org/crocuspost/dispatch/Dispatcher.java
+++ b/src/main/java/org/crocuspost/dispatch/Dispatcher.java
@@ -56,6 +56,8 @@
 
 	private final FillerCapacitySurvey fillerCapacity = new FillerCapacitySurvey();
 
+	private final FreeWorkerNeeds freeWorkerNeeds;
+
 	private final JobSelection selection;
 
 	private final Clock clock;
@@ -110,7 +112,8 @@
 		this.probationPlacement = new ProbationPlacement(policy);
 		this.consolidation = new ServiceConsolidation(this.serviceMoves, listener);
 		this.roomForServices = new RoomForServices(listener);
-		this.selection = new JobSelection(policy, listener);
+		this.freeWorkerNeeds = new FreeWorkerNeeds(policy);
+		this.selection = new JobSelection(this.freeWorkerNeeds, listener);
 		this.clock = clock;
 		this.listener = listener;
 		this.load = new LoadMeasurements(this, policy, clock);
@@ -270,7 +273,10 @@
 					.add(new CandidateHost(host, now));
 			}
 		}
-		candidatesByService.forEach((service, candidates) -> this.fillerCapacity.observe(service, candidates, now));
+		candidatesByService.forEach((service, candidates) -> {
+			this.fillerCapacity.observe(service, candidates, now);
+			this.freeWorkerNeeds.observe(service, candidates, now);
+		});
 		List<CandidateHost> allCandidates = candidatesByService.values().stream().flatMap(List::stream).toList();
 		this.serviceMoves.beginPass(allCandidates, now);
 		this.roomForServices.beginPass(allCandidates, now);
@@ -509,7 +515,7 @@
 		HostState host = candidate.host();
 		long now = this.clock.nanoTime();
 		if (task.step().filler() && host.runsService()) {
-			host.addExpectedIncrease(this.policy.reservedPressure(task.step(), host.worker()));
+			host.addExpectedIncreases(this.policy.reservedPressures(task.step(), host));
 		}
 		this.roomForServices.placed(task.key());
 		this.serviceMoves.placed(task.key());
@@ -812,6 +818,10 @@
 		return this.lastPassNanos;
 	}
 
+	FreeWorkerNeeds freeWorkerNeeds() {
+		return this.freeWorkerNeeds;
+	}
+
 	PlacementPolicy policy() {
 		return this.policy;
 	}
--- a/src/main/java/org/crocuspost/dispatch/FillerCapacity.java
+++ b/src/main/java/org/crocuspost/dispatch/FillerCapacity.java
@@ -2,18 +2,15 @@
 
 import java.time.Duration;
 
-import org.crocuspost.wire.WorkerDescription;
-
 /**
  * Capacity that the workers of one service have for fillers.
  *
  * @param exclusiveCores the cores of workers that run no service; heavy images run only
  * there
  * @param sharedCores the cores beside services that fillers of light images can use
- * @param largestWorker the worker with the most cores, on which a filler presses least
  * @param age the age of the oldest report that is taken into account
  */
-record FillerCapacity(double exclusiveCores, double sharedCores, WorkerDescription largestWorker, Duration age) {
+record FillerCapacity(double exclusiveCores, double sharedCores, Duration age) {
 
 	double totalCores() {
 		return this.exclusiveCores + this.sharedCores;
--- a/src/main/java/org/crocuspost/dispatch/FillerCapacitySurvey.java
+++ b/src/main/java/org/crocuspost/dispatch/FillerCapacitySurvey.java
@@ -103,8 +103,8 @@
 		}
 		double worker = estimate.largest().getMilliCores() / MILLIS;
 		double exclusive = (estimate.exclusive() < worker * MINIMUM_EXCLUSIVE) ? 0 : estimate.exclusive();
-		return Optional.of(new FillerCapacity(exclusive, estimate.shared(), estimate.largest(),
-				Duration.ofNanos(nowNanos - estimate.oldestNanos())));
+		return Optional
+			.of(new FillerCapacity(exclusive, estimate.shared(), Duration.ofNanos(nowNanos - estimate.oldestNanos())));
 	}
 
 	private record Estimate(double exclusive, double shared, WorkerDescription largest, long oldestNanos,
--- a/src/main/java/org/crocuspost/dispatch/HostState.java
+++ b/src/main/java/org/crocuspost/dispatch/HostState.java
@@ -20,6 +20,13 @@
  */
 final class HostState {
 
+	/**
+	 * Expected increase of a pressure below which it is forgotten.
+	 */
+	private static final double LEAST_INCREASE = 1e-3;
+
+	private static final double UNREPORTED = -1;
+
 	private final String name;
 
 	private WorkerDescription worker = WorkerDescription.getDefaultInstance();
@@ -74,7 +81,9 @@
 
 	private double pressure;
 
-	private double unreportedIncrease;
+	private Map<String, Double> servicePressures = Map.of();
+
+	private final Map<String, Double> unreportedIncreases = new HashMap<>();
 
 	private long increaseUpdatedNanos;
 
@@ -526,14 +535,18 @@
 
 	/**
 	 * Adds the expected pressure of a new filler until the reports show it.
-	 * @param increase the expected increase of the pressure
+	 * @param increases the expected increases of the pressure by image of a service
 	 */
-	void addExpectedIncrease(double increase) {
-		this.unreportedIncrease += increase;
+	void addExpectedIncreases(Map<String, Double> increases) {
+		increases.forEach((service, increase) -> this.unreportedIncreases.merge(service, increase, Double::sum));
 	}
 
-	double unreportedIncrease() {
-		return this.unreportedIncrease;
+	/**
+	 * Returns the expected increases that the reports do not show yet.
+	 * @return the increases by image of a service
+	 */
+	Map<String, Double> unreportedIncreases() {
+		return this.unreportedIncreases;
 	}
 
 	/**
@@ -541,13 +554,31 @@
 	 * include them: a report covers the load of the last half second.
 	 * @param nowNanos the current time
 	 */
-	void decayExpectedIncrease(long nowNanos) {
+	void decayExpectedIncreases(long nowNanos) {
 		double elapsed = (nowNanos - this.increaseUpdatedNanos)
 				/ (double) DispatchSettings.LOAD_REPORT_WINDOW.toNanos();
-		this.unreportedIncrease *= Math.exp(-elapsed);
+		double rest = Math.exp(-elapsed);
+		this.unreportedIncreases.replaceAll((service, increase) -> increase * rest);
+		this.unreportedIncreases.values().removeIf((increase) -> increase < LEAST_INCREASE);
 		this.increaseUpdatedNanos = nowNanos;
 	}
 
+	/**
+	 * Returns the services on the worker with their pressures in the last report.
+	 * @return the worst pressure by image of a service; negative for a service that was
+	 * not reported yet
+	 */
+	Map<String, Double> servicePressures() {
+		Map<String, Double> pressures = new HashMap<>();
+		for (Placement placement : this.placements.values()) {
+			StepSpecification step = placement.task().step();
+			if (!step.tailTarget().isZero()) {
+				pressures.put(step.image(), this.servicePressures.getOrDefault(step.image(), UNREPORTED));
+			}
+		}
+		return pressures;
+	}
+
 	/**
 	 * Returns the time of the last report that described the worker.
 	 * @return the time in nanoseconds of the process clock
@@ -564,8 +595,13 @@
 		return this.pressure;
 	}
 
-	void pressure(double value) {
-		this.pressure = value;
+	/**
+	 * Records the pressures of a report.
+	 * @param pressures the worst pressure by image of a service
+	 */
+	void servicePressures(Map<String, Double> pressures) {
+		this.servicePressures = Map.copyOf(pressures);
+		this.pressure = pressures.values().stream().mapToDouble(Double::doubleValue).max().orElse(0);
 	}
 
 	Map<TaskKey, Placement> placements() {
--- a/src/main/java/org/crocuspost/dispatch/JobSelection.java
+++ b/src/main/java/org/crocuspost/dispatch/JobSelection.java
@@ -40,12 +40,6 @@
 
 	private static final int ENDS_LATE = 1;
 
-	/**
-	 * Expected increase of the pressure above which a filler counts as heavy. The
-	 * placement admits fillers up to a pressure of 0.65, and idle services cause 0.15.
-	 */
-	private static final double HEAVY_INCREASE = 0.5;
-
 	/**
 	 * Maximum weight of work on workers without services, reached if there are none.
 	 */
@@ -77,12 +71,12 @@
 	 */
 	private static final double LEAST_CORES = 1e-3;
 
-	private final PlacementPolicy policy;
+	private final FreeWorkerNeeds freeWorkerNeeds;
 
 	private final DispatchListener listener;
 
-	JobSelection(PlacementPolicy policy, DispatchListener listener) {
-		this.policy = policy;
+	JobSelection(FreeWorkerNeeds freeWorkerNeeds, DispatchListener listener) {
+		this.freeWorkerNeeds = freeWorkerNeeds;
 		this.listener = listener;
 	}
 
@@ -105,7 +99,7 @@
 				continue;
 			}
 			contenders.computeIfAbsent(job.queue().service(), (service) -> new ArrayList<>())
-				.add(contender(job, capacity, nowNanos));
+				.add(contender(job, nowNanos));
 		}
 		contenders.forEach((service, jobs) -> select(jobs, capacities.get(service), nowNanos));
 		List<TrackedJob> ordered = new ArrayList<>(waiting.stream().map(WaitingJob::tracked).toList());
@@ -119,7 +113,7 @@
 				&& specification.steps().stream().allMatch(StepSpecification::filler);
 	}
 
-	private Contender contender(WaitingJob waiting, FillerCapacity capacity, long nowNanos) {
+	private Contender contender(WaitingJob waiting, long nowNanos) {
 		JobProgress job = waiting.tracked().job();
 		double heavy = 0;
 		double total = 0;
@@ -134,7 +128,7 @@
 			}
 			double work = count * WaitingOrder.work(steps.get(step));
 			total += work;
-			heavy += (this.policy.addedPressure(steps.get(step), capacity.largestWorker()) > HEAVY_INCREASE) ? work : 0;
+			heavy += this.freeWorkerNeeds.test(waiting.queue().service(), steps.get(step)) ? work : 0;
 		}
 		Duration objective = WaitingOrder.objective(waiting.queue(), job.submission().specification());
 		Duration age = waiting.tracked().age(nowNanos);
--- a/src/main/java/org/crocuspost/dispatch/LoadMeasurements.java
+++ b/src/main/java/org/crocuspost/dispatch/LoadMeasurements.java
@@ -9,7 +9,6 @@
 import java.util.TreeMap;
 
 import org.crocuspost.time.Clock;
-import org.crocuspost.wire.WorkerDescription;
 
 /**
  * Measures the load of the jobs and hosts of a dispatcher, for operators and for the
@@ -135,22 +134,18 @@
 	 */
 	public AdmissionFigures admission(long epoch, Duration validity) {
 		Map<String, AdmissionEstimator.IdleCapacity> idle = new HashMap<>();
-		int largest = 1;
 		for (HostState host : this.dispatcher.hosts()) {
 			if (this.dispatcher.schedulable(host)) {
-				largest = Math.max(largest, host.worker().getMilliCores());
 				long forFillers = host.runsService() ? 0 : Math.max(0, (long) host.freeFillerMilliCores());
 				idle.merge(host.worker().getService(),
 						new AdmissionEstimator.IdleCapacity(Math.max(0, host.freeMilliCores()), forFillers),
 						AdmissionEstimator.IdleCapacity::plus);
 			}
 		}
-		WorkerDescription largestWorker = WorkerDescription.newBuilder().setMilliCores(largest).build();
 		AdmissionEstimator.Result result = this.admissionEstimator.survey(this.dispatcher.trackedJobs(),
 				this.dispatcher::queueOf,
-				(step) -> step.filler()
-						&& this.policy.addedPressure(step, largestWorker) > DefaultPlacementPolicy.MAXIMUM_PRESSURE,
-				idle, this.clock.nanoTime(), this.clock.millis());
+				(queue, step) -> this.dispatcher.freeWorkerNeeds().test(queue.service(), step), idle,
+				this.clock.nanoTime(), this.clock.millis());
 		long now = this.clock.millis();
 		return new AdmissionFigures(epoch, now, now + validity.toMillis(), result.backlogs(), result.exclusiveImages());
 	}
--- a/src/main/java/org/crocuspost/dispatch/PlacementPolicy.java
+++ b/src/main/java/org/crocuspost/dispatch/PlacementPolicy.java
@@ -1,10 +1,10 @@
 package org.crocuspost.dispatch;
 
 import java.util.Collection;
+import java.util.Map;
 
 import org.crocuspost.job.StepSpecification;
 import org.crocuspost.job.TaskProgress;
-import org.crocuspost.wire.WorkerDescription;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -31,25 +31,37 @@
 
 	/**
 	 * Returns by how much a filler is expected to raise the pressure on the services of a
-	 * worker.
+	 * host's worker.
 	 * @param step the step of the filler
-	 * @param worker the worker
-	 * @return the increase of the ratio of tail latency to target at full pace; 0 if it
-	 * is unknown
+	 * @param host the host
+	 * @return the largest increase of the ratio of tail latency to target of a service at
+	 * full pace; 0 if it is unknown
 	 */
-	default double addedPressure(StepSpecification step, WorkerDescription worker) {
+	default double addedPressure(StepSpecification step, HostState host) {
 		return 0;
 	}
 
 	/**
-	 * Returns the pressure to set aside on a worker for a filler that is placed beside
-	 * services, until reports show what it really is.
+	 * Returns the pressure to set aside on a host's worker for a filler that is placed
+	 * beside services, until reports show what it really is.
 	 * @param step the step of the filler
-	 * @param worker the worker
-	 * @return the expected increase; a cautious one if the image is unknown
+	 * @param host the host
+	 * @return the expected increases by image of a service; cautious ones for a service
+	 * beside which the image is unknown
 	 */
-	default double reservedPressure(StepSpecification step, WorkerDescription worker) {
-		return 0;
+	default Map<String, Double> reservedPressures(StepSpecification step, HostState host) {
+		return Map.of();
+	}
+
+	/**
+	 * Returns whether fillers of a step press on the services of nearly all workers, so
+	 * that they need workers without services.
+	 * @param step the step of the fillers
+	 * @param hosts the hosts whose workers accept tasks
+	 * @return true if hardly any of the workers with services suits them
+	 */
+	default boolean needsFreeWorker(StepSpecification step, Collection<HostState> hosts) {
+		return false;
 	}
 
 	/**
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -393,7 +393,7 @@
 		Set<TaskKey> listedTasks = new HashSet<>();
 		host.unassignedRuns().clear();
 		boolean listsLapsed = listsLapsed(report);
-		double pressure = 0;
+		Map<String, Double> pressures = new HashMap<>();
 		Map<String, Double> shares = new HashMap<>();
 		List<RunningTask> reportedRuns = new ArrayList<>(report.getRunningList());
 		reportedRuns.addAll(report.getPendingList());
@@ -406,7 +406,9 @@
 				placement.task().saveCheckpoint(running.getCheckpoint());
 				placement.reported(running, now);
 				StepSpecification step = placement.task().step();
-				pressure = Math.max(pressure, pressure(step, running));
+				if (!step.tailTarget().isZero()) {
+					pressures.merge(step.image(), pressure(step, running), Math::max);
+				}
 				if (step.filler()) {
 					shares.merge(step.image(), running.getLoad() / (double) Math.max(1, host.worker().getMilliCores()),
 							Double::sum);
@@ -418,11 +420,15 @@
 					.ifPresent((task) -> host.unassignedRuns().put(key, task.step()));
 			}
 		}
-		host.pressure(pressure);
-		host.decayExpectedIncrease(now);
+		host.servicePressures(pressures);
+		host.decayExpectedIncreases(now);
 		// Without the capacity, the shares of it that fillers use are unknown.
-		if (pressure > 0 && host.worker().getMilliCores() > 0) {
-			this.imagePressure.observe(host.name(), pressure, shares);
+		if (host.worker().getMilliCores() > 0) {
+			pressures.forEach((service, pressure) -> {
+				if (pressure > 0) {
+					this.imagePressure.observe(service, pressure, shares);
+				}
+			});
 		}
 		if (!report.getEndsFollow()) {
 			loseMissingRuns(host, report, listedTasks, newAgent);
--- a/src/main/java/org/crocuspost/dispatch/StartOrders.java
+++ b/src/main/java/org/crocuspost/dispatch/StartOrders.java
@@ -50,7 +50,7 @@
 			.setFiller(step.filler())
 			.setTailTarget((int) step.tailTarget().toMillis())
 			.setImage(step.image())
-			.setPressure(step.filler() ? this.policy.addedPressure(step, host.worker()) : 0)
+			.setPressure(step.filler() ? this.policy.addedPressure(step, host) : 0)
 			.build();
 	}
 
--- a/src/main/java/org/crocuspost/lead/LeadEvent.java
+++ b/src/main/java/org/crocuspost/lead/LeadEvent.java
@@ -194,7 +194,7 @@
 	SERVICE_PACKING,
 
 	/**
-	 * How much the fillers of each known image press on services, at a fixed interval.
+	 * How much the fillers of known images press on each service, at a fixed interval.
 	 */
 	IMAGE_PRESSURE,
 
--- a/src/test/java/org/crocuspost/dispatch/AdmissionReplayTests.java
+++ b/src/test/java/org/crocuspost/dispatch/AdmissionReplayTests.java
@@ -255,7 +255,8 @@
 			.forEach((job) -> job.rank(WaitingOrder.rank(job.job(), QUEUE, job.acceptedNanos(), now, 1)));
 		long idle = Math.max(0, WORKERS * WORKER_MILLI_CORES - this.running.size() * 1_000L);
 		AdmissionEstimator.Result result = this.estimator.survey(this.tracked.values(), (job) -> Optional.of(QUEUE),
-				(step) -> false, Map.of(DispatchFixture.SERVICE, new AdmissionEstimator.IdleCapacity(idle, idle)), now,
+				(queue, step) -> false,
+				Map.of(DispatchFixture.SERVICE, new AdmissionEstimator.IdleCapacity(idle, idle)), now,
 				this.fixture.time.millis());
 		return new AdmissionFigures(1, this.fixture.time.millis(), this.fixture.time.millis() + 5_000,
 				result.backlogs(), result.exclusiveImages());
--- a/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
+++ b/src/test/java/org/crocuspost/dispatch/DispatchFixture.java
@@ -255,6 +255,11 @@
 			return this;
 		}
 
+		StepBuilder image(String imageName) {
+			this.image = imageName;
+			return this;
+		}
+
 		StepBuilder service() {
 			this.longRunning = true;
 			this.tailTarget = Duration.ofMillis(100);
--- a/src/test/java/org/crocuspost/dispatch/FillerPlacementTests.java
+++ b/src/test/java/org/crocuspost/dispatch/FillerPlacementTests.java
@@ -1,11 +1,13 @@
 package org.crocuspost.dispatch;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 
 import org.crocuspost.dispatch.DispatchFixture.SimulatedWorker;
 import org.crocuspost.dispatch.DispatchFixture.StepBuilder;
 import org.crocuspost.job.TaskKey;
+import org.crocuspost.job.TaskProgress;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -33,8 +35,8 @@
 
 	private void trainPressureModel() {
 		for (int report = 0; report < 20; report++) {
-			this.fixture.imagePressure.observe("elsewhere", 7, Map.of("heavy", 0.2));
-			this.fixture.imagePressure.observe("elsewhere", 0.35, Map.of("light", 0.2));
+			this.fixture.imagePressure.observe("", 7, Map.of("heavy", 0.2));
+			this.fixture.imagePressure.observe("", 0.35, Map.of("light", 0.2));
 		}
 	}
 
@@ -219,7 +221,7 @@
 	@Test
 	void tellsTheAgentThatAKnownImageIsLight() {
 		for (int report = 0; report < 20; report++) {
-			this.fixture.imagePressure.observe("elsewhere", 0.1, Map.of("idle", 0.2));
+			this.fixture.imagePressure.observe("", 0.1, Map.of("idle", 0.2));
 		}
 		SimulatedWorker serving = this.fixture.worker("serving", 32_000);
 		this.fixture.submit("service", new StepBuilder().tasks(1).milliCores(30_000).service().build());
@@ -233,6 +235,27 @@
 			.allMatch((order) -> order.getTraits().getPressure() == 0);
 	}
 
+	/**
+	 * An image that pressed hard on one service found no worker, although all others run
+	 * a service on which it hardly presses.
+	 */
+	@Test
+	void fillerRunsBesideServiceOnWhichItHardlyPresses() {
+		for (int report = 0; report < 20; report++) {
+			this.fixture.imagePressure.observe("sensitive", 5, Map.of("image", 0.1));
+			this.fixture.imagePressure.observe("other", 0.3, Map.of("image", 0.1));
+		}
+		for (String service : List.of("sensitive", "other")) {
+			this.fixture.worker("host-of-" + service, 32_000);
+			this.fixture.submit(service,
+					new StepBuilder().tasks(2).milliCores(12_000).image(service).service().build());
+			this.fixture.runSchedulingRound();
+		}
+		this.fixture.submit("filler", new StepBuilder().tasks(4).milliCores(3_000).filler("image").build());
+		this.fixture.runSchedulingRound();
+		assertThat(this.fixture.job("filler").tasks(0, 0)).extracting(TaskProgress::host).containsOnly("host-of-other");
+	}
+
 	@Test
 	void placesLightFillersBesideServicesAndLeavesFreeWorkersToHeavyOnes() {
 		trainPressureModel();
@@ -261,7 +284,7 @@
 		this.fixture.submit("gang", new StepBuilder().tasks(20).milliCores(3_500).gang().filler("light").build());
 		this.fixture.runSchedulingRound();
 		assertThat(this.fixture.task("gang", 0, 0).everAssigned()).isFalse();
-		assertThat(this.fixture.dispatcher.host("serving").unreportedIncrease()).isZero();
+		assertThat(this.fixture.dispatcher.host("serving").unreportedIncreases()).isEmpty();
 	}
 
 	@Test
@@ -269,9 +292,9 @@
 		trainPressureModel();
 		ImagePressure next = new ImagePressure();
 		next.restore(this.fixture.imagePressure.write());
-		assertThat(next.expectedIncrease("heavy", 0.2).orElseThrow())
-			.isCloseTo(this.fixture.imagePressure.expectedIncrease("heavy", 0.2).orElseThrow(), within(0.01));
-		assertThat(next.expectedIncrease("never seen", 0.2)).isEmpty();
+		assertThat(next.expectedIncrease("heavy", "", 0.2).orElseThrow())
+			.isCloseTo(this.fixture.imagePressure.expectedIncrease("heavy", "", 0.2).orElseThrow(), within(0.01));
+		assertThat(next.expectedIncrease("never seen", "", 0.2)).isEmpty();
 		assertThatIllegalArgumentException().isThrownBy(() -> next.restore("malformed"));
 	}
 
@@ -279,13 +302,13 @@
 	void attributesPressureToImageWithHigherUse() {
 		ImagePressure pressure = new ImagePressure();
 		for (int report = 0; report < 30; report++) {
-			pressure.observe("host", 7, Map.of("heavy", 0.2));
-			pressure.observe("host", 7.2, Map.of("heavy", 0.2, "light", 0.1));
-			pressure.observe("host", 0.4, Map.of("light", 0.2));
+			pressure.observe("", 7, Map.of("heavy", 0.2));
+			pressure.observe("", 7.2, Map.of("heavy", 0.2, "light", 0.1));
+			pressure.observe("", 0.4, Map.of("light", 0.2));
 		}
-		assertThat(pressure.expectedIncrease("heavy", 0.2).orElseThrow()).isBetween(5.0, 8.0);
-		assertThat(pressure.expectedIncrease("light", 0.2).orElseThrow()).isLessThan(0.8);
-		assertThat(pressure.expectedIncrease("never seen", 0.2)).isEmpty();
+		assertThat(pressure.expectedIncrease("heavy", "", 0.2).orElseThrow()).isBetween(5.0, 8.0);
+		assertThat(pressure.expectedIncrease("light", "", 0.2).orElseThrow()).isLessThan(0.8);
+		assertThat(pressure.expectedIncrease("never seen", "", 0.2)).isEmpty();
 	}
 
 }
--- a/src/test/java/org/crocuspost/dispatch/JobSelectionTests.java
+++ b/src/test/java/org/crocuspost/dispatch/JobSelectionTests.java
@@ -37,7 +37,7 @@
 	@BeforeEach
 	void startServices() {
 		configure();
-		this.fixture.imagePressure.restore("light 1\nheavy 30\n");
+		this.fixture.imagePressure.restore("light  1\nheavy  30\n");
 		for (int number = 0; number < 4; number++) {
 			this.fixture.worker("host-" + number, 8_000);
 		}
--- a/src/test/java/org/crocuspost/dispatch/MixedLoadSimulation.java
+++ b/src/test/java/org/crocuspost/dispatch/MixedLoadSimulation.java
@@ -74,6 +74,10 @@
 
 	private final SplittableRandom random;
 
+	private final long seed;
+
+	private int submittedServices;
+
 	private final Map<String, SimulatedHost> hosts = new LinkedHashMap<>();
 
 	private final Map<String, Double> imageWeights = new HashMap<>();
@@ -96,8 +100,11 @@
 
 	private long freeWorkerTicks;
 
+	private long spareWorkerTicks;
+
 	MixedLoadSimulation(long seed, Load load) {
 		this.random = new SplittableRandom(seed);
+		this.seed = seed;
 		this.load = load;
 		this.dispatcher = new Dispatcher(new DispatchSettings(Duration.ofSeconds(6), Duration.ofMinutes(3), 1.5),
 				new DefaultPlacementPolicy(this.imagePressure), this.time, new SilentDispatchListener());
@@ -154,10 +161,19 @@
 			schedule();
 			this.ticks += traffic ? 1 : 0;
 			this.freeWorkerTicks += traffic ? this.dispatcher.load().workersWithoutServices() : 0;
+			this.spareWorkerTicks += traffic ? spareWorkers() : 0;
 			this.jobs.values().forEach(SubmittedJob::noticeEnd);
 		}
 	}
 
+	private int spareWorkers() {
+		return this.dispatcher.load()
+			.servicePackings()
+			.stream()
+			.mapToInt((packing) -> packing.workers() - packing.fewestWorkers())
+			.sum();
+	}
+
 	private void schedule() {
 		this.dispatcher.schedule();
 		while (this.dispatcher.hasChanges()) {
@@ -170,10 +186,14 @@
 	/**
 	 * Returns how much an image presses on services now; it changes within seconds.
 	 */
-	private double weight(String image) {
+	private double weight(String image, String service) {
 		double phase = Math.floorMod(image.hashCode(), 100) / 100.0;
 		double seconds = this.time.nanoTime() / 1e9;
-		return this.imageWeights.get(image) * Math.exp(0.6 * Math.sin(2 * Math.PI * (seconds / 12 + phase)));
+		boolean sensitive = new SplittableRandom(this.seed + (image + ' ' + service).hashCode())
+			.nextDouble() < this.load.interference().sensitiveShare();
+		double weight = sensitive ? this.imageWeights.get(image)
+				: Math.min(this.load.interference().lightWeight(), this.imageWeights.get(image));
+		return weight * Math.exp(0.6 * Math.sin(2 * Math.PI * (seconds / 12 + phase)));
 	}
 
 	private double vary(double mean, double spread, double most) {
@@ -200,9 +220,9 @@
 	private void submitService() {
 		int width = (int) vary(this.load.fleet().serviceTasks(), 0.4, 48);
 		double milliCores = this.load.fleet().sizes().serviceMilliCores();
-		submit(SERVICE_QUEUE,
-				List.of(step(width, vary(milliCores, 0.25, milliCores * 25 / 16), milliCores * 65 / 32, Duration.ZERO,
-						List.of(), false, this.random.nextBoolean() ? 2 : 0, "service", (int) TAIL_MILLIS, false)),
+		submit(SERVICE_QUEUE, List.of(step(width, vary(milliCores, 0.25, milliCores * 25 / 16), milliCores * 65 / 32,
+				Duration.ZERO, List.of(), false, this.random.nextBoolean() ? 2 : 0,
+				"service-" + this.submittedServices++ % this.load.interference().services(), (int) TAIL_MILLIS, false)),
 				0);
 	}
 
@@ -210,11 +230,11 @@
 	 * Lets services come and go, if the load says so.
 	 */
 	private void changeServices(double seconds) {
-		double ends = this.load.serviceChangesPerSecond() * seconds;
-		if (ends <= 0) {
+		double arrivals = this.load.serviceChangesPerSecond() * seconds;
+		if (arrivals <= 0) {
 			return;
 		}
-		if (ends > this.random.nextDouble()) {
+		if (!this.load.servicesStay() && arrivals > this.random.nextDouble()) {
 			this.jobs.values()
 				.stream()
 				.filter((job) -> job.submission.queue().equals(SERVICE_QUEUE))
@@ -223,7 +243,7 @@
 				.findFirst()
 				.ifPresent(this.dispatcher::cancelled);
 		}
-		if (ends > this.random.nextDouble()) {
+		if (arrivals > this.random.nextDouble()) {
 			submitService();
 		}
 	}
@@ -284,7 +304,8 @@
 				served(fillerJobs.subList(0, tenth)), served(fillerJobs.subList(tenth, 3 * tenth)),
 				this.earlyStops / (double) Math.max(1, this.startedFillers),
 				this.missedTargetTicks / (double) Math.max(1, this.serviceTicks),
-				this.freeWorkerTicks / (double) Math.max(1, this.ticks), this.stoppedServices);
+				this.freeWorkerTicks / (double) Math.max(1, this.ticks),
+				this.spareWorkerTicks / (double) Math.max(1, this.ticks), this.stoppedServices);
 	}
 
 	/**
@@ -344,6 +365,29 @@
 
 	}
 
+	/**
+	 * How much fillers press on services.
+	 *
+	 * @param services the number of different services
+	 * @param sensitiveShare the share of the services on which a heavy image presses hard
+	 * @param lightWeight the maximum weight of an image on the other services
+	 * @param basePressure the mean pressure on a service without fillers
+	 */
+	record Interference(int services, double sensitiveShare, double lightWeight, double basePressure) {
+
+		/**
+		 * Each image presses on all services alike.
+		 */
+		static final Interference UNIFORM = new Interference(1, 1, 0, 0.25);
+
+		/**
+		 * An image presses hard on some services and hardly on others, as observed on the
+		 * workers of the large deployment.
+		 */
+		static final Interference PAIRWISE = new Interference(10, 0.4, 0.5, 0.37);
+
+	}
+
 	/**
 	 * Size of the load.
 	 *
@@ -352,8 +396,20 @@
 	 * @param fillersPerSecond the number of jobs of fillers that arrive in a second
 	 * @param serviceChangesPerSecond the number of services that arrive in a second, and
 	 * of those that end
+	 * @param servicesStay whether services arrive and none ends
+	 * @param interference how much fillers press on services
 	 */
-	record Load(Fleet fleet, double shortPerSecond, double fillersPerSecond, double serviceChangesPerSecond) {
+	record Load(Fleet fleet, double shortPerSecond, double fillersPerSecond, double serviceChangesPerSecond,
+			boolean servicesStay, Interference interference) {
+
+		/**
+		 * The large fleet while services arrive, until they reserve nearly all of it.
+		 */
+		static final Load FILLING = new Load(Fleet.LARGE, 8.2, 2.4, 0.062, true, Interference.PAIRWISE);
+
+		Load(Fleet fleet, double shortPerSecond, double fillersPerSecond, double serviceChangesPerSecond) {
+			this(fleet, shortPerSecond, fillersPerSecond, serviceChangesPerSecond, false, Interference.UNIFORM);
+		}
 
 		static final Load LARGE = new Load(Fleet.LARGE, 8.2, 2.4, 0);
 
@@ -365,12 +421,17 @@
 
 		Load scaled(double factor) {
 			return new Load(this.fleet, this.shortPerSecond * factor, this.fillersPerSecond * factor,
-					this.serviceChangesPerSecond);
+					this.serviceChangesPerSecond, this.servicesStay, this.interference);
+		}
+
+		Load pairwise() {
+			return new Load(this.fleet, this.shortPerSecond, this.fillersPerSecond, this.serviceChangesPerSecond,
+					this.servicesStay, Interference.PAIRWISE);
 		}
 
 		Load withHeavyImages(int number) {
 			return new Load(this.fleet.withHeavyImages(number), this.shortPerSecond, this.fillersPerSecond,
-					this.serviceChangesPerSecond);
+					this.serviceChangesPerSecond, this.servicesStay, this.interference);
 		}
 
 	}
@@ -388,10 +449,12 @@
 	 * seconds
 	 * @param missedTargets the share of the time in which services missed their target
 	 * @param freeWorkers the mean number of workers without services
+	 * @param spareWorkers an upper bound of that number: the mean number of workers that
+	 * the services would leave if their tasks could be divided
 	 * @param movedServices the number of runs of services that were stopped to move them
 	 */
 	record Result(double shortJobs, double fillers, double servedFillers, double servedLargest, double servedLarge,
-			double earlyStops, double missedTargets, double freeWorkers, long movedServices) {
+			double earlyStops, double missedTargets, double freeWorkers, double spareWorkers, long movedServices) {
 	}
 
 	private final class SubmittedJob {
@@ -540,8 +603,12 @@
 		private void advance(double seconds) {
 			double used = 0;
 			double wanted = 0;
-			double pressure = 0.25 * (1
-					+ 0.5 * Math.sin(2 * Math.PI * (MixedLoadSimulation.this.time.nanoTime() / 20e9 + this.phase)));
+			Map<String, Double> pressures = new HashMap<>();
+			for (SimulatedRun run : this.running.values()) {
+				if (run.service()) {
+					pressures.computeIfAbsent(image(run), this::basePressure);
+				}
+			}
 			for (SimulatedRun run : this.running.values()) {
 				if (run.filler()) {
 					double share = fillerMilliCores(run) * run.pace / 100.0;
@@ -556,11 +623,13 @@
 				if (run.filler() && run.working()) {
 					double cpu = fillerMilliCores(run) * run.pace / 100.0 * room;
 					run.load += LOAD_SMOOTHING * (cpu - run.load);
-					pressure += weight(image(run)) * cpu / this.milliCores;
+					pressures.replaceAll(
+							(service, pressure) -> pressure + weight(image(run), service) * cpu / this.milliCores);
 				}
 			}
 			for (SimulatedRun run : List.copyOf(this.running.values())) {
 				if (run.service()) {
+					double pressure = pressures.get(image(run));
 					run.load += LOAD_SMOOTHING * (pressure * TAIL_MILLIS - run.load);
 					MixedLoadSimulation.this.serviceTicks++;
 					MixedLoadSimulation.this.missedTargetTicks += (pressure > 1) ? 1 : 0;
@@ -575,6 +644,18 @@
 			adjustPaces();
 		}
 
+		/**
+		 * Returns the pressure on a service without fillers. Its load varies by half;
+		 * that of one service varies in the same way on all workers.
+		 */
+		private double basePressure(String service) {
+			Interference interference = MixedLoadSimulation.this.load.interference();
+			double offset = (interference.services() == 1) ? this.phase
+					: Math.floorMod(service.hashCode(), 100) / 100.0;
+			return interference.basePressure()
+					* (1 + 0.5 * Math.sin(2 * Math.PI * (MixedLoadSimulation.this.time.nanoTime() / 20e9 + offset)));
+		}
+
 		private double fillerMilliCores(SimulatedRun run) {
 			return MixedLoadSimulation.this.jobs.get(run.key.job()).submission.specification()
 				.steps()
--- a/src/test/java/org/crocuspost/dispatch/MixedLoadTests.java
+++ b/src/test/java/org/crocuspost/dispatch/MixedLoadTests.java
@@ -86,4 +86,17 @@
 		assertThat(mean(results, Result::shortJobs)).isGreaterThan(0.9);
 	}
 
+	/**
+	 * Services arrive until they reserve nearly the whole fleet, and each heavy image
+	 * presses hard on a part of the services. While a weight was learned for the image
+	 * alone, its fillers waited for workers without services. The users' floor is 0.12 of
+	 * the worth.
+	 */
+	@Test
+	void fillersKeepFloorWhileServicesFillLargeFleet() {
+		List<Result> results = play(401, 8, Load.FILLING);
+		assertThat(results).extracting(Result::fillers).allMatch((earned) -> earned > 0.12);
+		assertThat(mean(results, Result::shortJobs)).isGreaterThan(0.9);
+	}
+
 }
--- a/src/test/java/org/crocuspost/dispatch/ServiceConsolidationTests.java
+++ b/src/test/java/org/crocuspost/dispatch/ServiceConsolidationTests.java
@@ -39,7 +39,7 @@
 
 	private void trainPressureModel() {
 		for (int report = 0; report < 20; report++) {
-			this.fixture.imagePressure.observe("elsewhere", 7, Map.of("heavy", 0.2));
+			this.fixture.imagePressure.observe("", 7, Map.of("heavy", 0.2));
 		}
 	}
 
--- a/src/test/java/org/crocuspost/dispatch/StoredNamesTests.java
+++ b/src/test/java/org/crocuspost/dispatch/StoredNamesTests.java
@@ -39,7 +39,7 @@
 	@ValueSource(strings = { "image", "an image", " ", "{", "two\nlines", "image 3" })
 	void pressuresKeepTheNamesOfImages(String image) {
 		ImagePressure pressure = new ImagePressure();
-		pressure.observe("host", 2, Map.of(image, 0.5));
+		pressure.observe("", 2, Map.of(image, 0.5));
 		ImagePressure restored = new ImagePressure();
 		restored.restore(pressure.write());
 		assertThat(restored.write()).isEqualTo(pressure.write());
--- a/src/test/java/org/crocuspost/dispatch/UnavailableJobTests.java
+++ b/src/test/java/org/crocuspost/dispatch/UnavailableJobTests.java
@@ -143,7 +143,7 @@
 					test.fixture.runSchedulingRound();
 				}), row(UnavailabilityReason.EXCLUDED, WorkerCondition.PRESSURE, FILLER, (test) -> {
 					test.runOther(SERVICE);
-					test.host().pressure(0.7);
+					test.host().servicePressures(Map.of("", 0.7));
 				}), row(UnavailabilityReason.EXCLUDED, WorkerCondition.BACK_OFF, FILLER, (test) -> {
 					test.runOther(SERVICE);
 					test.host().backOff("image", test.fixture.time.nanoTime() + 2_000_000_000L);
