Learn pressures only from services that have run for a second

Callers saw: after a service had taken free workers, runs of batch work started beside services that they harm and were stopped again. Cause: a report covers the last half second. The first ones of a service that starts on a worker with fillers at full pace show next to no latency, and are taken as proof that these images are light, by all hosts on which the service starts at the same time. Ruled out: that the fillers had been slowed meanwhile; the reports contain their use of the processor. Change: a service counts from one second after its first list; until then, its pressure is taken to be that without fillers at least.

--- a/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
@@ -45,6 +45,12 @@
 	 */
 	static final Duration LOAD_REPORT_WINDOW = Duration.ofMillis(500);
 
+	/**
+	 * Time from the first report of a service after which its tail latency shows the
+	 * fillers beside it. Until then, a part of the report's window lies before its start.
+	 */
+	static final Duration SERVICE_SETTLING = Duration.ofMillis(1_000);
+
 	/**
 	 * Pace in percent below which a filler that can resume elsewhere is stopped on a
 	 * worker that runs a service.
--- a/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
+++ b/src/main/java/org/crocuspost/dispatch/ReportProcessor.java
@@ -394,6 +394,7 @@
 		host.unassignedRuns().clear();
 		boolean listsLapsed = listsLapsed(report);
 		Map<String, Double> pressures = new HashMap<>();
+		Set<String> settledServices = new HashSet<>();
 		Map<String, Double> shares = new HashMap<>();
 		List<RunningTask> reportedRuns = new ArrayList<>(report.getRunningList());
 		reportedRuns.addAll(report.getPendingList());
@@ -408,6 +409,9 @@
 				StepSpecification step = placement.task().step();
 				if (!step.tailTarget().isZero()) {
 					pressures.merge(step.image(), pressure(step, running), Math::max);
+					if (placement.observedRunTime().compareTo(DispatchSettings.SERVICE_SETTLING) >= 0) {
+						settledServices.add(step.image());
+					}
 				}
 				if (step.filler()) {
 					shares.merge(step.image(), running.getLoad() / (double) Math.max(1, host.worker().getMilliCores()),
@@ -420,15 +424,18 @@
 					.ifPresent((task) -> host.unassignedRuns().put(key, task.step()));
 			}
 		}
+		pressures.replaceAll((service, pressure) -> settledServices.contains(service) ? pressure
+				: Math.max(pressure, this.imagePressure.basePressure(service)));
 		host.servicePressures(pressures);
 		host.decayExpectedIncreases(now);
 		// Without the capacity, the shares of it that fillers use are unknown.
 		if (host.worker().getMilliCores() > 0) {
-			pressures.forEach((service, pressure) -> {
+			for (String service : settledServices) {
+				double pressure = pressures.get(service);
 				if (pressure > 0) {
 					this.imagePressure.observe(service, pressure, shares);
 				}
-			});
+			}
 		}
 		if (!report.getEndsFollow()) {
 			loseMissingRuns(host, report, listedTasks, newAgent);
--- a/src/test/java/org/crocuspost/dispatch/FillerPlacementTests.java
+++ b/src/test/java/org/crocuspost/dispatch/FillerPlacementTests.java
@@ -256,6 +256,31 @@
 		assertThat(this.fixture.job("filler").tasks(0, 0)).extracting(TaskProgress::host).containsOnly("host-of-other");
 	}
 
+	/**
+	 * A service that has just started on a worker with fillers reports the time before
+	 * its start at first.
+	 */
+	@Test
+	void serviceThatHasJustStartedDoesNotMakeImageLight() {
+		trainPressureModel();
+		double before = this.fixture.imagePressure.expectedIncrease("heavy", "", 0.2).orElseThrow();
+		SimulatedWorker worker = this.fixture.worker("host", 32_000);
+		this.fixture.submit("heavy", new StepBuilder().tasks(4).milliCores(3_500).filler("heavy").build());
+		this.fixture.runSchedulingRound();
+		this.fixture.submit("service", new StepBuilder().tasks(2).milliCores(6_400).service().build());
+		this.fixture.runSchedulingRound();
+		for (TaskKey task : worker.running.keySet()) {
+			worker.running.computeIfPresent(task,
+					(key, run) -> run.toBuilder().setLoad(key.job().equals("heavy") ? 3_500 : 10).build());
+		}
+		for (int report = 0; report < 4; report++) {
+			this.fixture.time.advance(Duration.ofMillis(200));
+			this.fixture.report(worker);
+		}
+		assertThat(this.fixture.imagePressure.expectedIncrease("heavy", "", 0.2).orElseThrow()).isCloseTo(before,
+				within(0.01));
+	}
+
 	@Test
 	void placesLightFillersBesideServicesAndLeavesFreeWorkersToHeavyOnes() {
 		trainPressureModel();
