Log the images of the steps of a job

Cause: whether the jobs that fail are those whose images press on services can't be read from the log. Ruled out: the request's text, which is not logged for its length. Before and after: no decision changes.

--- a/src/main/java/org/crocuspost/lead/DecisionLog.java
+++ b/src/main/java/org/crocuspost/lead/DecisionLog.java
@@ -42,7 +42,15 @@
 	@Override
 	public void jobSeen(JobProgress job) {
 		EventLog.info(LeadEvent.JOB_SEEN, Field.of("job", job.id()), Field.of("queue", job.submission().queue()),
-				Field.of("steps", job.submission().specification().steps().size()));
+				Field.of("steps", job.submission().specification().steps().size()),
+				Field.of("images",
+						job.submission()
+							.specification()
+							.steps()
+							.stream()
+							.map((step) -> step.image())
+							.limit(MAXIMUM_LISTED_TASKS)
+							.toList()));
 	}
 
 	@Override
