Leave more room to short tasks while room is held for moves

Cause: half of what short tasks use was left to them while room was held. They start as often as they end, so they need all of it, and some for fluctuation. Change: one and a half times what they use stays free.

--- a/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
+++ b/src/main/java/org/crocuspost/dispatch/DispatchSettings.java
@@ -203,7 +203,7 @@
 	 * Capacity that stays free for short tasks while room is held for moves, in relation
 	 * to what they use now.
 	 */
-	static final double SHORT_TASK_HEADROOM = 0.5;
+	static final double SHORT_TASK_HEADROOM = 1.5;
 
 	/**
 	 * Maximum estimate of a batch task whose room counts as free when moves are planned:
