Tell agents of an image that is heavy beside one of several services

Cause: while an image was unknown beside one service of a worker, its expected pressure was given as unknown, although it was known to press hard on another one there. The agent then starts it at a moderate pace. Found by reading. Ruled out: the placement, which looks at each service. Change: the largest known increase counts if it is more than that of a light image; the increases of a worker's services are computed from the pass's own list, without a new one for each worker. Before: agentIsToldOfHeavyImageThatIsUnknownBesideAnotherService, 0 instead of over 1 (by reading; the test was written with the change). After: it passes.

--- a/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
+++ b/src/main/java/org/crocuspost/dispatch/DefaultPlacementPolicy.java
@@ -161,16 +161,18 @@
 
 	@Override
 	public double addedPressure(StepSpecification step, HostState host) {
-		double share = share(step, host);
+		return addedPressure(step, host.servicePressures().keySet(), share(step, host));
+	}
+
+	private double addedPressure(StepSpecification step, Collection<String> services, double share) {
 		double largest = 0;
-		for (String service : host.servicePressures().keySet()) {
+		boolean unknown = false;
+		for (String service : services) {
 			OptionalDouble increase = this.imagePressure.expectedIncrease(step.image(), service, share);
-			if (increase.isEmpty()) {
-				return 0;
-			}
-			largest = Math.max(largest, Math.max(MINIMUM_KNOWN_INCREASE, increase.getAsDouble()));
+			unknown |= increase.isEmpty();
+			largest = Math.max(largest, Math.max(MINIMUM_KNOWN_INCREASE, increase.orElse(0)));
 		}
-		return largest;
+		return (unknown && largest <= LIGHT_INCREASE) ? 0 : largest;
 	}
 
 	@Override
@@ -302,7 +304,8 @@
 	}
 
 	private boolean isLight(StepSpecification step, CandidateHost candidate) {
-		return !isUnknown(step.image(), candidate) && addedPressure(step, candidate.host()) <= LIGHT_INCREASE;
+		double increase = addedPressure(step, candidate.servicePressures().keySet(), share(step, candidate.host()));
+		return increase > 0 && increase <= LIGHT_INCREASE;
 	}
 
 	private double score(StepSpecification step, CandidateHost candidate) {
--- a/src/test/java/org/crocuspost/dispatch/FillerPlacementTests.java
+++ b/src/test/java/org/crocuspost/dispatch/FillerPlacementTests.java
@@ -256,6 +256,29 @@
 		assertThat(this.fixture.job("filler").tasks(0, 0)).extracting(TaskProgress::host).containsOnly("host-of-other");
 	}
 
+	/**
+	 * An agent takes a filler whose expected pressure is unknown for a moderate one.
+	 */
+	@Test
+	void agentIsToldOfHeavyImageThatIsUnknownBesideAnotherService() {
+		for (int report = 0; report < 20; report++) {
+			this.fixture.imagePressure.observe("sensitive", 5, Map.of("image", 0.1));
+		}
+		SimulatedWorker worker = this.fixture.worker("host", 32_000);
+		for (String service : List.of("sensitive", "other")) {
+			this.fixture.submit(service, new StepBuilder().tasks(1).milliCores(2_000).image(service).service().build());
+		}
+		this.fixture.runSchedulingRound();
+		this.fixture.submit("filler", new StepBuilder().tasks(1).milliCores(3_000).filler("image").build());
+		this.fixture.time.advance(Duration.ofSeconds(2));
+		this.fixture.reportAll();
+		this.fixture.runSchedulingRound();
+		assertThat(worker.executedOrders).filteredOn((order) -> order.getTraits().getFiller())
+			.extracting((order) -> order.getTraits().getPressure())
+			.allMatch((pressure) -> pressure > 1)
+			.hasSize(1);
+	}
+
 	/**
 	 * A service that has just started on a worker with fillers reports the time before
 	 * its start at first.
