--- a/src/main/java/org/crocuspost/dispatch/ServiceConsolidation.java
+++ b/src/main/java/org/crocuspost/dispatch/ServiceConsolidation.java
@@ -29,8 +29,8 @@
  * <p>
  * An attempt frees the workers whose services reserve the smallest share of them, and
  * prefers failure domains with few free workers. All tasks of an attempt are tried out
- * together on the room that is left, and no attempt begins while tasks of an earlier one
- * still have to stop.
+ * together on the room that is left. How many tasks move at the same time is bounded by a
+ * share of all, and the room that they hold by what short tasks need.
  */
 final class ServiceConsolidation {
 
--- a/src/test/java/org/crocuspost/dispatch/ServiceConsolidationTests.java
+++ b/src/test/java/org/crocuspost/dispatch/ServiceConsolidationTests.java
@@ -37,6 +37,13 @@
 		});
 	}
 
+	private void playUntilWorkerIsVacated() {
+		for (int round = 0; round < 20 && !this.fixture.hostAssessments.contains("vacated"); round++) {
+			play(ROUND);
+		}
+		assertThat(this.fixture.hostAssessments).contains("vacated");
+	}
+
 	private void trainPressureModel() {
 		for (int report = 0; report < 20; report++) {
 			this.fixture.imagePressure.observe("", 7, Map.of("heavy", 0.2));
@@ -235,10 +242,7 @@
 	void shortTasksDoNotTakeRoomOfMovedService() {
 		scatterServices(-1);
 		this.fixture.submit("filler", new StepBuilder().tasks(6).milliCores(3_500).filler("heavy").build());
-		for (int round = 0; round < 20 && !this.fixture.hostAssessments.contains("vacated"); round++) {
-			play(ROUND);
-		}
-		assertThat(this.fixture.hostAssessments).contains("vacated");
+		playUntilWorkerIsVacated();
 		this.fixture.submit("short", DispatchFixture.step(3, 13_000));
 		this.fixture.runSchedulingRound();
 		play(Duration.ofSeconds(3));
@@ -253,10 +257,7 @@
 	void leaderReplacedWhileServicesAreMovedLosesNone() {
 		scatterServiceOverFreeWorkers();
 		this.fixture.submit("filler", new StepBuilder().tasks(48).milliCores(2_000).filler("heavy").build());
-		for (int round = 0; round < 20 && !this.fixture.hostAssessments.contains("vacated"); round++) {
-			play(ROUND);
-		}
-		assertThat(this.fixture.hostAssessments).contains("vacated");
+		playUntilWorkerIsVacated();
 		this.fixture.report(this.fixture.workers.get("free-0"));
 		this.fixture.takeOver();
 		for (int round = 0; round < 40; round++) {
@@ -276,10 +277,7 @@
 	void hostLostWhileServicesAreMovedKeepsNoTask() {
 		scatterServiceOverFreeWorkers();
 		this.fixture.submit("filler", new StepBuilder().tasks(48).milliCores(2_000).filler("heavy").build());
-		for (int round = 0; round < 20 && !this.fixture.hostAssessments.contains("vacated"); round++) {
-			play(ROUND);
-		}
-		assertThat(this.fixture.hostAssessments).contains("vacated");
+		playUntilWorkerIsVacated();
 		SimulatedWorker lost = this.fixture.workers.remove("free-0");
 		this.fixture.reports.connected(lost.host, false);
 		for (int round = 0; round < 60; round++) {
