Bound what one report tells of a service without fillers

The base that all workers share rose to tens, and no image seemed to press on that service. Ruled out: a longer smoothing; one such report among ten still hides an image. Change: a report counts as the service's target at most. Before: failingWorkerDoesNotHideHeavyImage, expected increase 0 instead of 3.6. After: it passes; FillerPlacementTests and MixedLoadTests pass.

--- a/src/main/java/org/crocuspost/dispatch/ImagePressure.java
+++ b/src/main/java/org/crocuspost/dispatch/ImagePressure.java
@@ -55,6 +55,12 @@
 	 */
 	private static final double DEFAULT_BASE = 0.3;
 
+	/**
+	 * Upper bound of what a report counts as the pressure of a service without fillers. A
+	 * service on a failing worker can be at a hundred times its target.
+	 */
+	private static final double MAXIMUM_BASE = 1;
+
 	private static final double BASE_LEARNING_RATE = 0.1;
 
 	/**
@@ -156,7 +162,7 @@
 	}
 
 	private void learnBase(String service, double pressure) {
-		this.bases.merge(service, Math.max(0, pressure),
+		this.bases.merge(service, Math.max(0, Math.min(MAXIMUM_BASE, pressure)),
 				(base, observed) -> base + BASE_LEARNING_RATE * (observed - base));
 	}
 
--- a/src/test/java/org/crocuspost/dispatch/ImagePressureTests.java
+++ b/src/test/java/org/crocuspost/dispatch/ImagePressureTests.java
@@ -61,6 +61,18 @@
 		assertThat(expectedIncrease("image", "service")).isLessThan(0.05);
 	}
 
+	/**
+	 * On a failing worker, a service without fillers reports 143 times its target.
+	 */
+	@Test
+	void failingWorkerDoesNotHideHeavyImage() {
+		for (int report = 0; report < 100; report++) {
+			this.pressure.observe("service", (report % 10 == 0) ? 143 : 0.4, Map.of());
+			this.pressure.observe("service", 4, Map.of("image", SHARE));
+		}
+		assertThat(expectedIncrease("image", "service")).isGreaterThan(2.5);
+	}
+
 	/**
 	 * A leader of the version before knew one weight for each image.
 	 */
