--- a/src/main/java/org/crocuspost/dispatch/JobSelection.java
+++ b/src/main/java/org/crocuspost/dispatch/JobSelection.java
@@ -18,10 +18,11 @@
  * Selects the jobs of fillers that get capacity while there is less than they need.
  *
  * <p>
- * Load pattern: jobs arrive faster than the workers can run them, and more than half of
- * the images run only on workers without services, of which there are few. In the order
- * of the remaining work alone, a job runs its light first step, waits for such a worker
- * until its result is of no use, and its finished tasks are lost work.
+ * Load pattern: jobs arrive faster than the workers can run them, and some images press
+ * hard on the services of nearly all workers, so that they run only on workers without
+ * services, of which there are few. In the order of the remaining work alone, a job runs
+ * its light first step, waits for such a worker until its result is of no use, and its
+ * finished tasks are lost work.
  *
  * <p>
  * The selection goes through the jobs of a service in the order of their remaining work
