--- a/review/standins-3/Main.java
+++ b/review/standins-3/Main.java
@@ -129,6 +129,10 @@
 				.filter((start) -> start.task().startsWith(id))
 				.forEach((start) -> runs.merge(start.run(), 1, Integer::sum));
 			deployment.record("starts by run: " + runs + ", attempts " + attempts);
+			if (!runs.containsKey(trouble ? attempts : 1)) {
+				// The disruption was not brought about.
+				return 2;
+			}
 			boolean broken = runs.keySet().stream().anyMatch((run) -> run > attempts);
 			if (broken) {
 				deployment.record("BROKEN the gang was started again after " + attempts + " of its runs had failed");
