--- a/review/standins-3/Deployment.java
+++ b/review/standins-3/Deployment.java
@@ -45,6 +45,9 @@
 
 	private final Map<String, Process> processes = new LinkedHashMap<>();
 
+	/** Guarded by the map of processes: none is started once they are being ended. */
+	private boolean closed;
+
 	private final PrintWriter record;
 
 	private final long startNanos = System.nanoTime();
@@ -156,7 +159,12 @@
 		Map<String, String> environment = builder.environment();
 		environment.keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
 		environment.put("CROCUSPOST_SETTINGS", file.toString());
-		this.processes.put(name, builder.start());
+		synchronized (this.processes) {
+			if (this.closed) {
+				throw new IllegalStateException("the case is being ended");
+			}
+			this.processes.put(name, builder.start());
+		}
 	}
 
 	synchronized void record(String text) {
@@ -215,7 +223,10 @@
 
 	@Override
 	public void close() {
-		this.processes.values().forEach(Process::destroyForcibly);
+		synchronized (this.processes) {
+			this.closed = true;
+			this.processes.values().forEach(Process::destroyForcibly);
+		}
 		this.processes.values().forEach((process) -> {
 			try {
 				process.waitFor(5, TimeUnit.SECONDS);
